--- a/lupinhinge/drill.py
+++ b/lupintack/drill.py
@@ -7,9 +7,9 @@
 import traceback
 from typing import Any, BinaryIO
 
-from lupinhinge import wire
-from lupinhinge.interface import Action, Event, Repeat, ServiceClass, Settings
-from lupinhinge.policy import Router
+from lupintack import wire
+from lupintack.interface import Action, Event, Repeat, ServiceClass, Settings
+from lupintack.policy import Router
 
 _REPEATS = {"free": Repeat.SAFE, "guarded": Repeat.KEYED, "single_shot": Repeat.UNSAFE}
 _KINDS: dict[type, tuple[type, ...]] = {float: (int, float), int: (int,), bool: (bool,), str: (str,)}
@@ -171,7 +171,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"lupinhinge.drill: {error}", file=sys.stderr)
+        print(f"lupintack.drill: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/lupinhinge/policy.py
+++ b/lupintack/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of the router; its types, events and actions are in lupinhinge/interface.py.
+"""Every decision of the router; its types, events and actions are in lupintack/interface.py.
 
 One Router is one instance: it takes settings and a seed, and turns (now, events) into actions. It knows only
 what its own events told it. The ordinary path is the scoreboard: one stable hash of object and member picks
@@ -15,7 +15,7 @@
 from hashlib import blake2b
 from random import Random
 
-from lupinhinge.interface import (
+from lupintack.interface import (
     NEVER_RAN, Action, AttemptEnded, AttemptStarted, Cancel, ClientGone, Event, Fail, Fetch, ListKind,
     Log, Member, MemberList, Note, Outcome, Purged, Refuse, Repeat, Request, ServiceClass, SetTimer,
     Settings, State, Subscribe, TimerFired,
--- a/lupinhinge/wire.py
+++ b/lupintack/wire.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from lupinhinge import interface as i
+from lupintack import interface as i
 
 HEADER = struct.Struct(">IdI")
 EVENT_SIZE = 56
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-from lupinhinge import interface as i
-from lupinhinge.policy import Router, score
+from lupintack import interface as i
+from lupintack.policy import Router, score
 
 CACHES = (11, 12, 13, 14)
 PARENTS = (21, 22, 23)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from lupinhinge import interface as i
-from lupinhinge import wire
-from lupinhinge.drill import read_settings
+from lupintack import interface as i
+from lupintack import wire
+from lupintack.drill import read_settings
 
 ENV = {
     "services": [{"name": "a", "aim": 500.0, "deadline": 5000.0, "repeat": "free"}],
@@ -44,7 +44,7 @@
 
 def run(data: bytes) -> subprocess.CompletedProcess[bytes]:
     return subprocess.run(
-        [sys.executable, "-m", "lupinhinge.drill"], input=data, capture_output=True, timeout=20
+        [sys.executable, "-m", "lupintack.drill"], input=data, capture_output=True, timeout=20
     )
 
 
@@ -82,7 +82,7 @@
 def test_malformed_input_ends_with_one_line_and_code_2(data: bytes) -> None:
     done = run(data)
     assert done.returncode == 2 and done.stdout == b""
-    assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith(b"lupinhinge.drill: ")
+    assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith(b"lupintack.drill: ")
 
 
 def test_wrong_type_is_named_and_defaults_hold() -> None:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from lupinhinge import interface as i
-from lupinhinge.policy import Pending, Router, score
+from lupintack import interface as i
+from lupintack.policy import Pending, Router, score
 from tests import helpers as h
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from lupinhinge import interface as i
-from lupinhinge.policy import Router
+from lupintack import interface as i
+from lupintack.policy import Router
 from tests import helpers as h
 
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-PACKAGE = ROOT / "lupinhinge"
+PACKAGE = ROOT / "lupintack"
 
 
 def test_module_length_and_width() -> None:
@@ -19,7 +19,7 @@
 
 def test_module_names_its_interface_and_reads_no_clock() -> None:
     text = (PACKAGE / "policy.py").read_text()
-    assert "lupinhinge/interface.py" in text[:200]
+    assert "lupintack/interface.py" in text[:200]
     imported = {
         n.module if isinstance(n, ast.ImportFrom) else n.names[0].name
         for n in ast.walk(ast.parse(text))
@@ -33,8 +33,8 @@
         "dataclasses",
         "hashlib",
         "random",
-        "lupinhinge",
-        "lupinhinge.interface",
+        "lupintack",
+        "lupintack.interface",
     }
 
 
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lupinhinge import interface as i
+from lupintack import interface as i
 from tests import helpers as h
 
 STEP = st.tuples(
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lupinhinge import interface as i
+from lupintack import interface as i
 from tests import helpers as h
 
 BAD = [o for o in i.Outcome if o not in (i.Outcome.OK,)]
--- a/tests/test_scoreboard.py
+++ b/tests/test_scoreboard.py
@@ -7,8 +7,8 @@
 import sys
 from collections import Counter
 
-from lupinhinge import interface as i
-from lupinhinge.policy import HOLD_MS, score
+from lupintack import interface as i
+from lupintack.policy import HOLD_MS, score
 from tests import helpers as h
 
 
