--- /dev/null
+++ b/lupintack/__main__.py
@@ -0,0 +1,129 @@
+"""Starts one edge router, and ends it on SIGTERM."""
+
+from __future__ import annotations
+
+import logging
+import os
+import signal
+import socket
+import sys
+import threading
+import time
+from collections.abc import Callable
+
+from lupintack import config, logs
+from lupintack.board import Board
+from lupintack.clock import module_ms, now_us
+from lupintack.core.actor import Core, Stop
+from lupintack.core.messages import Link
+from lupintack.core.roster import Host, Roster
+from lupintack.fronts.http1 import Server
+from lupintack.fronts.platform import BODY_MOST, Platform
+from lupintack.interface import ListKind, MemberList
+from lupintack.peers.actor import Peer, Terms
+
+LOG = logging.getLogger("lupintack")
+STACK = 256 * 1024
+SWITCH_S = 0.001  # a thread that computes lets the others in after this long
+ACCEPT_ON_S = 0.45  # after SIGTERM: new connections still come
+READ_ON_S = 0.25  # and after that, requests on open ones
+FLUSH_S = 3.0  # and then answers on their way to slow clients
+
+
+def spawn(target: Callable[[], None], name: str) -> None:
+    """A thread that does not hold the program up."""
+    threading.Thread(target=target, name=name, daemon=True).start()
+
+
+class Node:
+    """One edge router: the core between its fronts and its peers."""
+
+    def __init__(self, conf: config.Config) -> None:
+        self.conf = conf
+        self.is_ready = False
+        self.roster = Roster(conf.settings.purge_settles)
+        self.core = Core(conf.settings, conf.seed, self.roster, self.connect)
+        self.board = Board(conf.board, conf.names, self.roster)
+        self.terms = Terms(
+            conf.limits.max_streams, conf.limits.connect_timeout_us, conf.limits.idle_us, conf.names.reports
+        )
+        platform = Platform(self.core, conf.names.classes, lambda: self.is_ready)
+        count = self.core.counters.add
+        most = conf.limits.sockets // 3 + 8
+        self.server = Server(conf.listen, platform.handle, spawn, count, most, BODY_MOST)
+
+    def connect(self, number: int, host: Host) -> Link:
+        """The actor of a member that is sent to for the first time."""
+        assert host.dial is not None
+        peer = Peer(host.name, host.dial, self.terms, self.core.ended, spawn)
+        spawn(peer.run, host.name)
+        return peer
+
+    def start(self) -> None:
+        """All that is known before the first request, then everything that runs."""
+        self.board.known(self.conf.known)
+        first = []
+        while not self.roster.mailbox.empty():
+            news = self.roster.mailbox.get()
+            if news is not None:
+                first.append(self.roster.heed(news))
+        self.core.turn([*first])
+        if not first:
+            self.core.router.handle(module_ms(now_us()), [MemberList(ListKind.CACHED)])
+        self.roster.tell = self.core.news
+        spawn(self.roster.run, "roster")
+        spawn(self.core.run, "core")
+        spawn(self.board.run, "board")
+        spawn(self.server.run, "accept")
+        self.is_ready = True
+
+    def stop(self) -> None:
+        """After SIGTERM: take what still comes, answer everything, and be done."""
+        self.is_ready = False
+        time.sleep(ACCEPT_ON_S)
+        self.server.stop_accepting()
+        time.sleep(READ_ON_S)
+        self.server.stop_reading()
+        answered = threading.Event()
+        self.core.mailbox.put(Stop(answered.set))
+        longest = max((c.deadline for c in self.conf.settings.classes), default=0.0) / 1000.0
+        answered.wait(longest + 1.0)
+        until = time.monotonic() + FLUSH_S
+        while self.server.busy() and time.monotonic() < until:
+            time.sleep(0.01)
+
+    def print_counters(self) -> None:
+        LOG.info("counters", extra=logs.fields(**self.core.counters.line()))
+
+
+def main() -> int:
+    """Run until SIGTERM; a configuration that can't be used ends it with one line and code 2."""
+    try:
+        conf = config.load(os.environ)
+    except config.ConfigError as error:
+        print(f"lupintack: {error}", file=sys.stderr)
+        return 2
+    logs.set_up(conf.name)
+    threading.stack_size(STACK)
+    sys.setswitchinterval(SWITCH_S)
+    signals = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+    try:
+        node = Node(conf)
+    except (OSError, socket.gaierror) as error:
+        print(f"lupintack: listen {conf.listen[0]}:{conf.listen[1]}: {error.strerror}", file=sys.stderr)
+        return 2
+    node.start()
+    LOG.info("ready", extra=logs.fields(node=conf.name, listen=f"{conf.listen[0]}:{conf.listen[1]}"))
+    while signal.sigwait(signals) == signal.SIGUSR1:
+        node.print_counters()
+    node.stop()
+    node.print_counters()
+    sys.stderr.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    code = main()
+    logging.shutdown()
+    os._exit(code)  # daemon threads blocked in sockets would only hold the interpreter's end up
--- /dev/null
+++ b/lupintack/config.py
@@ -0,0 +1,114 @@
+"""What an edge router is told at its start: the platform's JSON, and the files under deploy/."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from lupintack.drill import read_settings
+from lupintack.interface import Settings
+from lupintack.wire import WireError
+
+
+class ConfigError(ValueError):
+    """The configuration can't be used; the text says why, on one line."""
+
+
+@dataclass(frozen=True)
+class Names:
+    """Names in the settings that the wires use where the module has numbers."""
+
+    classes: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    reports: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Limits:
+    """What the machine has."""
+
+    sockets: int = 1024
+    memory_mb: int = 192
+    max_streams: int = 32
+    connect_timeout_us: int = 400_000
+    idle_us: int = 15_000_000
+
+
+@dataclass(frozen=True)
+class Config:
+    """One edge router's configuration."""
+
+    name: str
+    listen: tuple[str, int]
+    seed: int
+    board: tuple[str, int] | None
+    known: Mapping[str, Any]
+    settings: Settings
+    names: Names
+    limits: Limits
+
+
+def address(text: object, what: str) -> tuple[str, int]:
+    """`host:port` as a pair."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{what}: host:port is wanted, not {str(text)!r}")
+    return host.strip("[]"), int(port)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """The configuration that the environment names."""
+    path = environ.get("EDGE_CONFIG", "")
+    try:
+        data = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"EDGE_CONFIG: {path!r} can't be read: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"EDGE_CONFIG: {path!r} is not JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise ConfigError("EDGE_CONFIG: an object is wanted")
+    try:
+        return parse(data, environ)
+    except (WireError, TypeError, AttributeError, KeyError) as error:
+        raise ConfigError(f"EDGE_CONFIG: {error}".replace("\n", " ")) from None
+
+
+def parse(data: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    """The configuration in a JSON object."""
+    raw = data.get("settings", {})
+    settings = read_settings(json.dumps(raw).encode())
+    limits = raw.get("limits", {})
+    machine = data.get("limits", {})
+    seed = str(data.get("seed", "0"))
+    try:
+        seed_number = int(seed, 16)
+    except ValueError:
+        raise ConfigError(f"seed: hex digits are wanted, not {seed!r}") from None
+    known = data.get("known", {})
+    if not isinstance(known, dict):
+        raise ConfigError("known: an object is wanted")
+    return Config(
+        name=environ.get("EDGE_NAME") or str(data.get("name", "edge")),
+        listen=address(environ.get("EDGE_LISTEN") or data.get("listen", ""), "listen"),
+        seed=seed_number,
+        board=address(data["board"], "board") if data.get("board") else None,
+        known=known,
+        settings=settings,
+        names=Names(
+            classes=tuple(one.name for one in settings.classes),
+            zones=tuple(str(z) for z in raw.get("azs", [])),
+            kinds=tuple(str(k) for k in raw.get("kinds", [])),
+            reports=settings.report_fields,
+        ),
+        limits=Limits(
+            sockets=int(machine.get("sockets", 1024)),
+            memory_mb=int(machine.get("memory_mb", 192)),
+            max_streams=max(1, int(limits.get("max-streams", 32))),
+            connect_timeout_us=int(float(limits.get("connect-timeout", 400.0)) * 1000),
+            idle_us=int(float(limits.get("conn-idle", 15000.0)) * 1000),
+        ),
+    )
--- /dev/null
+++ b/lupintack/core/__init__.py
@@ -0,0 +1,1 @@
+"""The core: requests owed, attempts, the module's actor. It knows no wire."""
--- /dev/null
+++ b/lupintack/core/actor.py
@@ -0,0 +1,345 @@
+"""The module's actor: its mailbox, its turn, its timers, the requests owed and the attempts out.
+
+One turn takes what has come in, reads the clock once, tells the module, and does what it answers. Exactly one
+final answer goes to each request: whoever takes its record out of `owed` gives it.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from queue import Empty, SimpleQueue
+from random import Random
+
+from lupintack.clock import from_module_ms, module_ms, now_us
+from lupintack.core.counters import Counters
+from lupintack.core.messages import Ask, Ended, Left, Link, Order
+from lupintack.core.roster import Change, Host, Roster
+from lupintack.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    Fetch,
+    Log,
+    Refuse,
+    Repeat,
+    Request,
+    SetTimer,
+    Settings,
+    State,
+    TimerFired,
+)
+from lupintack.logs import fields
+from lupintack.peers.ending import OUTCOMES, Ending
+from lupintack.policy import Router
+
+LOG = logging.getLogger("core")
+TURN_MOST = 512  # messages in one turn: the clock must not grow old under a flood
+DUE_LIMIT, DUE_TOKEN = 0, 1
+
+
+@dataclass(slots=True)
+class Owed:
+    """A request whose final answer is owed, or whose attempts are still out."""
+
+    ask: Ask
+    safe: bool
+    sent: int = 0
+    over: bool = False
+    live: dict[int, Order] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Stop:
+    """The end: done is called when nothing is owed any more."""
+
+    done: Callable[[], None]
+
+
+Message = Ask | Left | Ended | Change | Stop
+
+
+class Core:
+    """Hosts one instance of the module."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        roster: Roster,
+        connect: Callable[[int, Host], Link],
+    ) -> None:
+        self.settings = settings
+        self.router = Router(settings, seed)
+        self.random = Random(seed)
+        self.roster = roster
+        self.connect = connect
+        self.mailbox: SimpleQueue[Message] = SimpleQueue()
+        self.counters = Counters()
+        self.owed: dict[int, Owed] = {}
+        self.hosts: dict[int, Host] = {}
+        self.links: dict[int, tuple[tuple[str, int], Link]] = {}
+        self.timers: list[tuple[int, int, int, int]] = []
+        self.again: list[Event] = []
+        self.swept: list[int] = []
+        self.last_number = 0
+        self.timer_number = 0
+        self.now = now_us()
+        self.stop: Stop | None = None
+
+    # What the others call
+
+    def take(self, ask: Ask) -> None:
+        """A front has taken a request."""
+        self.mailbox.put(ask)
+
+    def left(self, ask: Ask) -> None:
+        """The client of a request has left."""
+        self.mailbox.put(Left(ask))
+
+    def ended(self, ended: Ended) -> None:
+        """A peer tells how an attempt ended."""
+        self.mailbox.put(ended)
+
+    def news(self, change: Change) -> None:
+        """The roster tells what has changed."""
+        self.mailbox.put(change)
+
+    # The turn
+
+    def run(self) -> None:
+        """Until everything is answered after a Stop."""
+        while self.stop is None or any(not one.over for one in self.owed.values()):
+            batch = self.wait()
+            self.turn(batch)
+        self.stop.done()
+
+    def wait(self) -> list[Message]:
+        """What has come in, or nothing when a timer is due."""
+        batch: list[Message] = []
+        try:
+            if self.again:
+                batch.append(self.mailbox.get_nowait())
+            else:
+                until = (self.timers[0][0] - now_us()) / 1e6 if self.timers else 1.0
+                if until > 0:
+                    batch.append(self.mailbox.get(timeout=until))
+            while len(batch) < TURN_MOST:
+                batch.append(self.mailbox.get_nowait())
+        except Empty:
+            pass
+        return batch
+
+    def turn(self, batch: list[Message]) -> None:
+        """One turn of the loop."""
+        self.now = now_us()
+        events, self.again = self.again, []
+        held: list[Callable[[], None]] = []
+        for message in batch:
+            if isinstance(message, Ask):
+                self.on_ask(message, events)
+            elif isinstance(message, Ended):
+                self.on_ended(message, events)
+            elif isinstance(message, Left):
+                self.on_left(message, events)
+            elif isinstance(message, Change):
+                self.on_change(message, events, held)
+            else:
+                self.stop = message
+        self.on_timers(events)
+        if events:
+            for action in self.router.handle(module_ms(self.now), events):
+                self.act(action)
+        for number in self.swept:
+            self.owed.pop(number, None)
+        self.swept.clear()
+        for done in held:
+            done()
+
+    # What comes in
+
+    def on_ask(self, ask: Ask, events: list[Event]) -> None:
+        """Owe an answer, and tell the module."""
+        if len(self.owed) >= self.settings.max_open:
+            self.counters["answered.refused"] += 1
+            ask.sink.refused(int(self.settings.max_retry_after))
+            return
+        self.last_number = self.last_number % 0xFFFFFFF0 + 1
+        number = ask.number = self.last_number
+        cls = self.settings.classes[ask.cls]
+        self.owed[number] = Owed(ask, cls.repeat is Repeat.SAFE)
+        self.counters["taken." + cls.name] += 1
+        self.set_timer(ask.deadline_us, DUE_LIMIT, number)
+        due = module_ms(ask.deadline_us)
+        events.append(
+            Request(
+                number, ask.cls, ask.object_id, due, 0.0, ask.group, ask.part, 0, ask.repeated, ask.write
+            )
+        )
+
+    def on_left(self, message: Left, events: list[Event]) -> None:
+        """Nothing more is owed."""
+        one = self.owed.get(message.ask.number)
+        if one is not None and not one.over:
+            one.over = True
+            self.counters["left"] += 1
+            events.append(ClientGone(message.ask.number))
+            self.sweep(message.ask.number, one)
+
+    def on_ended(self, message: Ended, events: list[Event]) -> None:
+        """An attempt has ended; the first good answer is the client's."""
+        order, ending = message.order, message.ending
+        one = self.owed.get(order.ask.number)
+        if one is None or one.live.pop(order.number, None) is None:
+            return  # given up before: its end was told then
+        self.counters["ended." + ending.name.lower()] += 1
+        answer = message.answer
+        if ending in (Ending.SERVED, Ending.HOLDS) and answer is not None and not one.over:
+            one.over = True
+            self.counters["answered.served"] += 1
+            one.ask.sink.served(answer, ending is Ending.HOLDS)
+        events.append(self.verdict(one, order, ending, message))
+        self.sweep(order.ask.number, one)
+
+    def verdict(self, one: Owed, order: Order, ending: Ending, message: Ended | None) -> AttemptEnded:
+        """The end of an attempt in the module's words."""
+        answer = message.answer if message else None
+        elapsed = (self.now - order.decided_us) / 1000.0
+        outcome = OUTCOMES[ending]
+        if answer is None:
+            return AttemptEnded(order.ask.number, order.number, order.member, outcome, elapsed, one.over)
+        return AttemptEnded(
+            order.ask.number,
+            order.number,
+            order.member,
+            outcome,
+            elapsed,
+            one.over,
+            answer.note,
+            answer.waited_ms,
+            answer.load,
+        )
+
+    def on_change(self, change: Change, events: list[Event], held: list[Callable[[], None]]) -> None:
+        """The list has changed, or something was purged."""
+        for number, host in change.hosts:
+            self.hosts[number] = host
+            link = self.links.get(number)
+            if link is not None and (host.state is State.GONE or host.dial != link[0]):
+                del self.links[number]
+                link[1].retire()
+        events.extend(change.events)
+        if change.done is not None:
+            held.append(change.done)
+
+    # Timers
+
+    def set_timer(self, at_us: int, what: int, number: int) -> None:
+        self.timer_number += 1
+        heapq.heappush(self.timers, (at_us, self.timer_number, what, number))
+
+    def on_timers(self, events: list[Event]) -> None:
+        """The module's timers, and the requests whose time is up."""
+        while self.timers and self.timers[0][0] <= self.now:
+            _, _, what, number = heapq.heappop(self.timers)
+            if what == DUE_TOKEN:
+                events.append(TimerFired(number))
+                continue
+            one = self.owed.get(number)
+            if one is None or one.over:
+                continue
+            if not one.live:
+                # Guards against a request that the module holds: its answer is due now, whatever it plans.
+                self.finish(number, one, Fail(number))
+                events.append(ClientGone(number))
+            for order in list(one.live.values()):
+                self.end(one, order, Ending.DEADLINE, events)
+
+    def end(self, one: Owed, order: Order, ending: Ending, events: list[Event]) -> None:
+        """Stop waiting for an attempt."""
+        one.live.pop(order.number, None)
+        self.counters["ended." + ending.name.lower()] += 1
+        link = self.links.get(order.member)
+        if link is not None:
+            link[1].give_up(order)
+        events.append(self.verdict(one, order, ending, None))
+        self.sweep(order.ask.number, one)
+
+    # What the module answers
+
+    def act(self, action: Action) -> None:
+        """Do one thing."""
+        if isinstance(action, Fetch):
+            self.on_fetch(action)
+        elif isinstance(action, SetTimer):
+            self.set_timer(from_module_ms(action.when), DUE_TOKEN, action.token)
+        elif isinstance(action, (Refuse, Fail)):
+            one = self.owed.get(action.request)
+            if one is not None and not one.over:
+                self.finish(action.request, one, action)
+        elif isinstance(action, Cancel):
+            one = self.owed.get(action.request)
+            order = one.live.get(action.attempt) if one is not None else None
+            if one is not None and order is not None:
+                self.end(one, order, Ending.GIVEN_UP, self.again)
+        elif isinstance(action, Log):
+            LOG.info("module", extra=fields(text=action.text))
+
+    def finish(self, number: int, one: Owed, action: Refuse | Fail) -> None:
+        """The final answer of a request that is not served."""
+        one.over = True
+        if isinstance(action, Refuse):
+            self.counters["answered.refused"] += 1
+            one.ask.sink.refused(int(action.retry_after))
+        else:
+            self.counters["answered.failed"] += 1
+            one.ask.sink.failed()
+        self.sweep(number, one)
+
+    def sweep(self, number: int, one: Owed) -> None:
+        """Forget a request that is over and has nothing out, once the turn has ended.
+
+        Guards against an attempt that the module orders in the very turn in which its request ended: it
+        must be numbered like any other before the record goes.
+        """
+        if one.over and not one.live:
+            self.swept.append(number)
+
+    def on_fetch(self, action: Fetch) -> None:
+        """One attempt: out to its member, unless its request is over."""
+        one = self.owed.get(action.request)
+        if one is None:
+            LOG.error("an attempt for no request", extra=fields(request=action.request))
+            return
+        host, source = self.hosts.get(action.member), self.hosts.get(action.source)
+        order = Order(
+            ask=one.ask,
+            number=one.sent,
+            member=action.member,
+            source=0 if action.source == action.member else action.source,
+            cls_name=self.settings.classes[one.ask.cls].name,
+            source_host=source.name if source is not None and action.source != action.member else "",
+            keep=action.keep,
+            max_age_ms=action.max_age,
+            join=action.join,
+            renew=action.renew,
+            held_only=action.held_only,
+            decided_us=self.now,
+            stale=self.roster.stale,
+        )
+        one.sent += 1
+        if one.over or host is None or host.dial is None or self.now >= one.ask.deadline_us:
+            self.again.append(self.verdict(one, order, Ending.NOT_OWED, None))
+            return
+        one.live[order.number] = order
+        self.counters["sent." + order.cls_name] += 1
+        pair = self.links.get(action.member)
+        if pair is None:
+            pair = self.links[action.member] = (host.dial, self.connect(action.member, host))
+        pair[1].send(order)
+
--- /dev/null
+++ b/lupintack/core/counters.py
@@ -0,0 +1,17 @@
+"""Counters of what comes in, is sent and is answered."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+
+class Counters(Counter[str]):
+    """Counts by name. A count lost between two threads is harmless; a lock on every request is not."""
+
+    def add(self, name: str) -> None:
+        """Count one."""
+        self[name] += 1
+
+    def line(self) -> dict[str, object]:
+        """All counts, sorted, for a log line."""
+        return dict(sorted(self.items()))
--- /dev/null
+++ b/lupintack/core/messages.py
@@ -0,0 +1,96 @@
+"""What passes between the core, its fronts and its peers. Times are monotonic microseconds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from lupintack.interface import Note
+from lupintack.peers.ending import Ending
+
+
+class Sink(Protocol):
+    """Where a front wants the one final answer of a request. Calls must not block."""
+
+    def served(self, answer: Answer, holds: bool) -> None: ...
+
+    def refused(self, wait_ms: int) -> None: ...
+
+    def failed(self) -> None: ...
+
+
+@dataclass(slots=True)
+class Ask:
+    """A request that a front has taken."""
+
+    wire_id: str
+    cls: int
+    item: str
+    object_id: int
+    part: int
+    group: int
+    deadline_us: int
+    sink: Sink
+    repeated: bool = False
+    write: bool = False
+    body: bytes = b""
+    have: str = ""
+    number: int = 0  # given by the core
+
+
+@dataclass(slots=True)
+class Left:
+    """The client of a request has left."""
+
+    ask: Ask
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a member answered to an attempt."""
+
+    body: bytes | bytearray | memoryview = b""
+    tag: str = ""
+    issued_ms: int = 0
+    note: Note = Note.UNTOLD
+    waited_ms: float = 0.0
+    load: tuple[float, ...] = ()
+
+
+@dataclass(slots=True, eq=False)
+class Order:
+    """One attempt, as the core hands it to a peer."""
+
+    ask: Ask
+    number: int
+    member: int
+    source: int
+    cls_name: str
+    source_host: str
+    keep: int
+    max_age_ms: float
+    join: bool
+    renew: bool
+    held_only: bool
+    decided_us: int
+    stale: Callable[[Order], bool] = field(repr=False)
+
+
+@dataclass(slots=True)
+class Ended:
+    """How an attempt ended."""
+
+    order: Order
+    ending: Ending
+    answer: Answer | None = None
+
+
+class Link(Protocol):
+    """A member, as the core sees it. Calls must not block."""
+
+    def send(self, order: Order) -> None: ...
+
+    def give_up(self, order: Order) -> None: ...
+
+    def retire(self) -> None: ...
--- /dev/null
+++ b/lupintack/core/roster.py
@@ -0,0 +1,164 @@
+"""The actor of the list: who may be sent to, and what was purged, from whatever tells of it.
+
+A source of news (the notice board; CDNI purges; an etcd watch may stand beside them) calls `pool` and
+`purge`. The roster's tables are what a peer asks again at the moment of a write, and every change is passed
+on to the module's actor. Nothing here waits for the module.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+import math
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from queue import SimpleQueue
+
+from lupintack.clock import module_ms, now_us, unix_age_us
+from lupintack.core.messages import Order
+from lupintack.interface import Event, ListKind, Member, MemberList, Purged, State
+from lupintack.logs import fields
+
+LOG = logging.getLogger("roster")
+PURGES = 8192  # purges remembered for the check at the write; beyond that the oldest binds every object
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """A member as a source of news words it; numbers are places in the settings' lists."""
+
+    name: str
+    dial: tuple[str, int] | None
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+    state: State = State.READY
+    size: float = 1.0
+    born_unix_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class PoolNews:
+    """Changes of the list, or all of it."""
+
+    whole: bool
+    hosts: tuple[Host, ...]
+    version: int = 0
+
+
+@dataclass(slots=True)
+class PurgeNews:
+    """A purge of an object, or of a group where object_id is None; done is called once it holds."""
+
+    object_id: int | None
+    group: int
+    unix_ms: float
+    done: Callable[[], None] | None = None
+
+
+@dataclass(slots=True)
+class Change:
+    """What the module's actor hears: events, the hosts behind the ids, and whom to tell when it holds."""
+
+    events: tuple[Event, ...]
+    hosts: tuple[tuple[int, Host], ...] = ()
+    done: Callable[[], None] | None = None
+
+
+def member_id(host: str) -> int:
+    """A number for a host id: stable over restarts, everywhere the same, and never 0, which names nobody."""
+    return int.from_bytes(hashlib.blake2b(host.encode(), digest_size=8).digest(), "big") or 1
+
+
+class Roster:
+    """The list's actor. Its tables are written by its own thread alone and read by any."""
+
+    def __init__(self, settles_ms: float) -> None:
+        self.mailbox: SimpleQueue[PoolNews | PurgeNews | None] = SimpleQueue()
+        self.settles_us = int(settles_ms * 1000) + 4_000_000
+        self.hosts: dict[int, Host] = {}
+        self.purged: OrderedDict[tuple[bool, int], int] = OrderedDict()
+        self.floor_us = -(1 << 62)
+        self.tell: Callable[[Change], None] = lambda change: None
+
+    # What a source of news calls
+
+    def pool(self, whole: bool, hosts: tuple[Host, ...], version: int = 0) -> None:
+        """The list has changed."""
+        self.mailbox.put(PoolNews(whole, hosts, version))
+
+    def purge(
+        self, object_id: int | None, group: int, unix_ms: float, done: Callable[[], None] | None = None
+    ) -> None:
+        """Copies older than that moment are out of date."""
+        self.mailbox.put(PurgeNews(object_id, group, unix_ms, done))
+
+    # What a peer asks at the moment of a write
+
+    def stale(self, order: Order) -> bool:
+        """Whether the news since the decision forbids the attempt.
+
+        Guards against a want that waited in a mailbox, or for a connect, while a member began to drain or
+        the object was purged: the rules count from the first byte, not from the decision.
+        """
+        for number in (order.member, order.source):
+            host = self.hosts.get(number)
+            if number and (host is None or host.state is not State.READY):
+                return True
+        ask = order.ask
+        told = max(
+            self.purged.get((True, ask.object_id), self.floor_us),
+            self.purged.get((False, ask.group), self.floor_us),
+        )
+        return told >= order.decided_us and not ask.write
+
+    # The actor
+
+    def run(self) -> None:
+        """Until None comes."""
+        while (news := self.mailbox.get()) is not None:
+            try:
+                self.tell(self.heed(news))
+            except (ValueError, TypeError, OverflowError) as error:
+                LOG.warning("news can't be used", extra=fields(reason=error))
+
+    def heed(self, news: PoolNews | PurgeNews) -> Change:
+        """Bring the tables up to date, and word the news for the module."""
+        return self.on_pool(news) if isinstance(news, PoolNews) else self.on_purge(news)
+
+    def on_pool(self, news: PoolNews) -> Change:
+        now = now_us()
+        if news.whole:
+            named = {member_id(host.name) for host in news.hosts}
+            self.hosts = {number: host for number, host in self.hosts.items() if number in named}
+        members = []
+        pairs = []
+        for host in news.hosts:
+            number = member_id(host.name)
+            self.hosts[number] = host
+            pairs.append((number, host))
+            started = 0.0
+            if host.born_unix_ms > 0:
+                started = module_ms(now - unix_age_us(host.born_unix_ms))
+            members.append(Member(number, host.zone, host.kind, host.cell, host.state, host.size, started))
+        kind = ListKind.FULL if news.whole else ListKind.DELTA
+        return Change((MemberList(kind, tuple(members), news.version),), tuple(pairs))
+
+    def on_purge(self, news: PurgeNews) -> Change:
+        now = now_us()
+        age_us = max(0, unix_age_us(news.unix_ms)) if math.isfinite(news.unix_ms) else 0
+        key = (news.object_id is not None, news.group if news.object_id is None else news.object_id)
+        self.purged.pop(key, None)
+        self.purged[key] = now
+        while self.purged:
+            oldest, told = next(iter(self.purged.items()))
+            if told > now - self.settles_us and len(self.purged) <= PURGES:
+                break
+            if told > now - self.settles_us:
+                self.floor_us = told
+            del self.purged[oldest]
+        event = Purged(news.object_id or 0, news.group, age_us / 1000.0)
+        if age_us > self.settles_us:
+            return Change((), done=news.done)
+        return Change((event,), done=news.done)
--- /dev/null
+++ b/lupintack/fronts/http1.py
@@ -0,0 +1,393 @@
+"""HTTP/1.1 for the fronts: requests in, answers out, one request at a time on a connection.
+
+Each connection has a thread that reads. An answer is written by whoever has it, as far as the kernel takes it
+at once; only what is left over goes to a thread of its own, so that a slow client stalls nobody.
+"""
+
+from __future__ import annotations
+
+import logging
+import socket
+import struct
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from lupintack.clock import now_us
+from lupintack.logs import fields
+
+LOG = logging.getLogger("http1")
+HEAD_MOST = 8192
+HEADERS_MOST = 64
+READ = 16384
+WRITE_LIMIT_S = 10  # a client that takes nothing for so long is cut off
+SEND_BUFFER = 131072
+LINGER_S = 1  # after a 4xx the rest of what the client sends is read so long, or it might lose the answer
+REASONS = {
+    200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 302: "Found", 304: "Not Modified",
+    400: "Bad Request", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
+    406: "Not Acceptable", 408: "Request Timeout", 409: "Conflict", 411: "Length Required",
+    413: "Content Too Large", 414: "URI Too Long", 415: "Unsupported Media Type",
+    417: "Expectation Failed", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
+    504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+}  # fmt: skip
+TOKEN = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+
+
+class Bad(ValueError):
+    """A request that gets an error and a close."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """A request; header names are in small letters."""
+
+    method: str
+    target: str
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    close: bool = False
+    came_us: int = 0
+
+
+def parse_head(raw: bytes) -> tuple[HttpRequest, int]:
+    """A request's head, and the length of the body that follows."""
+    lines = raw.decode("latin-1").split("\r\n")
+    words = lines[0].split(" ")
+    if len(words) != 3 or not words[0] or not set(words[0]) <= TOKEN or not words[1]:
+        raise Bad(400, "not a request line")
+    method, target, version = words
+    if version not in ("HTTP/1.1", "HTTP/1.0"):
+        raise Bad(505 if version.startswith("HTTP/") else 400, "not HTTP/1.1")
+    if any(not "!" <= c <= "~" for c in target):
+        raise Bad(400, "a target with odd bytes")
+    if len(lines) - 1 > HEADERS_MOST:
+        raise Bad(431, "too many header fields")
+    headers: dict[str, str] = {}
+    for line in lines[1:]:
+        name, colon, value = line.partition(":")
+        key, value = name.lower(), value.strip(" \t")
+        if not colon or not name or not set(name) <= TOKEN or "\0" in value or "\n" in value:
+            raise Bad(400, "not a header field")
+        if key in headers:
+            if key in ("content-length", "host", "transfer-encoding") and headers[key] != value:
+                raise Bad(400, f"two of {key}")
+            value = headers[key] if key == "content-length" else f"{headers[key]}, {value}"
+        headers[key] = value
+    if version == "HTTP/1.1" and "host" not in headers:
+        raise Bad(400, "no Host")
+    if "transfer-encoding" in headers:
+        raise Bad(501, "transfer codings are not supported")
+    length = headers.get("content-length", "0")
+    if not (length.isascii() and length.isdigit()):
+        raise Bad(400, "Content-Length is no number")
+    if method in ("PUT", "POST") and "content-length" not in headers:
+        raise Bad(411, "Content-Length is wanted")
+    options = {word.strip().lower() for word in headers.get("connection", "").split(",")}
+    close = "close" in options or (version == "HTTP/1.0" and "keep-alive" not in options)
+    return HttpRequest(method, target, headers, close=close), int(length[:12])
+
+
+def head(status: int, headers: Iterable[tuple[str, object]], length: int | None) -> bytes:
+    """The head of an answer."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
+
+
+class Exchange:
+    """One request on a connection; answered once."""
+
+    def __init__(self, conn: Connection, request: HttpRequest) -> None:
+        self.conn = conn
+        self.request = request
+        self.on_left: Callable[[], None] = lambda: None
+
+    def answer(
+        self,
+        status: int,
+        headers: Iterable[tuple[str, object]] = (),
+        body: bytes | bytearray | memoryview = b"",
+        close: bool = False,
+    ) -> bool:
+        """The one answer; False where the client has left or an answer was given before."""
+        close = close or self.request.close or self.conn.server.closing
+        more = [("Connection", "close")] if close else []
+        length = None if status in (204, 304) else len(body)
+        data = [head(status, [*headers, *more], length)]
+        if len(body) and self.request.method != "HEAD" and length is not None:
+            data.append(bytes(body) if len(body) < READ else body)  # type: ignore[arg-type]
+        return self.conn.reply(self, data, close)
+
+
+class Connection:
+    """One client's connection."""
+
+    def __init__(self, server: Server, sock: socket.socket) -> None:
+        self.server = server
+        self.sock = sock
+        self.buffer = bytearray()
+        self.lock = threading.Lock()
+        self.answered = threading.Condition(self.lock)
+        self.open: Exchange | None = None
+        self.writing = False
+        self.closed = False
+        self.last = False  # no request after this one
+
+    def run(self) -> None:
+        """Read requests until the connection ends."""
+        try:
+            while self.serve_one():
+                pass
+        except Bad as error:
+            self.server.count(f"rejected.{error.status}")
+            text = f"{error}\n".encode()
+            extra = [("Content-Type", "text/plain"), ("Connection", "close")]
+            self.write_all([head(error.status, extra, len(text)) + text])
+            self.linger()
+        except OSError:
+            pass
+        finally:
+            self.end()
+
+    def serve_one(self) -> bool:
+        """One request: read, handed on, answered."""
+        at = self.buffer.find(b"\r\n\r\n")
+        while at < 0:
+            if len(self.buffer) > HEAD_MOST:
+                raise Bad(431, "the head is too long")
+            if not self.more():
+                if self.buffer.strip(b"\r\n"):
+                    raise Bad(400, "the request ends inside its head")
+                return False
+            while self.buffer[:2] == b"\r\n":
+                del self.buffer[:2]
+            at = self.buffer.find(b"\r\n\r\n")
+        if at > HEAD_MOST:
+            raise Bad(431, "the head is too long")
+        request, length = parse_head(bytes(self.buffer[:at]))
+        if length > self.server.body_most:
+            raise Bad(413, "the body is too long")
+        del self.buffer[: at + 4]
+        if length > len(self.buffer) and request.headers.get("expect", "").lower() == "100-continue":
+            self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        while len(self.buffer) < length:
+            if not self.more():
+                raise Bad(400, "the request ends inside its body")
+        request.body = bytes(self.buffer[:length])
+        del self.buffer[:length]
+        request.came_us = now_us()
+        exchange = Exchange(self, request)
+        with self.lock:
+            self.open = exchange
+        self.server.handle(exchange)
+        return self.await_answer(exchange)
+
+    def await_answer(self, exchange: Exchange) -> bool:
+        """Until it is answered; the client's leaving shows as the end of what it sends."""
+        while True:
+            with self.lock:
+                if self.open is not exchange and not self.writing:
+                    return not (self.closed or self.last)
+            if len(self.buffer) > HEAD_MOST:
+                # Guards against a client that sends on and on while its request is open.
+                with self.lock:
+                    while self.open is exchange or self.writing:
+                        self.answered.wait()
+                continue
+            if not self.more():
+                with self.lock:
+                    gone = self.open is exchange
+                    self.open = None
+                    self.closed = True
+                if gone:
+                    exchange.on_left()
+                return False
+            if len(self.buffer):
+                with self.lock:
+                    if self.open is exchange or self.writing:
+                        self.answered.wait(0.05)
+
+    def more(self) -> bool:
+        """Wait for bytes."""
+        try:
+            data = self.sock.recv(READ)
+        except ConnectionError:
+            return False
+        self.buffer += data
+        return bool(data)
+
+    def reply(self, exchange: Exchange, data: list[bytes], close: bool) -> bool:
+        """Write the answer of the open request: what the kernel takes now, the rest behind."""
+        with self.lock:
+            if self.open is not exchange or self.closed:
+                return False
+            self.open = None
+            self.last = self.last or close
+            rest = self.write_now(data)
+            if rest:
+                self.writing = True
+            else:
+                self.after_write()
+        if rest:
+            self.server.spawn(lambda: self.write_rest(rest), "client writer")
+        return True
+
+    def write_now(self, data: list[bytes]) -> list[memoryview]:
+        """What the kernel takes without waiting; returns what it did not take."""
+        views = [memoryview(one) for one in data]
+        try:
+            done = self.sock.sendmsg(views, [], socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            done = 0
+        except OSError:
+            self.closed = True
+            return []
+        rest = []
+        for view in views:
+            if done < len(view):
+                rest.append(view[done:])
+            done = max(0, done - len(view))
+        return rest
+
+    def write_rest(self, rest: list[memoryview]) -> None:
+        """A slow client's answer, at its own pace."""
+        try:
+            for view in rest:
+                self.sock.sendall(view)
+        except OSError:
+            with self.lock:
+                self.closed = True
+        with self.lock:
+            self.writing = False
+            self.after_write()
+
+    def after_write(self) -> None:
+        """The answer is out (under the lock): go on, or close."""
+        self.answered.notify_all()
+        if self.closed or self.last:
+            try:
+                self.sock.shutdown(socket.SHUT_WR if not self.closed else socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def write_all(self, data: list[bytes]) -> None:
+        try:
+            for one in data:
+                self.sock.sendall(one)
+        except OSError:
+            pass
+
+    def linger(self) -> None:
+        """Read on for a moment after a refusal: a reset could take the answer from the client."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            self.sock.settimeout(LINGER_S)
+            for _ in range(64):
+                if not self.sock.recv(READ):
+                    return
+        except OSError:
+            pass
+
+    def end(self) -> None:
+        """The connection is over."""
+        with self.lock:
+            exchange, self.open = self.open, None
+            self.closed = True
+            while self.writing:
+                self.answered.wait()
+        if exchange is not None:
+            exchange.on_left()
+        self.sock.close()
+        self.server.forget(self)
+
+
+class Server:
+    """Listens on one address; every connection gets a thread, up to a bound."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handle: Callable[[Exchange], None],
+        spawn: Callable[[Callable[[], None], str], None],
+        count: Callable[[str], None],
+        most: int,
+        body_most: int,
+    ) -> None:
+        self.handle = handle
+        self.spawn = spawn
+        self.count = count
+        self.most = most
+        self.body_most = body_most
+        self.closing = False
+        self.accepting = True
+        self.conns: set[Connection] = set()
+        self.lock = threading.Lock()
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.sock = socket.socket(family)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(address)
+        self.sock.listen(512)
+
+    def run(self) -> None:
+        """Accept until told to stop."""
+        while self.accepting:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError as error:
+                if self.accepting:
+                    LOG.warning("accept failed", extra=fields(reason=error))
+                    threading.Event().wait(0.02)
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", WRITE_LIMIT_S, 0))
+            conn = Connection(self, sock)
+            with self.lock:
+                crowded = len(self.conns) >= self.most
+                if not crowded:
+                    self.conns.add(conn)
+            if crowded:
+                # Guards the descriptors: the peers' connections need the rest of them.
+                self.count("rejected.crowded")
+                sock.close()
+                continue
+            self.spawn(conn.run, "client")
+
+    def stop_accepting(self) -> None:
+        """No new connections."""
+        self.accepting = False
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self.sock.close()
+
+    def forget(self, conn: Connection) -> None:
+        with self.lock:
+            self.conns.discard(conn)
+
+    def stop_reading(self) -> None:
+        """No new requests on open connections; what is open is answered still."""
+        self.closing = True
+        with self.lock:
+            conns = list(self.conns)
+        for conn in conns:
+            with conn.lock:
+                conn.last = True
+                if conn.open is None and not conn.writing:
+                    try:
+                        conn.sock.shutdown(socket.SHUT_RDWR)
+                    except OSError:
+                        pass
+
+    def busy(self) -> bool:
+        """Whether any answer is still owed or on its way."""
+        with self.lock:
+            return any(conn.open is not None or conn.writing for conn in self.conns)
--- /dev/null
+++ b/lupintack/fronts/platform.py
@@ -0,0 +1,99 @@
+"""The platform's front: `GET /ops/<class>/<object>?nth=<part>` and its headers, to what the core takes."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+
+from lupintack.core.actor import Core
+from lupintack.core.messages import Answer, Ask
+from lupintack.fronts.http1 import Bad, Exchange
+
+TARGET = re.compile(r"/ops/([A-Za-z0-9_.-]{1,64})/([0-9a-f]{16})(?:\?nth=(\d{1,9}))?")
+REQ_ID = re.compile(r"[0-9a-f]{16}")
+BODY_MOST = 48000
+WAIT_MOST_MS = 600_000
+MARGIN_US = 25_000  # of the client's wait, for the way here and back: its clock began when it sent
+
+
+class ClientSink:
+    """Gives the one final answer of a request to its client."""
+
+    __slots__ = ("exchange",)
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+
+    def served(self, answer: Answer, holds: bool) -> None:
+        tag = [("ETag", f'"{answer.tag}"')] if answer.tag else []
+        if holds:
+            self.exchange.answer(304, tag)
+        else:
+            self.exchange.answer(200, tag, answer.body)
+
+    def refused(self, wait_ms: int) -> None:
+        self.exchange.answer(503, [("Srv-Wait-Ms", wait_ms)] if wait_ms > 0 else [])
+
+    def failed(self) -> None:
+        self.exchange.answer(502)
+
+
+class Platform:
+    """Handles the platform's requests."""
+
+    def __init__(self, core: Core, classes: tuple[str, ...], ready: Callable[[], bool]) -> None:
+        self.core = core
+        self.classes = {name: number for number, name in enumerate(classes)}
+        self.ready = ready
+
+    def handle(self, exchange: Exchange) -> None:
+        """One request, on the thread of its connection."""
+        request = exchange.request
+        if request.target == "/alive":
+            if request.method not in ("GET", "HEAD"):
+                raise Bad(405, "GET is wanted")
+            exchange.answer(200 if self.ready() else 503)
+            return
+        ask = self.read(exchange)
+        exchange.on_left = lambda: self.core.left(ask)
+        self.core.take(ask)
+
+    def read(self, exchange: Exchange) -> Ask:
+        """The request in the core's words."""
+        request, headers = exchange.request, exchange.request.headers
+        match = TARGET.fullmatch(request.target)
+        if match is None or match[1] not in self.classes:
+            raise Bad(404, "no such class or object")
+        cls = self.classes[match[1]]
+        write = self.core.settings.classes[cls].write
+        if request.method != ("PUT" if write else "GET"):
+            raise Bad(405, "PUT is for a class that writes, GET for the others")
+        wire_id = headers.get("req-id", "")
+        if not REQ_ID.fullmatch(wire_id):
+            raise Bad(400, "Req-Id: 16 hex digits are wanted")
+        wait = number(headers.get("req-wait-ms", ""), "Req-Wait-Ms", WAIT_MOST_MS)
+        group = number(headers.get("x-batch", "0"), "X-Batch", 255)
+        have = headers.get("if-none-match", "").strip()
+        if have and not re.fullmatch(r'"[0-9A-Za-z_.-]{1,64}"', have):
+            have = ""  # not a tag of ours: the client gets the bytes
+        return Ask(
+            wire_id=wire_id,
+            cls=cls,
+            item=match[2],
+            object_id=int(match[2], 16),
+            part=int(match[3] or 0),
+            group=group,
+            deadline_us=request.came_us + wait * 1000 - min(MARGIN_US, wait * 100),
+            sink=ClientSink(exchange),
+            repeated=headers.get("req-retry") == "1",
+            write=write,
+            body=request.body,
+            have=have.strip('"'),
+        )
+
+
+def number(text: str, name: str, most: int) -> int:
+    """A header's whole number."""
+    if not (text.isascii() and text.isdigit() and len(text) < 10 and int(text) <= most):
+        raise Bad(400, f"{name}: a whole number up to {most} is wanted")
+    return int(text)
--- /dev/null
+++ b/lupintack/peers/actor.py
@@ -0,0 +1,294 @@
+"""The actor of one member: its mailbox, its connections, and what is out on them.
+
+The actor's thread writes; each connection has a thread that connects and then reads. A want waits here while
+no connection has room, and is checked again at the moment of its write.
+"""
+
+from __future__ import annotations
+
+import logging
+import socket
+import struct
+import threading
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from queue import Empty, SimpleQueue
+
+from lupintack.clock import now_us
+from lupintack.core.messages import Ended, Order
+from lupintack.logs import fields
+from lupintack.peers import resp, words
+from lupintack.peers.ending import Ending
+
+LOG = logging.getLogger("peers")
+STREAMS = 4  # attempts on a connection before another is opened
+CONNECTIONS = 24  # connections to one member
+SEND_LIMIT_US = 1_000_000  # a write to a member that takes nothing more ends its connection
+SPENT = 64  # ids given up on a connection that it remembers
+IDLE_PART = 0.7  # idle connections are closed this early, so that no want crosses the member's own close
+
+
+@dataclass(slots=True)
+class Send:
+    order: Order
+
+
+@dataclass(slots=True)
+class GiveUp:
+    order: Order
+
+
+@dataclass(slots=True)
+class Up:
+    conn: Conn
+
+
+@dataclass(slots=True)
+class Down:
+    conn: Conn
+    ending: Ending
+
+
+class Room:
+    """An answer has made room."""
+
+
+class Retire:
+    """Send nothing new; end when nothing is out."""
+
+
+@dataclass(frozen=True)
+class Terms:
+    """What the settings say of connections."""
+
+    max_streams: int
+    connect_timeout_us: int
+    idle_us: int
+    reports: tuple[str, ...]
+
+
+class Conn:
+    """One connection: connected and read by a thread of its own."""
+
+    def __init__(self, peer: Peer) -> None:
+        self.peer = peer
+        self.sock: socket.socket | None = None
+        self.up = False
+        self.down: Ending | None = None
+        self.open: dict[str, Order] = {}
+        self.spent: deque[str] = deque(maxlen=SPENT)
+        self.lock = threading.Lock()
+        self.used_us = now_us()
+
+    def run(self) -> None:
+        """Connect, read until it ends, and tell how."""
+        ending = self.connect()
+        if ending is None:
+            self.peer.mailbox.put(Up(self))
+            ending = self.read()
+        with self.lock:
+            self.down = ending
+            left = list(self.open.values())
+            self.open.clear()
+            if self.sock is not None:
+                self.sock.close()
+        for order in left:
+            self.peer.tell(Ended(order, ending))
+        self.peer.mailbox.put(Down(self, ending))
+
+    def connect(self) -> Ending | None:
+        try:
+            self.sock = socket.socket(socket.AF_INET6 if ":" in self.peer.dial[0] else socket.AF_INET)
+            self.sock.settimeout(self.peer.terms.connect_timeout_us / 1e6)
+            self.sock.connect(self.peer.dial)
+            self.sock.settimeout(None)
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            limit = struct.pack("ll", SEND_LIMIT_US // 1_000_000, SEND_LIMIT_US % 1_000_000)
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
+        except TimeoutError:
+            return Ending.CONNECT_TIMED_OUT
+        except ConnectionRefusedError:
+            return Ending.CONNECT_REFUSED
+        except OSError:
+            return Ending.CONNECT_FAILED
+        return None
+
+    def read(self) -> Ending:
+        assert self.sock is not None
+        reader = resp.Reader(self.sock)
+        reports = self.peer.terms.reports
+        try:
+            while True:
+                parts = list(reader.array())
+                if len(parts) < 2:
+                    raise resp.FrameError("an answer of one string")
+                if bytes(parts[1]) == b"yes":
+                    continue
+                ending, answer = words.answer(parts, reports)
+                order = self.open.pop(parts[0].decode("latin-1"), None)
+                self.used_us = now_us()
+                if order is not None:  # else it comes after never_mind, and nobody waits for it
+                    self.peer.tell(Ended(order, ending, answer))
+                self.peer.mailbox.put(Room())
+        except resp.FrameError as error:
+            LOG.warning("bad frame", extra=fields(peer=self.peer.name, reason=error))
+            return Ending.BAD_FRAME
+        except resp.Ended:
+            return Ending.CLOSED
+        except OSError:
+            return Ending.RESET
+
+    def write(self, data: bytes) -> bool:
+        """Write all of it, or end the connection."""
+        try:
+            if self.sock is not None:
+                self.sock.sendall(data)
+                return True
+        except OSError:
+            self.close()
+        return False
+
+    def close(self) -> None:
+        """End it; its thread does the rest."""
+        try:
+            if self.sock is not None:
+                self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+
+class Peer:
+    """One member of the list, at one address."""
+
+    def __init__(
+        self,
+        name: str,
+        dial: tuple[str, int],
+        terms: Terms,
+        tell: Callable[[Ended], None],
+        spawn: Callable[[Callable[[], None], str], None],
+    ) -> None:
+        self.name = name
+        self.dial = dial
+        self.terms = terms
+        self.tell = tell
+        self.spawn = spawn
+        self.mailbox: SimpleQueue[Send | GiveUp | Up | Down | Room | Retire] = SimpleQueue()
+        self.conns: list[Conn] = []
+        self.waiting: deque[Order] = deque()
+        self.retired = False
+
+    def send(self, order: Order) -> None:
+        self.mailbox.put(Send(order))
+
+    def give_up(self, order: Order) -> None:
+        self.mailbox.put(GiveUp(order))
+
+    def retire(self) -> None:
+        self.mailbox.put(Retire())
+
+    def run(self) -> None:
+        """Until retired with nothing left."""
+        while not (self.retired and not self.conns and not self.waiting):
+            try:
+                self.heed(self.mailbox.get(timeout=1.0))
+                while not self.mailbox.empty():
+                    self.heed(self.mailbox.get())
+            except Empty:
+                pass
+            self.place()
+            self.close_idle()
+        while not self.mailbox.empty():
+            message = self.mailbox.get()
+            if isinstance(message, Send):
+                self.tell(Ended(message.order, Ending.WITHDRAWN))
+
+    def heed(self, message: Send | GiveUp | Up | Down | Room | Retire) -> None:
+        if isinstance(message, Send):
+            self.waiting.append(message.order)
+        elif isinstance(message, GiveUp):
+            self.on_give_up(message.order)
+        elif isinstance(message, Up):
+            message.conn.up = True
+        elif isinstance(message, Down):
+            self.on_down(message)
+        elif isinstance(message, Retire):
+            self.retired = True
+
+    def on_give_up(self, order: Order) -> None:
+        """never_mind for what is written; what waits is just forgotten."""
+        if order in self.waiting:
+            self.waiting.remove(order)
+            return
+        for conn in self.conns:
+            if conn.open.get(order.ask.wire_id) is order:
+                conn.open.pop(order.ask.wire_id, None)
+                conn.spent.append(order.ask.wire_id)
+                conn.write(resp.command(b"never_mind", order.ask.wire_id.encode()))
+                return
+
+    def on_down(self, message: Down) -> None:
+        """A connection has ended. When it never came up, what waits for one hears why."""
+        if message.conn in self.conns:
+            self.conns.remove(message.conn)
+        if not message.conn.up and not any(c.up and c.down is None for c in self.conns):
+            while self.waiting:
+                self.tell(Ended(self.waiting.popleft(), message.ending))
+
+    def place(self) -> None:
+        """Write what waits to connections with room, and open what is wanted beside them."""
+        kept: deque[Order] = deque()
+        opening = sum(not c.up for c in self.conns)
+        while self.waiting:
+            order = self.waiting.popleft()
+            if order.stale(order):
+                self.tell(Ended(order, Ending.WITHDRAWN))
+                continue
+            fit = [
+                c
+                for c in self.conns
+                if c.up and c.down is None and len(c.open) < self.terms.max_streams
+                # Guards against a late answer to a given-up attempt being read as this one's: same id.
+                and order.ask.wire_id not in c.open and order.ask.wire_id not in c.spent
+            ]
+            best = min(fit, key=lambda c: len(c.open), default=None)
+            full = len(self.conns) >= CONNECTIONS
+            if best is not None and (len(best.open) < STREAMS or full):
+                self.put(best, order)
+                continue
+            if not full and opening <= len(kept):
+                opening += 1
+                self.open_one()
+            kept.append(order)
+        self.waiting = kept
+
+    def open_one(self) -> None:
+        conn = Conn(self)
+        self.conns.append(conn)
+        self.spawn(conn.run, f"{self.name} reader")
+
+    def put(self, conn: Conn, order: Order) -> None:
+        """Write one want."""
+        now = now_us()
+        if now >= order.ask.deadline_us:
+            self.tell(Ended(order, Ending.NOT_OWED))
+            return
+        wire_id = order.ask.wire_id
+        with conn.lock:
+            if conn.down is None:
+                conn.open[wire_id] = order
+        conn.used_us = now
+        if conn.open.get(wire_id) is not order:
+            self.waiting.append(order)  # it ended just now; nothing was written
+            return
+        if not conn.write(words.want(order, now)) and conn.open.pop(wire_id, None) is order:
+            self.tell(Ended(order, Ending.WRITE_FAILED))
+
+    def close_idle(self) -> None:
+        """Close what has had nothing out for long, or all of that once retired."""
+        limit = 0 if self.retired else int(self.terms.idle_us * IDLE_PART)
+        now = now_us()
+        for conn in self.conns:
+            if conn.up and conn.down is None and not conn.open and now - conn.used_us >= limit:
+                conn.close()
--- /dev/null
+++ b/lupintack/peers/resp.py
@@ -0,0 +1,108 @@
+"""RESP as caches speak it: wants and other commands out, answers in. Bounds hold before memory is taken."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Sequence
+
+LINE_MOST = 64  # a length line
+TEXT_MOST = 8192  # id, word or fields
+BODY_MOST = 1 << 20  # far over what an object holds
+PARTS_MOST = 8
+READ = 65536
+
+
+class FrameError(ValueError):
+    """The bytes are not what the protocol allows."""
+
+
+class Ended(EOFError):
+    """The other side has closed."""
+
+
+def command(*words: bytes) -> bytes:
+    """An array of bulk strings."""
+    parts = [b"*%d\r\n" % len(words)]
+    for word in words:
+        parts.append(b"$%d\r\n" % len(word))
+        parts.append(word)
+        parts.append(b"\r\n")
+    return b"".join(parts)
+
+
+class Reader:
+    """Reads arrays of bulk strings from a blocking socket."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.buffer = bytearray()
+        self.at = 0
+
+    def more(self) -> None:
+        """Wait for bytes."""
+        if self.at:
+            del self.buffer[: self.at]
+            self.at = 0
+        data = self.sock.recv(READ)
+        if not data:
+            raise Ended()
+        self.buffer += data
+
+    def number(self, mark: bytes, most: int) -> int:
+        """A line of a mark and a length."""
+        while (end := self.buffer.find(b"\r\n", self.at)) < 0:
+            if len(self.buffer) - self.at > LINE_MOST:
+                raise FrameError("a length line is too long")
+            self.more()
+        line = bytes(self.buffer[self.at : end])
+        self.at = end + 2
+        if line[:1] != mark or not line[1:].isdigit() or len(line) > LINE_MOST:
+            raise FrameError(f"{mark.decode()} and a length are wanted, not {line[:16]!r}")
+        length = int(line[1:])
+        if length > most:
+            raise FrameError(f"a length of {length}")
+        return length
+
+    def bulk(self, most: int) -> bytearray:
+        """One bulk string."""
+        length = self.number(b"$", most)
+        out = bytearray(length)
+        have = min(length, len(self.buffer) - self.at)
+        out[:have] = self.buffer[self.at : self.at + have]
+        self.at += have
+        view = memoryview(out)
+        while have < length:
+            got = self.sock.recv_into(view[have:])
+            if not got:
+                raise Ended()
+            have += got
+        while len(self.buffer) - self.at < 2:
+            self.more()
+        if self.buffer[self.at : self.at + 2] != b"\r\n":
+            raise FrameError("a bulk string runs past its length")
+        self.at += 2
+        return out
+
+    def array(self) -> Sequence[bytearray]:
+        """One array; the last of its strings may be long."""
+        count = self.number(b"*", PARTS_MOST)
+        return [self.bulk(BODY_MOST if n >= 3 else TEXT_MOST) for n in range(count)]
+
+
+def pairs(raw: bytes | bytearray, between: str = ",", within: str = "=") -> dict[str, str]:
+    """FIELDS: name=value,name=value, or - for none."""
+    text = raw.decode("latin-1")
+    if text in ("-", ""):
+        return {}
+    out = {}
+    for part in text.split(between):
+        name, mark, value = part.partition(within)
+        if not mark:
+            raise FrameError(f"a field without {within}: {part[:32]!r}")
+        out[name] = value
+    return out
+
+
+def joined(fields: dict[str, object]) -> bytes:
+    """FIELDS from names and values."""
+    return ",".join(f"{name}={value}" for name, value in fields.items()).encode() or b"-"
