--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 import os
 import signal
@@ -10,6 +11,7 @@
 import threading
 import time
 from collections.abc import Callable
+from pathlib import Path
 
 from lupintack import config, logs
 from lupintack.board import Board
@@ -17,6 +19,8 @@
 from lupintack.core.actor import Core, Stop
 from lupintack.core.messages import Link
 from lupintack.core.roster import Host, Roster
+from lupintack.fronts.cdni.conf import FILE, Cdni, load
+from lupintack.fronts.cdni.front import CdniFront
 from lupintack.fronts.http1 import Server
 from lupintack.fronts.platform import BODY_MOST, Platform
 from lupintack.interface import ListKind, MemberList
@@ -24,9 +28,11 @@
 
 LOG = logging.getLogger("lupintack")
 STACK = 256 * 1024
-SWITCH_S = 0.001  # a thread that computes lets the others in after this long
+SWITCH_S = 0.02  # turns are short, and every thread that waits for the interpreter wakes this often
 ACCEPT_ON_S = 0.45  # after SIGTERM: new connections still come
 READ_ON_S = 0.25  # and after that, requests on open ones
+CDNI_MOST = 48  # connections of the CDNI front
+CDNI_BODY_MOST = 65536
 FLUSH_S = 3.0  # and then answers on their way to slow clients
 
 
@@ -38,7 +44,7 @@
 class Node:
     """One edge router: the core between its fronts and its peers."""
 
-    def __init__(self, conf: config.Config) -> None:
+    def __init__(self, conf: config.Config, cdni: Cdni | None = None) -> None:
         self.conf = conf
         self.is_ready = False
         self.roster = Roster(conf.settings.purge_settles)
@@ -50,14 +56,15 @@
         platform = Platform(self.core, conf.names.classes, lambda: self.is_ready)
         count = self.core.counters.add
         most = conf.limits.sockets // 3 + 8
-        self.server = Server(conf.listen, platform.handle, spawn, count, most, BODY_MOST)
+        self.servers = [Server(conf.listen, platform.handle, spawn, count, most, BODY_MOST)]
+        if cdni is not None:
+            front = CdniFront(cdni, self.core, self.roster, lambda: self.is_ready, spawn)
+            self.servers.append(Server(cdni.listen, front.handle, spawn, count, CDNI_MOST, CDNI_BODY_MOST))
 
     def connect(self, number: int, host: Host) -> Link:
         """The actor of a member that is sent to for the first time."""
         assert host.dial is not None
-        peer = Peer(host.name, host.dial, self.terms, self.core.ended, spawn)
-        spawn(peer.run, host.name)
-        return peer
+        return Peer(host.name, host.dial, self.terms, self.core.ended, spawn)
 
     def start(self) -> None:
         """All that is known before the first request, then everything that runs."""
@@ -74,22 +81,25 @@
         spawn(self.roster.run, "roster")
         spawn(self.core.run, "core")
         spawn(self.board.run, "board")
-        spawn(self.server.run, "accept")
+        for server in self.servers:
+            spawn(server.run, "accept")
         self.is_ready = True
 
     def stop(self) -> None:
         """After SIGTERM: take what still comes, answer everything, and be done."""
         self.is_ready = False
         time.sleep(ACCEPT_ON_S)
-        self.server.stop_accepting()
+        for server in self.servers:
+            server.stop_accepting()
         time.sleep(READ_ON_S)
-        self.server.stop_reading()
+        for server in self.servers:
+            server.stop_reading()
         answered = threading.Event()
-        self.core.mailbox.put(Stop(answered.set))
+        self.core.post(Stop(answered.set))
         longest = max((c.deadline for c in self.conf.settings.classes), default=0.0) / 1000.0
         answered.wait(longest + 1.0)
         until = time.monotonic() + FLUSH_S
-        while self.server.busy() and time.monotonic() < until:
+        while any(server.busy() for server in self.servers) and time.monotonic() < until:
             time.sleep(0.01)
 
     def print_counters(self) -> None:
@@ -100,18 +110,21 @@
     """Run until SIGTERM; a configuration that can't be used ends it with one line and code 2."""
     try:
         conf = config.load(os.environ)
+        cdni = load(Path(os.environ.get("LUPINTACK_CDNI") or FILE), conf.names.classes)
     except config.ConfigError as error:
         print(f"lupintack: {error}", file=sys.stderr)
         return 2
     logs.set_up(conf.name)
     threading.stack_size(STACK)
     sys.setswitchinterval(SWITCH_S)
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 50)  # nothing on a request's way makes cycles; a full collection is a stall
     signals = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
     signal.pthread_sigmask(signal.SIG_BLOCK, signals)
     try:
-        node = Node(conf)
+        node = Node(conf, cdni)
     except (OSError, socket.gaierror) as error:
-        print(f"lupintack: listen {conf.listen[0]}:{conf.listen[1]}: {error.strerror}", file=sys.stderr)
+        print(f"lupintack: can't listen: {error}", file=sys.stderr)
         return 2
     node.start()
     LOG.info("ready", extra=logs.fields(node=conf.name, listen=f"{conf.listen[0]}:{conf.listen[1]}"))
--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -1,16 +1,20 @@
 """The module's actor: its mailbox, its turn, its timers, the requests owed and the attempts out.
 
-One turn takes what has come in, reads the clock once, tells the module, and does what it answers. Exactly one
-final answer goes to each request: whoever takes its record out of `owed` gives it.
+One turn takes what has come in, reads the clock once, tells the module, and does what it answers. The turn
+runs on whichever thread has just posted, if no other is running it: on one core a hand-over to a thread of
+the actor's own costs two switches a message (docs/design.md has the figures). Exactly one final answer goes
+to each request: whoever marks its record as over gives it.
 """
 
 from __future__ import annotations
 
 import heapq
 import logging
+import threading
+import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from queue import Empty, SimpleQueue
 from random import Random
 
 from lupintack.clock import from_module_ms, module_ms, now_us
@@ -35,11 +39,13 @@
     TimerFired,
 )
 from lupintack.logs import fields
-from lupintack.peers.ending import OUTCOMES, Ending
+from lupintack.peers.ending import Ending
 from lupintack.policy import Router
 
 LOG = logging.getLogger("core")
 TURN_MOST = 512  # messages in one turn: the clock must not grow old under a flood
+NAP_S = 0.01  # the timer's thread looks again this often: no timer is set closer than that
+TICK_US = 1_000_000  # between two looks of the peers after idle connections
 DUE_LIMIT, DUE_TOKEN = 0, 1
 
 
@@ -79,7 +85,8 @@
         self.random = Random(seed)
         self.roster = roster
         self.connect = connect
-        self.mailbox: SimpleQueue[Message] = SimpleQueue()
+        self.mailbox: deque[Message] = deque()
+        self.running = threading.Lock()
         self.counters = Counters()
         self.owed: dict[int, Owed] = {}
         self.hosts: dict[int, Host] = {}
@@ -96,45 +103,57 @@
 
     def take(self, ask: Ask) -> None:
         """A front has taken a request."""
-        self.mailbox.put(ask)
+        self.post(ask)
 
     def left(self, ask: Ask) -> None:
         """The client of a request has left."""
-        self.mailbox.put(Left(ask))
+        self.post(Left(ask))
 
     def ended(self, ended: Ended) -> None:
         """A peer tells how an attempt ended."""
-        self.mailbox.put(ended)
+        self.post(ended)
 
     def news(self, change: Change) -> None:
         """The roster tells what has changed."""
-        self.mailbox.put(change)
+        self.post(change)
 
     # The turn
 
+    def post(self, message: Message) -> None:
+        """Into the mailbox; and the turn, unless another thread is in it and will see the message."""
+        self.mailbox.append(message)
+        self.drive()
+
+    def drive(self) -> None:
+        """Turns until nothing waits. The check after the release keeps a message from being left lying."""
+        while (self.mailbox or self.again or self.due()) and self.running.acquire(blocking=False):
+            try:
+                batch: list[Message] = []
+                while self.mailbox and len(batch) < TURN_MOST:
+                    batch.append(self.mailbox.popleft())
+                self.turn(batch)
+            except Exception:  # not the poster's fault; the timers of the deadlines answer what is owed
+                LOG.exception("turn failed")
+            finally:
+                self.running.release()
+
+    def due(self) -> bool:
+        """Whether a timer has run out."""
+        return bool(self.timers) and self.timers[0][0] <= now_us()
+
     def run(self) -> None:
-        """Until everything is answered after a Stop."""
-        while self.stop is None or any(not one.over for one in self.owed.values()):
-            batch = self.wait()
-            self.turn(batch)
+        """The timers' thread: until everything is answered after a Stop."""
+        tick = now_us() + TICK_US
+        while self.stop is None or any(not one.over for one in list(self.owed.values())):
+            self.drive()
+            now = now_us()
+            if now >= tick:
+                tick = now + TICK_US
+                for _, link in list(self.links.values()):
+                    link.tick()
+            time.sleep(NAP_S)
         self.stop.done()
 
-    def wait(self) -> list[Message]:
-        """What has come in, or nothing when a timer is due."""
-        batch: list[Message] = []
-        try:
-            if self.again:
-                batch.append(self.mailbox.get_nowait())
-            else:
-                until = (self.timers[0][0] - now_us()) / 1e6 if self.timers else 1.0
-                if until > 0:
-                    batch.append(self.mailbox.get(timeout=until))
-            while len(batch) < TURN_MOST:
-                batch.append(self.mailbox.get_nowait())
-        except Empty:
-            pass
-        return batch
-
     def turn(self, batch: list[Message]) -> None:
         """One turn of the loop."""
         self.now = now_us()
@@ -197,7 +216,7 @@
         one = self.owed.get(order.ask.number)
         if one is None or one.live.pop(order.number, None) is None:
             return  # given up before: its end was told then
-        self.counters["ended." + ending.name.lower()] += 1
+        self.counters[ending.label] += 1
         answer = message.answer
         if ending in (Ending.SERVED, Ending.HOLDS) and answer is not None and not one.over:
             one.over = True
@@ -210,7 +229,7 @@
         """The end of an attempt in the module's words."""
         answer = message.answer if message else None
         elapsed = (self.now - order.decided_us) / 1000.0
-        outcome = OUTCOMES[ending]
+        outcome = ending.outcome
         if answer is None:
             return AttemptEnded(order.ask.number, order.number, order.member, outcome, elapsed, one.over)
         return AttemptEnded(
@@ -263,7 +282,7 @@
     def end(self, one: Owed, order: Order, ending: Ending, events: list[Event]) -> None:
         """Stop waiting for an attempt."""
         one.live.pop(order.number, None)
-        self.counters["ended." + ending.name.lower()] += 1
+        self.counters[ending.label] += 1
         link = self.links.get(order.member)
         if link is not None:
             link[1].give_up(order)
--- /dev/null
+++ b/lupintack/fronts/cdni/delivery.py
@@ -0,0 +1,162 @@
+"""Requests of the CDNI front on the core: deliveries to clients, and prepositions that nobody waits for."""
+
+from __future__ import annotations
+
+import secrets
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+
+from lupintack.clock import now_us
+from lupintack.core.actor import Core
+from lupintack.core.messages import Answer, Ask
+from lupintack.fronts.cdni import metadata
+from lupintack.fronts.cdni.conf import Cdni, Content
+from lupintack.fronts.http1 import Bad, Exchange
+from lupintack.fronts.platform import BODY_MOST, MARGIN_US, REQ_ID, WAIT_MOST_MS, ClientSink, number
+from lupintack.interface import Repeat
+
+ONCE_MOST = 4096  # ids of unsafe requests that are remembered
+ONCE_US = 60_000_000  # for so long
+
+
+class Once:
+    """Ids of unsafe requests that may have run, so that none is run again.
+
+    Guards against an alert-ack that reaches this CDN twice, as by two paths through its peers: the second
+    one is told so and goes nowhere. One that was refused, and so never ran, may come again.
+    """
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.ids: OrderedDict[str, int] = OrderedDict()
+
+    def enter(self, wire_id: str) -> bool:
+        """Whether this id may run now."""
+        now = now_us()
+        with self.lock:
+            while self.ids and (len(self.ids) >= ONCE_MOST or next(iter(self.ids.values())) < now - ONCE_US):
+                self.ids.popitem(last=False)
+            if wire_id in self.ids:
+                return False
+            self.ids[wire_id] = now
+            return True
+
+    def forget(self, wire_id: str) -> None:
+        """It never ran."""
+        with self.lock:
+            self.ids.pop(wire_id, None)
+
+
+class PeerSink(ClientSink):
+    """As for the platform, with the standard field for the time to come back."""
+
+    __slots__ = ("on_refused",)
+
+    def __init__(self, exchange: Exchange, on_refused: Callable[[], None]) -> None:
+        super().__init__(exchange)
+        self.on_refused = on_refused
+
+    def refused(self, wait_ms: int) -> None:
+        self.on_refused()
+        wait = [("Retry-After", max(1, -(-wait_ms // 1000))), ("Srv-Wait-Ms", wait_ms)]
+        self.exchange.answer(503, wait if wait_ms > 0 else [])
+
+
+class WaitSink:
+    """Tells a thread whether its request was served."""
+
+    def __init__(self) -> None:
+        self.done = threading.Event()
+        self.ok = False
+
+    def served(self, answer: Answer, holds: bool) -> None:
+        self.ok = True
+        self.done.set()
+
+    def refused(self, wait_ms: int) -> None:
+        self.done.set()
+
+    def failed(self) -> None:
+        self.done.set()
+
+
+class Delivery:
+    """Content requests under the same decisions and rules as the platform's."""
+
+    def __init__(self, conf: Cdni, core: Core, store: metadata.Store) -> None:
+        self.conf = conf
+        self.core = core
+        self.store = store
+        self.once = Once()
+
+    def group(self, content: Content, url: str, client_ip: str) -> int:
+        """The content's group; metadata.Denied where the upstream's metadata forbids the delivery."""
+        upstream = self.conf.upstreams.get(content.site.upstream)
+        if upstream is None or not upstream.metadata:
+            return content.group
+        found = self.store.resolve(upstream.metadata, url)
+        group = metadata.check(found, client_ip, time.time())
+        return content.group if group is None else group
+
+    def serve(self, exchange: Exchange, url: str) -> None:
+        """A client's request for content."""
+        request = exchange.request
+        content = self.conf.locate(url)
+        if content is None:
+            raise Bad(404, "no such content")
+        cls = self.core.settings.classes[content.cls]
+        if request.method != ("PUT" if cls.write else "GET"):
+            raise Bad(405, "PUT is for a class that writes, GET for the others")
+        if len(request.body) > BODY_MOST:
+            raise Bad(413, "the body is too long")
+        try:
+            group = self.group(content, url, exchange.conn.peer_ip)
+        except metadata.Denied as error:
+            raise Bad(403, str(error)) from None
+        except metadata.MetadataError as error:
+            raise Bad(502, f"metadata: {error}") from None
+        wire_id = request.headers.get("req-id", "") or secrets.token_hex(8)
+        if not REQ_ID.fullmatch(wire_id):
+            raise Bad(400, "Req-Id: 16 hex digits are wanted")
+        unsafe = cls.repeat is not Repeat.SAFE
+        if unsafe and "req-id" not in request.headers:
+            raise Bad(400, "Req-Id is wanted: without it a repeat of this request can't be told")
+        wait = number(request.headers.get("req-wait-ms", str(int(cls.deadline))), "Req-Wait-Ms", WAIT_MOST_MS)
+        if unsafe and not self.once.enter(wire_id):
+            raise Bad(409, "this request was taken before and may have run")
+        ask = Ask(
+            wire_id=wire_id,
+            cls=content.cls,
+            item=content.item,
+            object_id=int(content.item, 16),
+            part=content.part,
+            group=group,
+            deadline_us=request.came_us + wait * 1000 - min(MARGIN_US, wait * 100),
+            sink=PeerSink(exchange, lambda: self.once.forget(wire_id) if unsafe else None),
+            repeated=request.headers.get("req-retry") == "1",
+            write=cls.write,
+            body=request.body,
+            have=request.headers.get("if-none-match", "").strip().strip('"') if not cls.write else "",
+        )
+        exchange.on_left = lambda: self.core.left(ask)
+        self.core.take(ask)
+
+    def fetch(self, content: Content, group: int) -> bool:
+        """Have content fetched by the caches; whether it was, in the time of its class."""
+        cls = self.core.settings.classes[content.cls]
+        sink = WaitSink()
+        ask = Ask(
+            wire_id=secrets.token_hex(8),
+            cls=content.cls,
+            item=content.item,
+            object_id=int(content.item, 16),
+            part=content.part,
+            group=group,
+            deadline_us=now_us() + int(cls.deadline * 1000),
+            sink=sink,
+        )
+        self.core.take(ask)
+        sink.done.wait(cls.deadline / 1000 + 1)
+        return sink.ok
--- /dev/null
+++ b/lupintack/fronts/cdni/metadata.py
@@ -0,0 +1,226 @@
+"""RFC 8006: the metadata of an upstream CDN, fetched, kept for a while, and heeded; and our own, served."""
+
+from __future__ import annotations
+
+import re
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from fnmatch import translate
+from ipaddress import ip_address, ip_network
+from typing import Any
+from urllib.parse import urljoin, urlsplit
+
+from lupintack.clock import now_us
+from lupintack.fronts.cdni import client, wording
+from lupintack.fronts.cdni.conf import Cdni, Site, collection
+from lupintack.fronts.http1 import Bad
+
+FETCH_LIMIT_US = 2_000_000
+KEEP_US = 60_000_000  # a document without a max-age is asked for anew after this long
+KEEP_MOST_US = 3_600_000_000
+DOCUMENTS = 256
+DEPTH = 8  # links and nested paths followed for one URL
+
+
+class MetadataError(Exception):
+    """The metadata can't be had, or can't be read."""
+
+
+class Denied(Exception):
+    """The metadata forbids the delivery; protocol: because of the delivery protocol."""
+
+    def __init__(self, text: str, protocol: bool = False) -> None:
+        super().__init__(text)
+        self.protocol = protocol
+
+
+@dataclass(slots=True)
+class Document:
+    """One document, and until when it will do."""
+
+    data: dict[str, Any]
+    until_us: int
+
+
+class Store:
+    """Documents fetched from upstream CDNs."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.documents: dict[str, Document] = {}
+
+    def get(self, url: str, ptype: str) -> dict[str, Any]:
+        """A document, fetched where none is kept or it is too old."""
+        with self.lock:
+            kept = self.documents.get(url)
+        if kept is not None and now_us() < kept.until_us:
+            return kept.data
+        try:
+            reply = client.call("GET", url, FETCH_LIMIT_US, headers={"Accept": wording.media(ptype)})
+        except client.CallError as error:
+            raise MetadataError(str(error)) from None
+        if reply.status != 200:
+            raise MetadataError(f"{url}: status {reply.status}")
+        if wording.ptype_of(reply.headers.get("content-type", "")) != ptype:
+            raise MetadataError(f"{url}: not {wording.media(ptype)}")
+        try:
+            data = wording.parse(reply.body)
+        except Bad as error:
+            raise MetadataError(f"{url}: {error}") from None
+        with self.lock:
+            while len(self.documents) >= DOCUMENTS:
+                del self.documents[next(iter(self.documents))]
+            self.documents[url] = Document(data, now_us() + _keep_us(reply))
+        return data
+
+    def drop(self, urls: list[str]) -> None:
+        """These documents are out of date."""
+        with self.lock:
+            for url in urls:
+                self.documents.pop(url, None)
+
+    def resolve(self, index: str, url: str) -> list[dict[str, Any]]:
+        """The generic metadata for a URL: of each type, what the most specific level says."""
+        parts = urlsplit(url)
+        host_index = self.get(index, wording.HOST_INDEX)
+        for match in _objects(host_index, "hosts"):
+            if str(match.get("host", "")).lower() in (parts.netloc.lower(), parts.hostname or ""):
+                level, at = self.follow(match.get("host-metadata"), wording.HOST_METADATA, index)
+                break
+        else:
+            raise MetadataError(f"no metadata for host {parts.netloc}")
+        found: dict[str, dict[str, Any]] = {}
+        for _ in range(DEPTH):
+            for generic in _objects(level, "metadata"):
+                found[str(generic.get("generic-metadata-type"))] = generic
+            for path in _objects(level, "paths"):
+                if matches(path.get("path-pattern"), parts.path or "/"):
+                    level, at = self.follow(path.get("path-metadata"), "MI.PathMetadata", at)
+                    break
+            else:
+                return list(found.values())
+        raise MetadataError("paths nested too deep")
+
+    def follow(self, value: Any, ptype: str, base: str) -> tuple[dict[str, Any], str]:
+        """An embedded object, or the one behind a link."""
+        for _ in range(DEPTH):
+            if not isinstance(value, dict):
+                raise MetadataError(f"{ptype}: an object is wanted")
+            if "href" not in value:
+                return value, base
+            base = urljoin(base, str(value["href"]))
+            value = self.get(base, str(value.get("type", ptype)))
+        raise MetadataError("too many links")
+
+
+def _keep_us(reply: client.Reply) -> int:
+    found = re.search(r"max-age=(\d{1,9})", reply.headers.get("cache-control", ""))
+    return min(KEEP_MOST_US, int(found[1]) * 1_000_000) if found else KEEP_US
+
+
+def _objects(data: dict[str, Any], key: str) -> list[dict[str, Any]]:
+    value = data.get(key, [])
+    if not isinstance(value, list) or not all(isinstance(one, dict) for one in value):
+        raise MetadataError(f"{key}: a list of objects is wanted")
+    return value
+
+
+def matches(pattern: Any, path: str) -> bool:
+    """PatternMatch: * any characters, ? one, $ quotes; without regard to case unless it says otherwise."""
+    if not isinstance(pattern, dict) or not isinstance(pattern.get("pattern"), str):
+        raise MetadataError("path-pattern: an object with a pattern is wanted")
+    raw, glob, quoted = pattern["pattern"][: wording.TEXT_MOST], "", False
+    for c in raw:
+        if c == "$" and not quoted:
+            quoted = True
+            continue
+        glob += c if c in "*?" and not quoted else f"[{c}]" if c in "*?[" else c
+        quoted = False
+    flags = 0 if pattern.get("case-sensitive") is True else re.IGNORECASE
+    return re.match(translate(glob), path, flags) is not None
+
+
+def check(
+    metadata: list[dict[str, Any]], client_ip: str, unix_s: float, protocol: str = "http/1.1"
+) -> int | None:
+    """Whether these admit a delivery now; returns the group that they name, if any."""
+    group = None
+    for generic in metadata:
+        kind, value = generic.get("generic-metadata-type"), generic.get("generic-metadata-value")
+        if not isinstance(value, dict):
+            raise MetadataError(f"{kind}: a value is wanted")
+        if kind == "MI.TimeWindowACL":
+            _acl(value, "times", lambda rule: _open_at(rule, unix_s), "outside the time windows")
+        elif kind == "MI.LocationACL":
+            _acl(value, "locations", lambda rule: _footprint(rule, client_ip), "not for this location")
+        elif kind == "MI.ProtocolACL":
+            text = "not over this protocol"
+            _acl(value, "protocol-acl", lambda rule: protocol in rule.get("protocols", []), text, True)
+        elif kind == "MI.Grouping":
+            group = collection(str(value["ccid"])) if "ccid" in value else group
+        elif kind != "MI.SourceMetadata" and generic.get("mandatory-to-enforce", True) is not False:
+            # What must be enforced and isn't understood forbids the delivery.
+            raise Denied(f"{kind} is not supported and must be enforced")
+    return group
+
+
+def _acl(
+    value: dict[str, Any], key: str, fits: Callable[[dict[str, Any]], bool], text: str, protocol: bool = False
+) -> None:
+    """The first rule that fits decides; with none, a list that allows something denies the rest."""
+    rules = _objects(value, key)
+    try:
+        for rule in rules:
+            if fits(rule):
+                if rule.get("action", "deny") != "allow":
+                    raise Denied(text, protocol)
+                return
+    except (TypeError, ValueError) as error:
+        raise MetadataError(f"{key}: {error}") from None
+    if any(rule.get("action", "deny") == "allow" for rule in rules):
+        raise Denied(text, protocol)
+
+
+def _open_at(rule: dict[str, Any], unix_s: float) -> bool:
+    windows = _objects(rule, "windows")
+    return any(float(w.get("start", 0)) <= unix_s <= float(w.get("end", 0)) for w in windows)
+
+
+def _footprint(rule: dict[str, Any], client_ip: str) -> bool:
+    for one in _objects(rule, "footprints"):
+        kind, values = one.get("footprint-type"), one.get("footprint-value", [])
+        if kind not in ("ipv4cidr", "ipv6cidr"):
+            raise Denied(f"footprint {kind} is not supported")
+        if any(ip_address(client_ip) in ip_network(str(v), strict=False) for v in values):
+            return True
+    return False
+
+
+def host_index(conf: Cdni) -> dict[str, Any]:
+    """Our own HostIndex: the hosts that a downstream CDN may deliver for us."""
+    link = {"type": wording.HOST_METADATA}
+    return {
+        "hosts": [
+            {"host": site.name, "host-metadata": {**link, "href": f"{conf.base}/metadata/host/{site.name}"}}
+            for site in conf.sites.values()
+            if site.downstream
+        ]
+    }
+
+
+def host_metadata(conf: Cdni, site: Site) -> dict[str, Any]:
+    """Our own HostMetadata of one host."""
+    endpoint = urlsplit(conf.base).netloc
+    return {
+        "metadata": [
+            _generic("MI.SourceMetadata", {"sources": [{"endpoints": [endpoint], "protocol": "http/1.1"}]}),
+            _generic("MI.ProtocolACL", {"protocol-acl": [{"protocols": ["http/1.1"], "action": "allow"}]}),
+            _generic("MI.Grouping", {"ccid": str(site.group)}),
+        ],
+        "paths": [],
+    }
+
+
+def _generic(kind: str, value: dict[str, Any]) -> dict[str, Any]:
+    return {"generic-metadata-type": kind, "generic-metadata-value": value}
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import re
 import socket
 import struct
 import threading
@@ -24,7 +25,8 @@
 SEND_BUFFER = 131072
 LINGER_S = 1  # after a 4xx the rest of what the client sends is read so long, or it might lose the answer
 REASONS = {
-    200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 302: "Found", 304: "Not Modified",
+    200: "OK", 201: "Created", 204: "No Content", 301: "Moved Permanently", 302: "Found",
+    303: "See Other", 304: "Not Modified", 307: "Temporary Redirect", 308: "Permanent Redirect",
     400: "Bad Request", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
     406: "Not Acceptable", 408: "Request Timeout", 409: "Conflict", 411: "Length Required",
     413: "Content Too Large", 414: "URI Too Long", 415: "Unsupported Media Type",
@@ -32,7 +34,9 @@
     500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
     504: "Gateway Timeout", 505: "HTTP Version Not Supported",
 }  # fmt: skip
-TOKEN = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+REQUEST_LINE = re.compile(rf"({TOKEN}) ([!-~]+) HTTP/(\d\.\d)")
+FIELD = re.compile(rf"({TOKEN}):[ \t]*([^\0\r\n]*?)[ \t]*")
 
 
 class Bad(ValueError):
@@ -55,31 +59,35 @@
     came_us: int = 0
 
 
-def parse_head(raw: bytes) -> tuple[HttpRequest, int]:
-    """A request's head, and the length of the body that follows."""
-    lines = raw.decode("latin-1").split("\r\n")
-    words = lines[0].split(" ")
-    if len(words) != 3 or not words[0] or not set(words[0]) <= TOKEN or not words[1]:
-        raise Bad(400, "not a request line")
-    method, target, version = words
-    if version not in ("HTTP/1.1", "HTTP/1.0"):
-        raise Bad(505 if version.startswith("HTTP/") else 400, "not HTTP/1.1")
-    if any(not "!" <= c <= "~" for c in target):
-        raise Bad(400, "a target with odd bytes")
-    if len(lines) - 1 > HEADERS_MOST:
+def parse_fields(lines: list[str]) -> dict[str, str]:
+    """Header fields; of those given twice a list is made, but for those that frame the message."""
+    if len(lines) > HEADERS_MOST:
         raise Bad(431, "too many header fields")
     headers: dict[str, str] = {}
-    for line in lines[1:]:
-        name, colon, value = line.partition(":")
-        key, value = name.lower(), value.strip(" \t")
-        if not colon or not name or not set(name) <= TOKEN or "\0" in value or "\n" in value:
+    for line in lines:
+        match = FIELD.fullmatch(line)
+        if match is None:
             raise Bad(400, "not a header field")
+        key, value = match[1].lower(), match[2]
         if key in headers:
             if key in ("content-length", "host", "transfer-encoding") and headers[key] != value:
                 raise Bad(400, f"two of {key}")
             value = headers[key] if key == "content-length" else f"{headers[key]}, {value}"
         headers[key] = value
-    if version == "HTTP/1.1" and "host" not in headers:
+    return headers
+
+
+def parse_head(raw: bytes) -> tuple[HttpRequest, int]:
+    """A request's head, and the length of the body that follows."""
+    lines = raw.decode("latin-1").split("\r\n")
+    match = REQUEST_LINE.fullmatch(lines[0])
+    if match is None:
+        raise Bad(400, "not a request line")
+    method, target, version = match.groups()
+    if version not in ("1.1", "1.0"):
+        raise Bad(505, "not HTTP/1.1")
+    headers = parse_fields(lines[1:])
+    if version == "1.1" and "host" not in headers:
         raise Bad(400, "no Host")
     if "transfer-encoding" in headers:
         raise Bad(501, "transfer codings are not supported")
@@ -88,8 +96,8 @@
         raise Bad(400, "Content-Length is no number")
     if method in ("PUT", "POST") and "content-length" not in headers:
         raise Bad(411, "Content-Length is wanted")
-    options = {word.strip().lower() for word in headers.get("connection", "").split(",")}
-    close = "close" in options or (version == "HTTP/1.0" and "keep-alive" not in options)
+    options = headers["connection"].lower().replace(" ", "").split(",") if "connection" in headers else []
+    close = "close" in options or (version == "1.0" and "keep-alive" not in options)
     return HttpRequest(method, target, headers, close=close), int(length[:12])
 
 
@@ -102,13 +110,17 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
 
 
+def nothing() -> None:
+    """Nobody to tell."""
+
+
 class Exchange:
     """One request on a connection; answered once."""
 
     def __init__(self, conn: Connection, request: HttpRequest) -> None:
         self.conn = conn
         self.request = request
-        self.on_left: Callable[[], None] = lambda: None
+        self.on_left: Callable[[], None] = nothing
 
     def answer(
         self,
@@ -130,9 +142,10 @@
 class Connection:
     """One client's connection."""
 
-    def __init__(self, server: Server, sock: socket.socket) -> None:
+    def __init__(self, server: Server, sock: socket.socket, peer_ip: str) -> None:
         self.server = server
         self.sock = sock
+        self.peer_ip = peer_ip
         self.buffer = bytearray()
         self.lock = threading.Lock()
         self.answered = threading.Condition(self.lock)
@@ -154,6 +167,10 @@
             self.linger()
         except OSError:
             pass
+        except Exception:  # a fault of ours must not show as a silent drop
+            LOG.exception("request failed")
+            self.server.count("rejected.500")
+            self.write_all([head(500, [("Connection", "close")], 0)])
         finally:
             self.end()
 
@@ -230,6 +247,7 @@
             if self.open is not exchange or self.closed:
                 return False
             self.open = None
+            exchange.on_left = nothing  # it refers back to the exchange, and cycles are costly
             self.last = self.last or close
             rest = self.write_now(data)
             if rest:
@@ -340,7 +358,7 @@
         """Accept until told to stop."""
         while self.accepting:
             try:
-                sock, _ = self.sock.accept()
+                sock, where = self.sock.accept()
             except OSError as error:
                 if self.accepting:
                     LOG.warning("accept failed", extra=fields(reason=error))
@@ -348,7 +366,7 @@
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", WRITE_LIMIT_S, 0))
-            conn = Connection(self, sock)
+            conn = Connection(self, sock, str(where[0]))
             with self.lock:
                 crowded = len(self.conns) >= self.most
                 if not crowded:
--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -1,7 +1,9 @@
 """The actor of one member: its mailbox, its connections, and what is out on them.
 
-The actor's thread writes; each connection has a thread that connects and then reads. A want waits here while
-no connection has room, and is checked again at the moment of its write.
+The actor runs on whichever thread has just posted to it, if no other is running it, and never blocks: what a
+connection does not take at once is written by a thread made for that. Each connection has a thread that
+connects and then reads. A want waits here while no connection has room, and is checked again at the moment
+of its write.
 """
 
 from __future__ import annotations
@@ -13,7 +15,6 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from queue import Empty, SimpleQueue
 
 from lupintack.clock import now_us
 from lupintack.core.messages import Ended, Order
@@ -25,6 +26,7 @@
 STREAMS = 4  # attempts on a connection before another is opened
 CONNECTIONS = 24  # connections to one member
 SEND_LIMIT_US = 1_000_000  # a write to a member that takes nothing more ends its connection
+BACKLOG_MOST = 262_144
 SPENT = 64  # ids given up on a connection that it remembers
 IDLE_PART = 0.7  # idle connections are closed this early, so that no want crosses the member's own close
 
@@ -54,6 +56,10 @@
     """An answer has made room."""
 
 
+class Tick:
+    """Look after idle connections."""
+
+
 class Retire:
     """Send nothing new; end when nothing is out."""
 
@@ -79,13 +85,14 @@
         self.open: dict[str, Order] = {}
         self.spent: deque[str] = deque(maxlen=SPENT)
         self.lock = threading.Lock()
+        self.backlog = bytearray()  # the rest of what is begun; nothing new is written here before it is out
         self.used_us = now_us()
 
     def run(self) -> None:
         """Connect, read until it ends, and tell how."""
         ending = self.connect()
         if ending is None:
-            self.peer.mailbox.put(Up(self))
+            self.peer.post(Up(self))
             ending = self.read()
         with self.lock:
             self.down = ending
@@ -95,7 +102,7 @@
                 self.sock.close()
         for order in left:
             self.peer.tell(Ended(order, ending))
-        self.peer.mailbox.put(Down(self, ending))
+        self.peer.post(Down(self, ending))
 
     def connect(self) -> Ending | None:
         try:
@@ -130,7 +137,8 @@
                 self.used_us = now_us()
                 if order is not None:  # else it comes after never_mind, and nobody waits for it
                     self.peer.tell(Ended(order, ending, answer))
-                self.peer.mailbox.put(Room())
+                if self.peer.crowded:
+                    self.peer.post(Room())
         except resp.FrameError as error:
             LOG.warning("bad frame", extra=fields(peer=self.peer.name, reason=error))
             return Ending.BAD_FRAME
@@ -140,14 +148,40 @@
             return Ending.RESET
 
     def write(self, data: bytes) -> bool:
-        """Write all of it, or end the connection."""
-        try:
-            if self.sock is not None:
-                self.sock.sendall(data)
-                return True
-        except OSError:
-            self.close()
-        return False
+        """Write it, what the kernel does not take now by a thread of its own; False where nothing went."""
+        with self.lock:
+            if self.down is not None or self.sock is None or len(self.backlog) > BACKLOG_MOST:
+                return False
+            try:
+                done = 0 if self.backlog else self.sock.send(data, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                done = 0
+            except OSError:
+                self.close()
+                return False
+            if done < len(data):
+                begun = bool(self.backlog)
+                self.backlog += data[done:]
+                if not begun:
+                    self.peer.spawn(self.flush, f"{self.peer.name} writer")
+        return True
+
+    def flush(self) -> None:
+        """Write the backlog; a member that takes nothing for long loses the connection."""
+        while True:
+            with self.lock:
+                data = bytes(self.backlog)
+            try:
+                if self.sock is not None:
+                    self.sock.sendall(data)
+            except OSError:
+                self.close()
+                return
+            with self.lock:
+                del self.backlog[: len(data)]
+                if not self.backlog:
+                    break
+        self.peer.post(Room())
 
     def close(self) -> None:
         """End it; its thread does the rest."""
@@ -174,37 +208,38 @@
         self.terms = terms
         self.tell = tell
         self.spawn = spawn
-        self.mailbox: SimpleQueue[Send | GiveUp | Up | Down | Room | Retire] = SimpleQueue()
+        self.mailbox: deque[Send | GiveUp | Up | Down | Room | Tick | Retire] = deque()
+        self.running = threading.Lock()
         self.conns: list[Conn] = []
         self.waiting: deque[Order] = deque()
+        self.crowded = False  # read by the connections' threads: whether room is worth a message
         self.retired = False
 
     def send(self, order: Order) -> None:
-        self.mailbox.put(Send(order))
+        self.post(Send(order))
 
     def give_up(self, order: Order) -> None:
-        self.mailbox.put(GiveUp(order))
+        self.post(GiveUp(order))
 
     def retire(self) -> None:
-        self.mailbox.put(Retire())
+        self.post(Retire())
 
-    def run(self) -> None:
-        """Until retired with nothing left."""
-        while not (self.retired and not self.conns and not self.waiting):
-            try:
-                self.heed(self.mailbox.get(timeout=1.0))
-                while not self.mailbox.empty():
-                    self.heed(self.mailbox.get())
-            except Empty:
-                pass
-            self.place()
-            self.close_idle()
-        while not self.mailbox.empty():
-            message = self.mailbox.get()
-            if isinstance(message, Send):
-                self.tell(Ended(message.order, Ending.WITHDRAWN))
+    def tick(self) -> None:
+        self.post(Tick())
 
-    def heed(self, message: Send | GiveUp | Up | Down | Room | Retire) -> None:
+    def post(self, message: Send | GiveUp | Up | Down | Room | Tick | Retire) -> None:
+        """Into the mailbox; and its turn, unless another thread is in it and will see the message."""
+        self.mailbox.append(message)
+        while self.mailbox and self.running.acquire(blocking=False):
+            try:
+                while self.mailbox:
+                    self.heed(self.mailbox.popleft())
+                if self.waiting:
+                    self.place()
+            finally:
+                self.running.release()
+
+    def heed(self, message: Send | GiveUp | Up | Down | Room | Tick | Retire) -> None:
         if isinstance(message, Send):
             self.waiting.append(message.order)
         elif isinstance(message, GiveUp):
@@ -215,6 +250,9 @@
             self.on_down(message)
         elif isinstance(message, Retire):
             self.retired = True
+            self.close_idle()
+        elif isinstance(message, Tick):
+            self.close_idle()
 
     def on_give_up(self, order: Order) -> None:
         """never_mind for what is written; what waits is just forgotten."""
@@ -239,6 +277,7 @@
     def place(self) -> None:
         """Write what waits to connections with room, and open what is wanted beside them."""
         kept: deque[Order] = deque()
+        self.crowded = True  # from here on, or room made during this look would go unseen
         opening = sum(not c.up for c in self.conns)
         while self.waiting:
             order = self.waiting.popleft()
@@ -248,7 +287,7 @@
             fit = [
                 c
                 for c in self.conns
-                if c.up and c.down is None and len(c.open) < self.terms.max_streams
+                if c.up and c.down is None and not c.backlog and len(c.open) < self.terms.max_streams
                 # Guards against a late answer to a given-up attempt being read as this one's: same id.
                 and order.ask.wire_id not in c.open and order.ask.wire_id not in c.spent
             ]
@@ -262,6 +301,7 @@
                 self.open_one()
             kept.append(order)
         self.waiting = kept
+        self.crowded = bool(kept)
 
     def open_one(self) -> None:
         conn = Conn(self)
@@ -275,15 +315,10 @@
             self.tell(Ended(order, Ending.NOT_OWED))
             return
         wire_id = order.ask.wire_id
-        with conn.lock:
-            if conn.down is None:
-                conn.open[wire_id] = order
         conn.used_us = now
-        if conn.open.get(wire_id) is not order:
-            self.waiting.append(order)  # it ended just now; nothing was written
-            return
+        conn.open[wire_id] = order
         if not conn.write(words.want(order, now)) and conn.open.pop(wire_id, None) is order:
-            self.tell(Ended(order, Ending.WRITE_FAILED))
+            self.tell(Ended(order, Ending.NOT_WRITTEN))
 
     def close_idle(self) -> None:
         """Close what has had nothing out for long, or all of that once retired."""
--- a/lupintack/peers/ending.py
+++ b/lupintack/peers/ending.py
@@ -8,7 +8,10 @@
 
 
 class Ending(Enum):
-    """How it ended."""
+    """How it ended; outcome and label stand on each member, as a look-up by a member is slow."""
+
+    outcome: Outcome
+    label: str
 
     SERVED = auto()  # whole answer with bytes
     HOLDS = auto()  # the client's copy is the one
@@ -26,7 +29,7 @@
     CLOSED = auto()  # the member closed the connection with the attempt out
     RESET = auto()
     BAD_FRAME = auto()  # bytes that are no answer
-    WRITE_FAILED = auto()  # part of it may have come
+    NOT_WRITTEN = auto()  # the connection took no byte of it
     SILENT = auto()  # `there` was not answered
 
 
@@ -41,6 +44,7 @@
     Ending.GIVEN_UP: Outcome.CANCELLED,
     Ending.WITHDRAWN: Outcome.MOOT,
     Ending.NOT_OWED: Outcome.MOOT,
+    Ending.NOT_WRITTEN: Outcome.MOOT,
     # A connection that never came up proves that nothing ran.
     Ending.CONNECT_REFUSED: Outcome.CONNECT_FAILED,
     Ending.CONNECT_TIMED_OUT: Outcome.CONNECT_FAILED,
@@ -49,6 +53,9 @@
     Ending.CLOSED: Outcome.RESET,
     Ending.RESET: Outcome.RESET,
     Ending.BAD_FRAME: Outcome.RESET,
-    Ending.WRITE_FAILED: Outcome.RESET,
     Ending.SILENT: Outcome.TIMEOUT,
 }
+
+for _ending in Ending:
+    _ending.outcome = OUTCOMES[_ending]
+    _ending.label = "ended." + _ending.name.lower()
--- a/lupintack/peers/resp.py
+++ b/lupintack/peers/resp.py
@@ -72,7 +72,8 @@
         self.at += have
         view = memoryview(out)
         while have < length:
-            got = self.sock.recv_into(view[have:])
+            # One call for the whole string: each return to Python costs a wait for the interpreter.
+            got = self.sock.recv_into(view[have:], length - have, socket.MSG_WAITALL)
             if not got:
                 raise Ended()
             have += got
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -24,6 +24,7 @@
 # Ordinary path
 HOLD_MS = 5000.0  # an object's fills stay with another parent this long after its top parent failed one
 HOLDS = 4096  # objects under a hold at once; the oldest goes first
+BOARDS = 8192  # objects whose scores are kept; hashing them anew is a good part of a request's cost
 LAST_SEEN = 40000  # parts whose last request time is remembered; several keep-times of busy traffic
 RANK_STEP = 0.05  # step of the running quantile of log(gap x size) that parts the upper two ranks
 RANK_TOP = 0.25  # share of the repeats that get the highest rank; more clogs caches with old favourites
@@ -214,6 +215,7 @@
         self.pending: dict[int, Pending] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.last_seen: OrderedDict[tuple[int, int], float] = OrderedDict()
+        self.logs: dict[int, dict[int, float]] = {}
         self.split = 0.0
         self.holds: OrderedDict[int, tuple[int, float]] = OrderedDict()
         self.purged: OrderedDict[tuple[int, int], float] = OrderedDict()
@@ -469,8 +471,16 @@
 
     def board(self, req: Pending, members: list[Peer]) -> list[Peer]:
         """Members by their score for the object, best first; a changed weight moves few objects only."""
-        marks = {p.id: math.log((score(req.ask.object_id, p.id) + 1) / 2.0**64) / p.weight for p in members}
-        return sorted(members, key=lambda p: -marks[p.id])
+        key = req.ask.object_id
+        logs = self.logs.get(key)
+        if logs is None:
+            if len(self.logs) >= BOARDS:
+                self.logs.clear()
+            logs = self.logs[key] = {}
+        for p in members:
+            if p.id not in logs:
+                logs[p.id] = math.log((score(key, p.id) + 1) / 2.0**64)
+        return sorted(members, key=lambda p: -(logs[p.id] / p.weight))
 
     def fits(self, peer: Peer, need: float) -> bool:
         """A cold member has a hard budget: every attempt and every fill that may reach it counts."""
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,186 @@
+"""Scenarios of the platform's front, the caches and the notice board."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.scenario import Scenario
+
+TILE = "/ops/map-tiles/00000000000000aa"
+ACK = "/ops/alert-ack/00000000000000ac"
+
+
+class Serving(unittest.TestCase):
+    """Whole answers, each once."""
+
+    def test_bytes_tag_and_fields_are_passed_on(self) -> None:
+        Scenario().run(f"""
+            client a send GET {TILE}?nth=3 Req-Id:9b1f03aa5c7e2d41 X-Batch:17
+            cache expect w cls=map-tiles item=00000000000000aa chunk=3 miss=p-* mine= at=s-*
+            cache send w ok entity=t1,issued={{now}},tell=f,delay=3,meter=cpu_share:0.5 hello
+            client a expect 200 ETag:"t1" body=hello
+            client a send GET {TILE} If-None-Match:"t1"
+            cache expect w mine=t1 miss=p-*
+            cache send w current entity=t1,issued={{now}}
+            client a expect 304 body=
+            client a send GET {TILE}
+            cache expect w
+            cache send w ok entity=t2 240000
+            client a expect 200 ETag:"t2" body=xxx*
+        """)
+
+    def test_answers_in_any_order_and_a_slow_client_stalls_nobody(self) -> None:
+        Scenario().run(f"""
+            client slow send GET {TILE}
+            cache expect s
+            client a send GET {TILE}
+            cache expect w
+            cache send s ok - 900000
+            cache send w ok - quick
+            client a expect 200 body=quick
+            client slow expect 200 body=xxx*
+        """)
+
+    def test_refusal_comes_at_once_and_says_when_to_come_back(self) -> None:
+        Scenario().run(f"""
+            client a send GET {TILE} Req-Wait-Ms:3000
+            cache expect w
+            cache send w nothing tell=l
+            client a expect 503 Srv-Wait-Ms:1*
+        """)
+
+    def test_no_answer_by_the_deadline_is_a_final_answer_and_a_late_one_is_dropped(self) -> None:
+        Scenario().run(f"""
+            client a send GET {TILE} Req-Wait-Ms:200
+            cache expect w limit=1??
+            client a expect 50?
+            cache expect never_mind w
+            cache send w ok - late
+            client a send GET {TILE}?nth=1
+            cache expect v chunk=1
+            cache send v ok - next
+            client a expect 200 body=next
+        """)
+
+    def test_a_client_that_leaves_is_owed_nothing(self) -> None:
+        Scenario().run(f"""
+            client a send GET {TILE}
+            cache expect w
+            client a close
+            cache expect never_mind w
+        """)
+
+    def test_term_answers_what_was_taken_and_takes_what_still_comes(self) -> None:
+        Scenario().run(f"""
+            client a send GET {TILE} Req-Wait-Ms:3000
+            cache expect w
+            router send TERM
+            wait 200
+            client p send GET /alive
+            client p expect 503
+            client b send GET {TILE}?nth=1
+            cache expect v
+            wait 600
+            cache send w ok - one
+            cache send v ok - two
+            client a expect 200 Connection:close body=one
+            client b expect 200 body=two
+            client a expect closed
+            router expect stopped
+        """)
+
+
+class Unsafe(unittest.TestCase):
+    """A class that must never run twice."""
+
+    def test_is_written_once_and_answered(self) -> None:
+        Scenario().run(f"""
+            client a send PUT {ACK} body=seen
+            cache expect w cls=alert-ack miss=o-1 body=seen
+            cache send w ok entity=e,issued={{now}} done
+            client a expect 200 body=done
+        """)
+
+    def test_reset_after_the_send_is_failed_never_refused_and_not_sent_again(self) -> None:
+        Scenario().run(f"""
+            client a send PUT {ACK} body=seen
+            cache expect w
+            cache close w
+            client a expect 502 Srv-Wait-Ms:
+            cache expect nothing 100
+        """)
+
+    def test_refused_connect_proves_that_nothing_ran(self) -> None:
+        Scenario().run(f"""
+            cache close s-1
+            cache close s-2
+            client a send PUT {ACK} body=seen
+            client a expect 503
+        """)
+
+
+class Members(unittest.TestCase):
+    """The list and purges, from the notice board."""
+
+    def test_drained_members_get_nothing_also_as_a_source(self) -> None:
+        Scenario().run(f"""
+            board expect watch 1
+            board send {{"rev":2,"pool":{{"seq":2,"hosts":[{{line s-1 Terminating}},{{line p-1 Gone}}]}}}}
+            wait 100
+            client a send GET {TILE}
+            cache expect w at=s-2 miss=p-2
+            cache send w ok - x
+            client a expect 200
+        """)
+
+    def test_a_purge_bounds_the_age_and_a_bad_line_is_passed_over(self) -> None:
+        Scenario().run(f"""
+            board expect watch 1
+            board send not json
+            board send {{"rev":2,"flush":{{"collection":17,"ms":{{now-500}}}}}}
+            board send 2
+            wait 100
+            client a send GET {TILE} X-Batch:17
+            cache expect w within=???
+            cache send w ok - x
+            client a expect 200
+            client a send GET {TILE} X-Batch:16
+            cache expect w within=
+            board close
+            board expect watch 2
+        """)
+
+    def test_a_bad_frame_ends_the_connection_and_not_the_router(self) -> None:
+        Scenario().run(f"""
+            client a send GET {TILE} Req-Wait-Ms:3000
+            cache expect w
+            cache send w raw *4\\r\\n$9999999\\r\\n
+            cache expect v
+            cache send v ok - again
+            client a expect 200 body=again
+        """)
+
+
+class BadInput(unittest.TestCase):
+    """A 4xx and a close, never a silent drop."""
+
+    def test_each_gets_its_status(self) -> None:
+        get = f"GET {TILE} HTTP/1.1\\r\\nHost: x\\r\\n"
+        for raw, status in (
+            ("nonsense\\r\\n\\r\\n", 400),
+            (f"{get}Req-Id: zz\\r\\nReq-Wait-Ms: 5\\r\\n\\r\\n", 400),
+            (f"{get}Req-Id: 9b1f03aa5c7e2d41\\r\\n\\r\\n", 400),
+            (f"GET {TILE} HTTP/2.0\\r\\n\\r\\n", 505),
+            (f"DELETE {TILE} HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n", 405),
+            ("GET /ops/none/00000000000000aa HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n", 404),
+            (f"PUT {ACK} HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n", 411),
+            (f"PUT {ACK} HTTP/1.1\\r\\nHost: x\\r\\nContent-Length: 50000\\r\\n\\r\\n", 413),
+            (f"{get}Transfer-Encoding: chunked\\r\\n\\r\\n", 501),
+            (f"{get}X: {'y' * 9000}", 431),
+        ):
+            with self.subTest(raw=raw):
+                Scenario().run(f"client a send raw '{raw}'\nclient a expect {status}\nclient a expect closed")
+
+
+if __name__ == "__main__":
+    unittest.main()
