Go straight to the parents when a location is dark; never close an accepted connection

Checked: the lost ones had no attempt; the front closed accepted connections over its bound (fronts/http1.py Server.run, rejected.crowded), and a client that had closed one of its third could have the next one up before our thread saw the end. Ruled out: the deadlines' timers, the interpreter's lag (2 ms in the ticks). On the module: when a location's caches die, policy.py send() refused for want of a cache, 6,000 times a second, and strike() put none out of use as all failed alike.

--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -31,6 +31,7 @@
 SWITCH_S = 0.02  # turns are short, and every thread that waits for the interpreter wakes this often
 ACCEPT_ON_S = 0.45  # after SIGTERM: new connections still come
 READ_ON_S = 0.25  # and after that, requests on open ones
+CLOSING = 64  # clients' connections beside their third: closed by them, not yet by us
 CDNI_MOST = 48  # connections of the CDNI front
 CDNI_BODY_MOST = 65536
 FLUSH_S = 3.0  # and then answers on their way to slow clients
@@ -55,7 +56,7 @@
         )
         platform = Platform(self.core, conf.names.classes, lambda: self.is_ready)
         count = self.core.counters.add
-        most = conf.limits.sockets // 3 + 8
+        most = conf.limits.sockets // 3 + CLOSING
         self.servers = [Server(conf.listen, platform.handle, spawn, count, most, BODY_MOST)]
         if cdni is not None:
             front = CdniFront(cdni, self.core, self.roster, lambda: self.is_ready, spawn)
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -23,6 +24,7 @@
 READ = 16384
 WRITE_LIMIT_S = 10  # a client that takes nothing for so long is cut off
 SEND_BUFFER = 131072
+FULL_S = 0.002  # between two looks for room
 LINGER_S = 1  # after a 4xx the rest of what the client sends is read so long, or it might lose the answer
 REASONS = {
     200: "OK", 201: "Created", 204: "No Content", 301: "Moved Permanently", 302: "Found",
@@ -357,6 +359,11 @@
     def run(self) -> None:
         """Accept until told to stop."""
         while self.accepting:
+            # Guards the descriptors, as the peers' connections need the rest of them. A connection over the
+            # bound waits in the kernel; closing it would lose a request that its client has written already.
+            if len(self.conns) >= self.most:
+                time.sleep(FULL_S)
+                continue
             try:
                 sock, where = self.sock.accept()
             except OSError as error:
@@ -368,14 +375,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", WRITE_LIMIT_S, 0))
             conn = Connection(self, sock, str(where[0]))
             with self.lock:
-                crowded = len(self.conns) >= self.most
-                if not crowded:
-                    self.conns.add(conn)
-            if crowded:
-                # Guards the descriptors: the peers' connections need the rest of them.
-                self.count("rejected.crowded")
-                sock.close()
-                continue
+                self.conns.add(conn)
             self.spawn(conn.run, "client")
 
     def stop_accepting(self) -> None:
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -268,7 +268,7 @@
             started = min(info.started, self.now)
             if started > peer.started:
                 # A restarted member is a cold one: its past health and budget are another process's.
-                peer.tokens, peer.good, peer.bad, peer.ejections = 0.0, 0.0, 0.0, 0
+                peer.tokens, peer.good, peer.bad, peer.ejections, peer.strikes = 0.0, 0.0, 0.0, 0, 0
                 peer.ejected_until, peer.lost_at, peer.load, peer.weight = -math.inf, -math.inf, None, 1.0
             peer.info, peer.started = info, started
             peer.ready = info.state == State.READY
@@ -356,10 +356,13 @@
         peer, cache_trial = self.pick_cache(req)
         if again is not None and again.ready and self.fits(again, self.work[ask.cls]):
             peer, cache_trial = again, False
-        if peer is None:
-            return False
         writes = ask.write or req.cls.write
         source, trial = (self.origin, False) if writes else self.pick_source(req)
+        if (peer is None or (self.dark() and not cache_trial)) and self.settings.direct:
+            peer, trial = (self.origin if writes else source), trial and not writes
+            source = self.origin
+        if peer is None or not self.may_repeat(req, peer):
+            return False
         held_only = not writes and self.fills_allowed < 1.0 and self.random.random() > self.fills_allowed
         aim = min(req.cls.aim + req.cls.aim_stretch * req.work, req.cls.deadline)
         late = 0.0 if req.sent or writes or cache_trial else self.expected(req, peer) / aim
@@ -449,6 +452,14 @@
         peer, trial = self.top(fit, req.tried, req.cls.repeat == Repeat.SAFE)
         return peer or next(iter(fit), None), trial
 
+    def dark(self) -> bool:
+        """Whether no cache of the location answers: then the next on the scoreboard are the parents.
+
+        Danger: the list tells of a lost location only after seconds, and until then each of its caches looks
+        as bad as the others, so that none is out of use by comparison.
+        """
+        return all(p.strikes >= STRIKES or self.ejected(p) for p in self.caches)
+
     def pick_source(self, req: Pending) -> tuple[Peer | None, bool]:
         """The top live parent of the board over all parents; with none, the origin."""
         need = self.work[req.ask.cls]
@@ -544,7 +555,7 @@
             self.eject(one, "fails far more than its peers")
 
     def strike(self, attempt: Attempt) -> None:
-        """A cache that only fails goes out of use, unless most of its neighbours fail as well."""
+        """A cache that only fails goes out of use; if most others fail too, only where parents stand in."""
         one = attempt.peer
         one.strikes += 1
         if self.ejected(one):
@@ -552,7 +563,7 @@
                 self.eject(one, "failed its trial")
         elif one.strikes >= STRIKES:
             peers = [p for p in self.caches if p is not one and not self.ejected(p)]
-            if sum(p.strikes == 0 for p in peers) * 2 > len(peers):
+            if sum(p.strikes == 0 for p in peers) * 2 > len(peers) or self.settings.direct:
                 self.eject(one, "fails and answers nothing")
 
     def book_fill(self, bad: bool) -> None:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -265,3 +265,26 @@
             outcome = i.Outcome.OK if good else i.Outcome.ERROR
             made.handle(n * 500.0 + 50.0, [h.ended(fetch, outcome, final=good)])
         assert (made.peers[h.score_top(5)].ejections > 0) == gone
+
+
+def test_a_dark_location_goes_straight_to_the_parents_and_its_caches_are_tried_on() -> None:
+    """The list tells of a lost location only after seconds; meanwhile nothing may be refused for it."""
+    r = h.router(direct=True)
+    for n in range(60):
+        now = 100.0 * n
+        sent, attempt = h.fetches(r.handle(now, [h.ask(n, object_id=n, now=now)])), 0
+        while sent and sent[0].member in h.CACHES:
+            sent = h.fetches(r.handle(now, [h.ended(sent[0], i.Outcome.CONNECT_FAILED, attempt)]))
+            attempt += 1
+        for fetch in sent:
+            r.handle(now + 50.0, [h.ended(fetch, i.Outcome.OK, attempt, final=True)])
+    sent = h.fetches(r.handle(6000.0, [h.ask(n, n, now=6000.0) for n in range(100, 110)]))
+    straight = [f for f in sent if f.member in h.PARENTS and f.source == h.ORIGIN]
+    assert len(straight) >= 6
+    wrote = h.fetches(r.handle(6000.0, [h.ask(111, cls=h.UNSAFE, now=6000.0)]))
+    assert (wrote[0].member, wrote[0].source) == (h.ORIGIN, h.ORIGIN)
+    # Out of use for EJECT_MS, cold by then: the trickle of trials finds a cache that answers again.
+    later = []
+    for n in range(200, 240):
+        later += h.fetches(r.handle(20000.0 + n, [h.ask(n, n, now=20000.0 + n)]))
+    assert any(f.member in h.CACHES for f in later)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -90,6 +90,24 @@
         """)
 
 
+    def test_a_connection_over_the_bound_waits_and_is_served(self) -> None:
+        """Closing it would lose a request that its client has written already."""
+        play = Scenario(sockets=3)
+        play.node.servers[0].most = 1
+        play.run(f"""
+            client a send GET {TILE}
+            cache expect w
+            client b send GET {TILE}?nth=1
+            cache expect nothing 100
+            cache send w ok - one
+            client a expect 200
+            client a close
+            cache expect v chunk=1
+            cache send v ok - two
+            client b expect 200 body=two
+        """)
+
+
 class Unsafe(unittest.TestCase):
     """A class that must never run twice."""
 
