Keep boards per object and word wants directly, for less CPU a request

Checked: CPU by kind of thread (clients' 0.21 ms a request, readers' 0.17), timings of the parts alone (module 0.059 ms, parsing 0.010, wording 0.008); sys is 14%, so sockets are not the cause.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -126,7 +126,7 @@
 
     def drive(self) -> None:
         """Turns until nothing waits. The check after the release keeps a message from being left lying."""
-        while (self.mailbox or self.again or self.due()) and self.running.acquire(blocking=False):
+        while (self.mailbox or self.again) and self.running.acquire(blocking=False):
             try:
                 batch: list[Message] = []
                 while self.mailbox and len(batch) < TURN_MOST:
@@ -137,16 +137,17 @@
             finally:
                 self.running.release()
 
-    def due(self) -> bool:
-        """Whether a timer has run out."""
-        return bool(self.timers) and self.timers[0][0] <= now_us()
-
     def run(self) -> None:
         """The timers' thread: until everything is answered after a Stop."""
         tick = now_us() + TICK_US
         while self.stop is None or any(not one.over for one in list(self.owed.values())):
-            self.drive()
             now = now_us()
+            if self.timers and self.timers[0][0] <= now and self.running.acquire(blocking=False):
+                try:
+                    self.turn([])
+                finally:
+                    self.running.release()
+            self.drive()
             if now >= tick:
                 tick = now + TICK_US
                 for _, link in list(self.links.values()):
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -66,11 +66,13 @@
     if len(lines) > HEADERS_MOST:
         raise Bad(431, "too many header fields")
     headers: dict[str, str] = {}
+    field = FIELD.fullmatch
     for line in lines:
-        match = FIELD.fullmatch(line)
+        match = field(line)
         if match is None:
             raise Bad(400, "not a header field")
-        key, value = match[1].lower(), match[2]
+        key, value = match.groups()
+        key = key.lower()
         if key in headers:
             if key in ("content-length", "host", "transfer-encoding") and headers[key] != value:
                 raise Bad(400, f"two of {key}")
--- a/lupintack/fronts/platform.py
+++ b/lupintack/fronts/platform.py
@@ -10,6 +10,7 @@
 from lupintack.fronts.http1 import Bad, Exchange
 
 TARGET = re.compile(r"/ops/([A-Za-z0-9_.-]{1,64})/([0-9a-f]{16})(?:\?nth=(\d{1,9}))?")
+TAG = re.compile(r'"([0-9A-Za-z_.-]{1,64})"')
 REQ_ID = re.compile(r"[0-9a-f]{16}")
 BODY_MOST = 48000
 WAIT_MOST_MS = 600_000
@@ -44,6 +45,7 @@
     def __init__(self, core: Core, classes: tuple[str, ...], ready: Callable[[], bool]) -> None:
         self.core = core
         self.classes = {name: number for number, name in enumerate(classes)}
+        self.writes = [cls.write for cls in core.settings.classes]
         self.ready = ready
 
     def handle(self, exchange: Exchange) -> None:
@@ -62,10 +64,10 @@
         """The request in the core's words."""
         request, headers = exchange.request, exchange.request.headers
         match = TARGET.fullmatch(request.target)
-        if match is None or match[1] not in self.classes:
+        cls = self.classes.get(match[1]) if match is not None else None
+        if match is None or cls is None:
             raise Bad(404, "no such class or object")
-        cls = self.classes[match[1]]
-        write = self.core.settings.classes[cls].write
+        write = self.writes[cls]
         if request.method != ("PUT" if write else "GET"):
             raise Bad(405, "PUT is for a class that writes, GET for the others")
         wire_id = headers.get("req-id", "")
@@ -73,9 +75,10 @@
             raise Bad(400, "Req-Id: 16 hex digits are wanted")
         wait = number(headers.get("req-wait-ms", ""), "Req-Wait-Ms", WAIT_MOST_MS)
         group = number(headers.get("x-batch", "0"), "X-Batch", 255)
-        have = headers.get("if-none-match", "").strip()
-        if have and not re.fullmatch(r'"[0-9A-Za-z_.-]{1,64}"', have):
-            have = ""  # not a tag of ours: the client gets the bytes
+        have = headers.get("if-none-match", "")
+        if have:
+            tag = TAG.fullmatch(have)
+            have = tag[1] if tag is not None else ""  # not a tag of ours: the client gets the bytes
         return Ask(
             wire_id=wire_id,
             cls=cls,
@@ -88,7 +91,7 @@
             repeated=headers.get("req-retry") == "1",
             write=write,
             body=request.body,
-            have=have.strip('"'),
+            have=have,
         )
 
 
--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -278,24 +278,19 @@
         """Write what waits to connections with room, and open what is wanted beside them."""
         kept: deque[Order] = deque()
         self.crowded = True  # from here on, or room made during this look would go unseen
-        opening = sum(not c.up for c in self.conns)
+        opening = -1
         while self.waiting:
             order = self.waiting.popleft()
             if order.stale(order):
                 self.tell(Ended(order, Ending.WITHDRAWN))
                 continue
-            fit = [
-                c
-                for c in self.conns
-                if c.up and c.down is None and not c.backlog and len(c.open) < self.terms.max_streams
-                # Guards against a late answer to a given-up attempt being read as this one's: same id.
-                and order.ask.wire_id not in c.open and order.ask.wire_id not in c.spent
-            ]
-            best = min(fit, key=lambda c: len(c.open), default=None)
+            best = self.best(order.ask.wire_id)
             full = len(self.conns) >= CONNECTIONS
             if best is not None and (len(best.open) < STREAMS or full):
                 self.put(best, order)
                 continue
+            if opening < 0:
+                opening = sum(not c.up for c in self.conns)
             if not full and opening <= len(kept):
                 opening += 1
                 self.open_one()
@@ -303,6 +298,20 @@
         self.waiting = kept
         self.crowded = bool(kept)
 
+    def best(self, wire_id: str) -> Conn | None:
+        """The connection with the least out, of those that may have this want."""
+        best, least = None, self.terms.max_streams
+        for conn in self.conns:
+            out = len(conn.open)
+            if out < least and conn.up and conn.down is None and not conn.backlog:
+                # Guards against a late answer to a given-up attempt being read as this one's: same id.
+                if wire_id in conn.open or wire_id in conn.spent:
+                    continue
+                best, least = conn, out
+                if not out:
+                    break
+        return best
+
     def open_one(self) -> None:
         conn = Conn(self)
         self.conns.append(conn)
--- a/lupintack/peers/resp.py
+++ b/lupintack/peers/resp.py
@@ -65,7 +65,14 @@
 
     def bulk(self, most: int) -> bytearray:
         """One bulk string."""
-        length = self.number(b"$", most)
+        size = self.number(b"$", most)
+        if len(self.buffer) - self.at >= size + 2:
+            out = self.buffer[self.at : self.at + size]
+            self.at += size + 2
+            if self.buffer[self.at - 2 : self.at] != b"\r\n":
+                raise FrameError("a bulk string runs past its length")
+            return out
+        length = size + 2
         out = bytearray(length)
         have = min(length, len(self.buffer) - self.at)
         out[:have] = self.buffer[self.at : self.at + have]
@@ -77,11 +84,10 @@
             if not got:
                 raise Ended()
             have += got
-        while len(self.buffer) - self.at < 2:
-            self.more()
-        if self.buffer[self.at : self.at + 2] != b"\r\n":
+        if out[size:] != b"\r\n":
             raise FrameError("a bulk string runs past its length")
-        self.at += 2
+        view.release()
+        del out[size:]
         return out
 
     def array(self) -> Sequence[bytearray]:
@@ -103,7 +109,3 @@
         out[name] = value
     return out
 
-
-def joined(fields: dict[str, object]) -> bytes:
-    """FIELDS from names and values."""
-    return ",".join(f"{name}={value}" for name, value in fields.items()).encode() or b"-"
--- a/lupintack/peers/words.py
+++ b/lupintack/peers/words.py
@@ -17,31 +17,36 @@
     b"error": Ending.FAULT,
     b"stale": Ending.LATE,
 }
+FLAGS = {
+    (join, held, renew): "+".join(
+        word for word, on in (("wait-for", join), ("no-fetch", held), ("background", renew)) if on
+    )
+    for join in (False, True)
+    for held in (False, True)
+    for renew in (False, True)
+}
 NOTES = {letter: Note(n) for n, letter in enumerate("hfojsrblnx", 1)}
 
 
 def want(order: Order, now_us: int) -> bytes:
     """The command that makes the attempt; its limit counts from now."""
     ask = order.ask
-    fields: dict[str, object] = {
-        "cls": order.cls_name,
-        "item": ask.item,
-        "chunk": ask.part,
-        "limit": max(1, (ask.deadline_us - now_us) // 1000),
-    }
+    limit = max(1, (ask.deadline_us - now_us) // 1000)
+    told = f"cls={order.cls_name},item={ask.item},chunk={ask.part},limit={limit}"
     if order.source_host:
-        fields["miss"] = order.source_host
+        told += f",miss={order.source_host}"
     if order.keep:
-        fields["prio"] = order.keep
+        told += f",prio={order.keep}"
     if order.max_age_ms > 0:
         # Rounded down, and never to 0, which would stand for the whole fresh time.
-        fields["within"] = max(1, math.floor(order.max_age_ms))
-    flags = [("wait-for", order.join), ("no-fetch", order.held_only), ("background", order.renew)]
-    if any(on for _, on in flags):
-        fields["f"] = "+".join(word for word, on in flags if on)
+        told += f",within={max(1, math.floor(order.max_age_ms))}"
+    flags = FLAGS[order.join, order.held_only, order.renew]
+    if flags:
+        told += f",f={flags}"
     if ask.have:
-        fields["mine"] = ask.have
-    return resp.command(b"want", ask.wire_id.encode(), resp.joined(fields), ask.body)
+        told += f",mine={ask.have}"
+    head = f"*4\r\n$4\r\nwant\r\n$16\r\n{ask.wire_id}\r\n${len(told)}\r\n{told}\r\n${len(ask.body)}\r\n"
+    return b"%b%b\r\n" % (head.encode(), ask.body)
 
 
 def answer(parts: list[bytearray], reports: tuple[str, ...]) -> tuple[Ending, Answer]:
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -146,6 +146,8 @@
 
     def warmth(self, now: float) -> float:
         """Share of its capacity that a member can be held to have, by its start or its return."""
+        if self.started <= 0 and self.lost_at == -math.inf:
+            return 1.0
         started = max(self.started if self.started > 0 else -math.inf, self.lost_at)
         ramp = self.ramp * RAMP_MARGIN
         if ramp <= 0 or now - started >= ramp:
@@ -216,6 +218,8 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.last_seen: OrderedDict[tuple[int, int], float] = OrderedDict()
         self.logs: dict[int, dict[int, float]] = {}
+        self.cache_boards: dict[int, list[Peer]] = {}
+        self.parent_boards: dict[int, list[Peer]] = {}
         self.split = 0.0
         self.holds: OrderedDict[int, tuple[int, float]] = OrderedDict()
         self.purged: OrderedDict[tuple[int, int], float] = OrderedDict()
@@ -277,6 +281,8 @@
         upper = (self.settings.parent_kind, self.settings.origin_kind)
         self.caches = [p for p in known if p.info.zone == self.settings.zone and p.info.kind not in upper]
         self.parents = [p for p in known if p.info.kind == self.settings.parent_kind]
+        self.cache_boards.clear()
+        self.parent_boards.clear()
         self.origin = next((p for p in known if p.info.kind == self.settings.origin_kind), None)
 
     def new_peer(self, info: Member) -> Peer:
@@ -430,6 +436,7 @@
         if self.now - self.weighed_at < WEIGH_MS:
             return
         self.weighed_at = self.now
+        self.cache_boards.clear()
         warm = (p for p in self.caches if p.warmth(self.now) >= 1.0)
         known = [(p, p.load + LOAD_LEAST) for p in warm if p.load is not None]
         for p, load in known:
@@ -448,7 +455,11 @@
     def pick_cache(self, req: Pending) -> tuple[Peer | None, bool]:
         """The top live cache of the own location's scoreboard that may be sent this request."""
         need = self.work[req.ask.cls]
-        fit = [p for p in self.board(req, self.caches) if self.fits(p, need) and self.may_repeat(req, p)]
+        board = self.board(req, self.caches)
+        # Nearly always the top member is in use and warm, and nothing further need be looked at.
+        if board and not req.sent and not board[0].ejections and self.fits(board[0], need):
+            return board[0], False
+        fit = [p for p in board if self.fits(p, need) and self.may_repeat(req, p)]
         peer, trial = self.top(fit, req.tried, req.cls.repeat == Repeat.SAFE)
         return peer or next(iter(fit), None), trial
 
@@ -467,7 +478,10 @@
         held = self.peers.get(number) if until > self.now and number not in req.sources else None
         if held is not None and not self.ejected(held) and self.fits(held, need):
             return held, False
-        fit = [p for p in self.board(req, self.parents) if self.fits(p, need)]
+        board = self.board(req, self.parents)
+        if board and not req.sent and not board[0].ejections and self.fits(board[0], need):
+            return board[0], False
+        fit = [p for p in board if self.fits(p, need)]
         # Only a first request is likely to need a fill, and so to show how a parent fares.
         peer, trial = self.top(fit, req.sources, req.first and req.cls.repeat == Repeat.SAFE)
         return peer or self.origin or next(iter(fit), None), trial
@@ -483,15 +497,21 @@
     def board(self, req: Pending, members: list[Peer]) -> list[Peer]:
         """Members by their score for the object, best first; a changed weight moves few objects only."""
         key = req.ask.object_id
-        logs = self.logs.get(key)
-        if logs is None:
-            if len(self.logs) >= BOARDS:
-                self.logs.clear()
-            logs = self.logs[key] = {}
-        for p in members:
-            if p.id not in logs:
-                logs[p.id] = math.log((score(key, p.id) + 1) / 2.0**64)
-        return sorted(members, key=lambda p: -(logs[p.id] / p.weight))
+        boards = self.cache_boards if members is self.caches else self.parent_boards
+        board = boards.get(key)
+        if board is None:
+            if len(boards) >= BOARDS:
+                boards.clear()
+            logs = self.logs.get(key)
+            if logs is None:
+                if len(self.logs) >= BOARDS:
+                    self.logs.clear()
+                logs = self.logs[key] = {}
+            for p in members:
+                if p.id not in logs:
+                    logs[p.id] = math.log((score(key, p.id) + 1) / 2.0**64)
+            board = boards[key] = sorted(members, key=lambda p: -(logs[p.id] / p.weight))
+        return board
 
     def fits(self, peer: Peer, need: float) -> bool:
         """A cold member has a hard budget: every attempt and every fill that may reach it counts."""
