Serve parts asked for again from own copies, on the router's own link

Checked with a probe of each second (not kept): bodies arrive whole (nothing waits for bytes inside a frame), so neither head-of-line blocking nor store-and-forward costs anything here; no answer waits for a slow client; no want waits for a connection.

Now the module may keep a part that was asked for before (Keep) and answer from it (ServeOwn); core/copies.py bounds memory, heeds purges and books the link. A turn takes 64 messages, and the deadline lies 100 ms before the client's.

--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -17,6 +17,7 @@
 from lupintack.board import Board
 from lupintack.clock import module_ms, now_us
 from lupintack.core.actor import Core, Stop
+from lupintack.core.copies import SHARE, Copies
 from lupintack.core.messages import Link
 from lupintack.core.roster import Host, Roster
 from lupintack.fronts.cdni.conf import FILE, Cdni, load
@@ -49,7 +50,10 @@
         self.conf = conf
         self.is_ready = False
         self.roster = Roster(conf.settings.purge_settles)
-        self.core = Core(conf.settings, conf.seed, self.roster, self.connect)
+        copies = None
+        if conf.link_bytes_per_s > 0:
+            copies = Copies(int(conf.limits.memory_mb * SHARE * 1e6), conf.link_bytes_per_s)
+        self.core = Core(conf.settings, conf.seed, self.roster, self.connect, copies)
         self.board = Board(conf.board, conf.names, self.roster)
         self.terms = Terms(
             conf.limits.max_streams, conf.limits.connect_timeout_us, conf.limits.idle_us, conf.names.reports
--- a/lupintack/board.py
+++ b/lupintack/board.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from lupintack.clock import now_us
 from lupintack.config import Names
 from lupintack.core.roster import Host, Roster
 from lupintack.interface import State
@@ -95,6 +96,7 @@
             if not data:
                 raise ConnectionResetError("closed by the board")
             buffer += data
+            self.roster.heard_us = now_us()
             *lines, rest = buffer.split(b"\n")
             buffer = bytearray(rest)
             if len(buffer) > LINE_MOST:
--- a/lupintack/config.py
+++ b/lupintack/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -50,6 +50,7 @@
     settings: Settings
     names: Names
     limits: Limits
+    link_bytes_per_s: float = 0.0
 
 
 def address(text: object, what: str) -> tuple[str, int]:
@@ -80,7 +81,8 @@
 def parse(data: dict[str, Any], environ: Mapping[str, str]) -> Config:
     """The configuration in a JSON object."""
     raw = data.get("settings", {})
-    settings = read_settings(json.dumps(raw).encode())
+    link = float(data.get("link_bytes_per_s", 0.0))
+    settings = replace(read_settings(json.dumps(raw).encode()), own_copies=link > 0)
     limits = raw.get("limits", {})
     machine = data.get("limits", {})
     seed = str(data.get("seed", "0"))
@@ -111,4 +113,5 @@
             connect_timeout_us=int(float(limits.get("connect-timeout", 400.0)) * 1000),
             idle_us=int(float(limits.get("conn-idle", 15000.0)) * 1000),
         ),
+        link_bytes_per_s=link,
     )
--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -18,8 +18,9 @@
 from random import Random
 
 from lupintack.clock import from_module_ms, module_ms, now_us
+from lupintack.core.copies import NEWS_US, Copies
 from lupintack.core.counters import Counters
-from lupintack.core.messages import Ask, Ended, Left, Link, Order
+from lupintack.core.messages import Answer, Ask, Ended, Left, Link, Order
 from lupintack.core.roster import Change, Host, Roster
 from lupintack.interface import (
     Action,
@@ -29,10 +30,12 @@
     Event,
     Fail,
     Fetch,
+    Keep,
     Log,
     Refuse,
     Repeat,
     Request,
+    ServeOwn,
     SetTimer,
     Settings,
     State,
@@ -43,7 +46,7 @@
 from lupintack.policy import Router
 
 LOG = logging.getLogger("core")
-TURN_MOST = 512  # messages in one turn: the clock must not grow old under a flood
+TURN_MOST = 64  # messages in one turn: the clock must not grow old under a flood
 NAP_S = 0.01  # the timer's thread looks again this often: no timer is set closer than that
 TICK_US = 1_000_000  # between two looks of the peers after idle connections
 DUE_LIMIT, DUE_TOKEN = 0, 1
@@ -79,12 +82,15 @@
         seed: int,
         roster: Roster,
         connect: Callable[[int, Host], Link],
+        copies: Copies | None = None,
     ) -> None:
         self.settings = settings
         self.router = Router(settings, seed)
         self.random = Random(seed)
         self.roster = roster
         self.connect = connect
+        self.copies = copies
+        self.fresh: dict[int, tuple[Ask, Answer]] = {}  # what this turn's attempts have brought
         self.mailbox: deque[Message] = deque()
         self.running = threading.Lock()
         self.counters = Counters()
@@ -178,6 +184,7 @@
         for number in self.swept:
             self.owed.pop(number, None)
         self.swept.clear()
+        self.fresh.clear()
         for done in held:
             done()
 
@@ -196,11 +203,17 @@
         self.counters["taken." + cls.name] += 1
         self.set_timer(ask.deadline_us, DUE_LIMIT, number)
         due = module_ms(ask.deadline_us)
+        age = wait = -1.0
+        if self.copies is not None and self.now - self.roster.heard_us < NEWS_US:
+            # Guards against a purge that does not reach us: after some seconds it counts as told.
+            _, age = self.copies.find(ask)
+            wait = self.copies.wait_ms(self.now)
         events.append(
             Request(
-                number, ask.cls, ask.object_id, due, 0.0, ask.group, ask.part, 0, ask.repeated, ask.write
+                number, ask.cls, ask.object_id, due, 0.0, ask.group, ask.part, 0, ask.repeated, ask.write,
+                age, wait,
             )
-        )
+        )  # fmt: skip
 
     def on_left(self, message: Left, events: list[Event]) -> None:
         """Nothing more is owed."""
@@ -223,6 +236,8 @@
             one.over = True
             self.counters["answered.served"] += 1
             one.ask.sink.served(answer, ending is Ending.HOLDS)
+            if ending is Ending.SERVED and self.copies is not None:
+                self.fresh[order.ask.number] = (order.ask, answer)
         events.append(self.verdict(one, order, ending, message))
         self.sweep(order.ask.number, one)
 
@@ -247,6 +262,8 @@
 
     def on_change(self, change: Change, events: list[Event], held: list[Callable[[], None]]) -> None:
         """The list has changed, or something was purged."""
+        if change.purge is not None and self.copies is not None:
+            self.copies.purge(change.purge.object_id, change.purge.group, change.purge.unix_ms)
         for number, host in change.hosts:
             self.hosts[number] = host
             link = self.links.get(number)
@@ -307,9 +324,29 @@
             order = one.live.get(action.attempt) if one is not None else None
             if one is not None and order is not None:
                 self.end(one, order, Ending.GIVEN_UP, self.again)
+        elif isinstance(action, ServeOwn):
+            self.serve_own(action.request)
+        elif isinstance(action, Keep):
+            found = self.fresh.get(action.request)
+            if found is not None and self.copies is not None:
+                self.copies.keep(*found)
         elif isinstance(action, Log):
             LOG.info("module", extra=fields(text=action.text))
 
+    def serve_own(self, number: int) -> None:
+        """The final answer of a request from the router's own copy."""
+        one = self.owed.get(number)
+        if one is None or one.over or self.copies is None:
+            return
+        answer, holds = self.copies.take(one.ask, self.now)
+        if answer is None:
+            self.finish(number, one, Refuse(number))  # purged in this very turn; nothing ran
+            return
+        one.over = True
+        self.counters["answered.own"] += 1
+        one.ask.sink.served(answer, holds)
+        self.sweep(number, one)
+
     def finish(self, number: int, one: Owed, action: Refuse | Fail) -> None:
         """The final answer of a request that is not served."""
         one.over = True
--- /dev/null
+++ b/lupintack/core/copies.py
@@ -0,0 +1,95 @@
+"""The router's own copies, and the link on which their bytes go out.
+
+The module decides what is kept and when a copy is served; here are the bounds: memory, purges, and the pace
+of the link, on which one transfer takes its time and all share the rest in the order of their answers.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from lupintack.core.messages import Answer, Ask
+
+SHARE = 0.15  # of the machine's memory; the bodies' own overhead doubles it, and half is in use without them
+OVERHEAD = 600  # bytes that a copy takes beside its body
+HOLDS_PART = 20  # to tell a client that its copy holds costs this part of the bytes
+PURGES = 4096
+NEWS_US = 2_500_000  # no line from the notice board for so long: it may be cut off, and purges with it
+
+
+@dataclass(slots=True)
+class Copy:
+    """One part of an object."""
+
+    answer: Answer
+    group: int
+
+
+class Copies:
+    """Used by the core's turn alone."""
+
+    def __init__(self, most_bytes: int, link_bytes_per_s: float) -> None:
+        self.most = most_bytes
+        self.link = link_bytes_per_s
+        self.held: OrderedDict[tuple[int, int], Copy] = OrderedDict()
+        self.bytes = 0
+        self.free_us = 0
+        self.purged: OrderedDict[tuple[bool, int], float] = OrderedDict()
+
+    def find(self, ask: Ask) -> tuple[Copy | None, float]:
+        """The copy for a request, and its age in milliseconds."""
+        copy = self.held.get((ask.object_id, ask.part))
+        if copy is None or ask.write:
+            return None, -1.0
+        return copy, max(0.0, time.time() * 1000 - copy.answer.issued_ms)
+
+    def wait_ms(self, now_us: int) -> float:
+        """How far the link is behind."""
+        return max(0, self.free_us - now_us) / 1000.0
+
+    def take(self, ask: Ask, now_us: int) -> tuple[Answer | None, bool]:
+        """The copy, booked on the link; and whether the client's own is the same."""
+        copy = self.held.get((ask.object_id, ask.part))
+        if copy is None:
+            return None, False
+        self.held.move_to_end((ask.object_id, ask.part))
+        holds = bool(ask.have) and ask.have == copy.answer.tag
+        size = len(copy.answer.body) / (HOLDS_PART if holds else 1)
+        self.free_us = max(self.free_us, now_us) + int(size / self.link * 1e6)
+        return copy.answer, holds
+
+    def keep(self, ask: Ask, answer: Answer) -> None:
+        """Keep a copy, unless a purge has overtaken it; the longest unused make room."""
+        size = len(answer.body) + OVERHEAD
+        purge = max(
+            self.purged.get((True, ask.object_id), 0.0),
+            self.purged.get((False, ask.group), 0.0),
+        )
+        if not answer.issued_ms or answer.issued_ms <= purge or size > self.most // 16:
+            return
+        self.drop((ask.object_id, ask.part))
+        self.held[ask.object_id, ask.part] = Copy(answer, ask.group)
+        self.bytes += size
+        while self.bytes > self.most:
+            self.drop(next(iter(self.held)))
+
+    def drop(self, key: tuple[int, int]) -> None:
+        copy = self.held.pop(key, None)
+        if copy is not None:
+            self.bytes -= len(copy.answer.body) + OVERHEAD
+
+    def purge(self, object_id: int | None, group: int, unix_ms: float) -> None:
+        """Older copies go at once, and none that is still on its way is kept."""
+        key = (object_id is not None, group if object_id is None else object_id)
+        self.purged[key] = max(unix_ms, self.purged.pop(key, 0.0))
+        if len(self.purged) > PURGES:
+            self.held.clear()
+            self.purged.clear()
+            self.bytes = 0
+            return
+        for one, copy in list(self.held.items()):
+            named = copy.group == group if object_id is None else one[0] == object_id
+            if named and copy.answer.issued_ms <= unix_ms:
+                self.drop(one)
--- a/lupintack/core/roster.py
+++ b/lupintack/core/roster.py
@@ -64,6 +64,7 @@
     events: tuple[Event, ...]
     hosts: tuple[tuple[int, Host], ...] = ()
     done: Callable[[], None] | None = None
+    purge: PurgeNews | None = None
 
 
 def member_id(host: str) -> int:
@@ -80,6 +81,7 @@
         self.hosts: dict[int, Host] = {}
         self.purged: OrderedDict[tuple[bool, int], int] = OrderedDict()
         self.floor_us = -(1 << 62)
+        self.heard_us = now_us()  # when a source of news last showed that it is there
         self.tell: Callable[[Change], None] = lambda change: None
 
     # What a source of news calls
@@ -160,5 +162,5 @@
             del self.purged[oldest]
         event = Purged(news.object_id or 0, news.group, age_us / 1000.0)
         if age_us > self.settles_us:
-            return Change((), done=news.done)
-        return Change((event,), done=news.done)
+            return Change((), done=news.done, purge=news)
+        return Change((event,), done=news.done, purge=news)
--- a/lupintack/fronts/platform.py
+++ b/lupintack/fronts/platform.py
@@ -14,7 +14,7 @@
 REQ_ID = re.compile(r"[0-9a-f]{16}")
 BODY_MOST = 48000
 WAIT_MOST_MS = 600_000
-MARGIN_US = 25_000  # of the client's wait, for the way here and back: its clock began when it sent
+MARGIN_US = 100_000  # of the client's wait: its clock began when it sent, and a burst may hold the turn up
 
 
 class ClientSink:
--- a/lupintack/interface.py
+++ b/lupintack/interface.py
@@ -126,6 +126,7 @@
     weights: str = "none"
     client_kb_per_s: float = 0.0
     report_fields: tuple[str, ...] = ()
+    own_copies: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -159,7 +160,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Request:
-    """A client's request, taken on; one final answer is owed by its deadline."""
+    """A client's request, taken on; one final answer is owed by its deadline.
+
+    own_age: of the router's own copy, negative where it has none; own_wait: until its link is free.
+    """
 
     id: int
     cls: int
@@ -171,6 +175,8 @@
     tenant: int = 0
     repeated: bool = False
     write: bool = False
+    own_age: float = -1.0
+    own_wait: float = 0.0
 
     def __post_init__(self) -> None:
         """A size that means nothing counts as not told."""
@@ -292,6 +298,20 @@
     retry_after: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class ServeOwn:
+    """Final answer: the router's own copy."""
+
+    request: int
+
+
+@dataclass(slots=True, frozen=True)
+class Keep:
+    """Keep what an attempt has just brought as the router's own copy."""
+
+    request: int
+
+
 @dataclass(slots=True, frozen=True)
 class Fail:
     """Final answer: failed, nothing is promised."""
@@ -319,4 +339,4 @@
     text: str
 
 
-Action = Fetch | Cancel | Refuse | Fail | SetTimer | Subscribe | Log
+Action = Fetch | Cancel | Refuse | Fail | ServeOwn | Keep | SetTimer | Subscribe | Log
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -16,8 +16,8 @@
 from random import Random
 
 from lupintack.interface import (
-    NEVER_RAN, Action, AttemptEnded, AttemptStarted, Cancel, ClientGone, Event, Fail, Fetch, ListKind,
-    Log, Member, MemberList, Note, Outcome, Purged, Refuse, Repeat, Request, ServiceClass, SetTimer,
+    NEVER_RAN, Action, AttemptEnded, AttemptStarted, Cancel, ClientGone, Event, Fail, Fetch, Keep, ListKind,
+    Log, Member, MemberList, Note, Outcome, Purged, Refuse, Repeat, Request, ServeOwn, ServiceClass, SetTimer,
     Settings, State, Subscribe, TimerFired,
 )
 
@@ -85,6 +85,10 @@
 AGE_MARGIN_MS = 1.0  # taken off the age bound against rounding
 AGE_LEAST_MS = 0.01  # 0 would mean the default
 
+# Own copies
+OWN_MARGIN_MS = 50.0  # taken off the age bound: the copy is on its way yet when its age is told
+OWN_WAIT = 0.2  # part of the aim that the router's own link may be behind; beyond that the caches serve
+
 RESUBSCRIBE_MS = 1000.0  # wait before asking for the list again after a failed call
 LOG_GAP_MS = 5000.0  # between two log lines on one member
 
@@ -329,9 +333,18 @@
         req = self.pending[ask.id] = Pending(ask, cls, work)
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_RATE)
         self.rank(req, size)
-        if not self.send(req):
+        if ask.own_age >= 0.0 and self.own_fits(req):
+            del self.pending[ask.id]
+            self.out.append(ServeOwn(ask.id))
+        elif not self.send(req):
             self.give_up(req)
 
+    def own_fits(self, req: Pending) -> bool:
+        """Whether the router's own copy is young enough, no purge forbids it, and its link has room."""
+        age, _ = self.freshness(req)
+        most = age or req.cls.fresh_for or math.inf
+        return req.ask.own_age + OWN_MARGIN_MS <= most and req.ask.own_wait <= OWN_WAIT * req.cls.aim
+
     def learn_work(self, cls: int, work: float) -> None:
         """Follow the mean sending time of a class, which is what a cold member's budget counts."""
         self.measured[cls] += 1
@@ -736,6 +749,8 @@
             if req is not None and not req.ask.size_kb and event.elapsed > 0 and math.isfinite(event.elapsed):
                 self.learn_work(req.ask.cls, event.elapsed)
             self.book_good(attempt.peer, attempt)
+            if self.settings.own_copies and event.final and req is not None and req.keep > 1:
+                self.out.append(Keep(event.request))  # asked for before, and so likely to be again
             # Where hits are not told, only a first request is held to have needed a fill.
             likely = self.settings.tells != "none" or (req is not None and req.first)
             if source is not None and likely and note in FILL_NOTES:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -179,6 +179,48 @@
         """)
 
 
+class OwnCopies(unittest.TestCase):
+    """What the router keeps itself, where its configuration gives it a link."""
+
+    def test_a_part_asked_for_again_is_kept_and_served_until_it_is_purged(self) -> None:
+        ask = f"client a send GET {TILE} X-Batch:17"
+        fill = """cache expect w
+            cache send w ok entity=t,issued={now},tell=f map
+            client a expect 200 body=map"""
+        Scenario(link=1e6).run(f"""
+            board expect watch 1
+            {ask}
+            {fill}
+            {ask}
+            {fill}
+            {ask}
+            client a expect 200 ETag:"t" body=map
+            {ask} If-None-Match:"t"
+            client a expect 304 ETag:"t"
+            cache expect nothing 50
+            board send {{"rev":2,"flush":{{"collection":17,"ms":{{now+1}}}}}}
+            wait 50
+            {ask}
+            {fill}
+        """)
+
+    def test_none_is_served_once_too_old_or_while_the_link_is_behind_or_the_board_silent(self) -> None:
+        fill = f"""client a send GET {TILE}
+            cache expect w
+            cache send w ok entity=t,issued={{now-7700}} 40000
+            client a expect 200"""
+        own = f"""client a send GET {TILE}
+            client a expect 200
+            cache expect nothing 30"""
+        Scenario(link=1e6).run(f"{fill}\n{fill}\n{own}\nwait 300\n{fill}")
+        fresh = fill.replace("-7700", "")
+        # 400 ms of the link for one: the next finds it over a fifth of the aim behind.
+        Scenario(link=1e5).run(f"{fresh}\n{fresh}\n{own.replace('30', '0')}\n{fresh}")
+        silent = Scenario(link=1e6)
+        silent.node.roster.heard_us -= 3_000_000
+        silent.run(f"{fresh}\n{fresh}\n{fresh}")
+
+
 class BadInput(unittest.TestCase):
     """A 4xx and a close, never a silent drop."""
 
