Ask silent connections whether they work; bound idle clients; tick retired members

Seen by reading, each then shown by a scenario or a test of the process: a member cut off leaves connections that stay open and silent (peers/actor.py wrote to them on and on, also after its return); a client that sends half a head held a thread for good (fronts/http1.py had no read limit); a member that is gone was no longer told to give up or to close (core/actor.py looked its link up in a table that it had left).

A thread that can't be had ends the one connection. Scenarios also for SIGUSR1, SIGTERM's exit code, and bad configurations.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -97,6 +97,7 @@
         self.owed: dict[int, Owed] = {}
         self.hosts: dict[int, Host] = {}
         self.links: dict[int, tuple[tuple[str, int], Link]] = {}
+        self.retired: list[Link] = []
         self.timers: list[tuple[int, int, int, int]] = []
         self.again: list[Event] = []
         self.swept: list[int] = []
@@ -158,6 +159,10 @@
                 tick = now + TICK_US
                 for _, link in list(self.links.values()):
                     link.tick()
+                # Guards against connections of a member that is gone being kept open for good.
+                self.retired = [link for link in self.retired if not link.done()]
+                for link in self.retired:
+                    link.tick()
             time.sleep(NAP_S)
         self.stop.done()
 
@@ -270,6 +275,7 @@
             if link is not None and (host.state is State.GONE or host.dial != link[0]):
                 del self.links[number]
                 link[1].retire()
+                self.retired.append(link[1])
         events.extend(change.events)
         if change.done is not None:
             held.append(change.done)
@@ -301,9 +307,8 @@
         """Stop waiting for an attempt."""
         one.live.pop(order.number, None)
         self.counters[ending.label] += 1
-        link = self.links.get(order.member)
-        if link is not None:
-            link[1].give_up(order)
+        if order.link is not None:
+            order.link.give_up(order)
         events.append(self.verdict(one, order, ending, None))
         self.sweep(order.ask.number, one)
 
@@ -398,5 +403,6 @@
         pair = self.links.get(action.member)
         if pair is None:
             pair = self.links[action.member] = (host.dial, self.connect(action.member, host))
-        pair[1].send(order)
+        order.link = pair[1]
+        order.link.send(order)
 
--- a/lupintack/core/messages.py
+++ b/lupintack/core/messages.py
@@ -75,6 +75,7 @@
     held_only: bool
     decided_us: int
     stale: Callable[[Order], bool] = field(repr=False)
+    link: Link | None = None
 
 
 @dataclass(slots=True)
@@ -96,3 +97,5 @@
     def retire(self) -> None: ...
 
     def tick(self) -> None: ...
+
+    def done(self) -> bool: ...
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -22,6 +22,7 @@
 HEAD_MOST = 8192
 HEADERS_MOST = 64
 READ = 16384
+READ_LIMIT_S = 20  # well over the time after which clients close idle connections
 WRITE_LIMIT_S = 10  # a client that takes nothing for so long is cut off
 SEND_BUFFER = 131072
 FULL_S = 0.002  # between two looks for room
@@ -238,10 +239,21 @@
 
     def more(self) -> bool:
         """Wait for bytes."""
-        try:
-            data = self.sock.recv(READ)
-        except ConnectionError:
-            return False
+        while True:
+            try:
+                data = self.sock.recv(READ)
+                break
+            except ConnectionError:
+                return False
+            except BlockingIOError:
+                # The read limit: it guards against clients that hold a connection and send nothing, or half.
+                with self.lock:
+                    waits = self.open is not None or self.writing
+                if waits:
+                    continue
+                if self.buffer:
+                    raise Bad(408, "the request does not come") from None
+                return False
         self.buffer += data
         return bool(data)
 
@@ -375,10 +387,15 @@
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", WRITE_LIMIT_S, 0))
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", READ_LIMIT_S, 0))
             conn = Connection(self, sock, str(where[0]))
             with self.lock:
                 self.conns.add(conn)
-            self.spawn(conn.run, "client")
+            try:
+                self.spawn(conn.run, "client")
+            except RuntimeError as error:
+                LOG.error("no thread for a client", extra=fields(reason=error))
+                conn.end()
 
     def stop_accepting(self) -> None:
         """No new connections."""
--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -27,6 +27,8 @@
 CONNECTIONS = 24  # connections to one member
 SEND_LIMIT_US = 1_000_000  # a write to a member that takes nothing more ends its connection
 BACKLOG_MOST = 262_144
+ASK_AFTER_US = 1_500_000  # without a byte back since the last write, before `there` is sent
+ASK_LIMIT_US = 900_000  # for the answer to `there`
 SPENT = 64  # ids given up on a connection that it remembers
 IDLE_PART = 0.7  # idle connections are closed this early, so that no want crosses the member's own close
 
@@ -86,7 +88,9 @@
         self.spent: deque[str] = deque(maxlen=SPENT)
         self.lock = threading.Lock()
         self.backlog = bytearray()  # the rest of what is begun; nothing new is written here before it is out
-        self.used_us = now_us()
+        self.used_us = self.heard_us = self.wrote_us = now_us()
+        self.asked_us = 0  # when `there` was sent, until something is heard
+        self.silent = False
 
     def run(self) -> None:
         """Connect, read until it ends, and tell how."""
@@ -94,6 +98,8 @@
         if ending is None:
             self.peer.post(Up(self))
             ending = self.read()
+            if self.silent:
+                ending = Ending.SILENT
         with self.lock:
             self.down = ending
             left = list(self.open.values())
@@ -128,13 +134,14 @@
         try:
             while True:
                 parts = list(reader.array())
+                self.heard_us, self.asked_us = now_us(), 0
                 if len(parts) < 2:
                     raise resp.FrameError("an answer of one string")
                 if bytes(parts[1]) == b"yes":
                     continue
                 ending, answer = words.answer(parts, reports)
                 order = self.open.pop(parts[0].decode("latin-1"), None)
-                self.used_us = now_us()
+                self.used_us = self.heard_us
                 if order is not None:  # else it comes after never_mind, and nobody waits for it
                     self.peer.tell(Ended(order, ending, answer))
                 if self.peer.crowded:
@@ -152,6 +159,7 @@
         with self.lock:
             if self.down is not None or self.sock is None or len(self.backlog) > BACKLOG_MOST:
                 return False
+            self.wrote_us = now_us()
             try:
                 done = 0 if self.backlog else self.sock.send(data, socket.MSG_DONTWAIT)
             except BlockingIOError:
@@ -253,6 +261,7 @@
             self.close_idle()
         elif isinstance(message, Tick):
             self.close_idle()
+            self.ask_silent()
 
     def on_give_up(self, order: Order) -> None:
         """never_mind for what is written; what waits is just forgotten."""
@@ -315,7 +324,10 @@
     def open_one(self) -> None:
         conn = Conn(self)
         self.conns.append(conn)
-        self.spawn(conn.run, f"{self.name} reader")
+        try:
+            self.spawn(conn.run, f"{self.name} reader")
+        except RuntimeError:  # no thread to be had: as good as no connection
+            self.mailbox.append(Down(conn, Ending.CONNECT_FAILED))
 
     def put(self, conn: Conn, order: Order) -> None:
         """Write one want."""
@@ -329,6 +341,27 @@
         if not conn.write(words.want(order, now)) and conn.open.pop(wire_id, None) is order:
             self.tell(Ended(order, Ending.NOT_WRITTEN))
 
+    def ask_silent(self) -> None:
+        """Ask a connection on which nothing has come back whether it works; end it when it says nothing.
+
+        Guards against a member that was cut off: its old connections stay open and silent for good, also
+        after it is back, and every want written to one would be lost.
+        """
+        now = now_us()
+        for conn in self.conns:
+            if not conn.up or conn.down is not None:
+                continue
+            if conn.asked_us and now - conn.asked_us >= ASK_LIMIT_US:
+                conn.silent = True
+                conn.close()
+            elif not conn.asked_us and conn.wrote_us > conn.heard_us and now - conn.wrote_us >= ASK_AFTER_US:
+                conn.write(resp.command(b"there", b"%d" % now))
+                conn.asked_us = now
+
+    def done(self) -> bool:
+        """Whether nothing is left of a retired one."""
+        return not self.conns and not self.waiting
+
     def close_idle(self) -> None:
         """Close what has had nothing out for long, or all of that once retired."""
         limit = 0 if self.retired else int(self.terms.idle_us * IDLE_PART)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -255,6 +255,11 @@
                 raise AssertionError(f"not nothing but {self.wants.get(timeout=int(words[0]) / 1000)}")
             except Empty:
                 return
+        elif verb == "expect" and name == "there":
+            _, sock, parts = self.wants.get(timeout=PATIENCE)
+            assert parts[0] == "there", parts
+            if words:  # answered with this
+                sock.sendall(resp.command(parts[1].encode(), *(w.encode() for w in words)))
         elif verb == "expect" and name == "never_mind":
             _, _, parts = self.wants.get(timeout=PATIENCE)
             assert parts == ["never_mind", self.named[words[0]][1]], parts
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
 import unittest
+import unittest.mock
+from pathlib import Path
 
-from tests.scenario import Scenario
+from lupintack.peers import actor
+from tests.scenario import SETTINGS, Scenario
 
 TILE = "/ops/map-tiles/00000000000000aa"
 ACK = "/ops/alert-ack/00000000000000ac"
@@ -221,6 +230,70 @@
         silent.run(f"{fresh}\n{fresh}\n{fresh}")
 
 
+class Silent(unittest.TestCase):
+    """A member that is cut off says nothing."""
+
+    def setUp(self) -> None:
+        patch = unittest.mock.patch.multiple(actor, ASK_AFTER_US=100_000, ASK_LIMIT_US=500_000)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_a_connection_that_does_not_answer_there_is_ended_and_its_wants_go_elsewhere(self) -> None:
+        Scenario().run("""
+            client a send GET /ops/river-video/00000000000000aa Req-Wait-Ms:5000
+            cache expect w
+            cache expect there
+            cache expect v
+            cache send v ok - elsewhere
+            client a expect 200 body=elsewhere
+        """)
+
+    def test_one_that_answers_is_kept_and_an_ack_is_not_sent_again(self) -> None:
+        Scenario().run(f"""
+            client a send GET /ops/river-video/00000000000000aa Req-Wait-Ms:5000
+            cache expect w
+            cache expect there yes
+            cache send w ok - slow
+            client a expect 200 body=slow
+            client a send PUT {ACK} Req-Wait-Ms:5000 body=x
+            cache expect w
+            cache expect there
+            client a expect 502
+            cache expect nothing 50
+        """)
+
+
+class Process(unittest.TestCase):
+    """The program itself: signals, and configurations that can't be used."""
+
+    def start(self, config: str) -> subprocess.Popen[str]:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name) / "config.json"
+        path.write_text(config)
+        env = {**os.environ, "EDGE_CONFIG": str(path), "EDGE_LISTEN": "127.0.0.1:0"}
+        words = [sys.executable, "-m", "lupintack"]
+        return subprocess.Popen(words, env=env, stderr=subprocess.PIPE, text=True)
+
+    def test_counters_are_printed_on_usr1_and_at_the_end(self) -> None:
+        process = self.start(json.dumps({"settings": SETTINGS, "known": {}}))
+        assert process.stderr is not None
+        self.assertIn("event=ready", process.stderr.readline())
+        process.send_signal(signal.SIGUSR1)
+        self.assertIn("event=counters", process.stderr.readline())
+        process.terminate()
+        self.assertIn("event=counters", process.communicate(timeout=10)[1])
+        self.assertEqual(process.returncode, 0)
+
+    def test_a_bad_configuration_is_one_line_and_a_code(self) -> None:
+        wrong = '{"settings": {"services": 3}}'
+        for config in ("{", "[]", wrong, '{"known": 3}', '{"seed": "x"}', '{"board": "x"}'):
+            with self.subTest(config=config):
+                process = self.start(config)
+                text = process.communicate(timeout=10)[1]
+                self.assertEqual((process.returncode, text.count("\n")), (2, 1), text)
+
+
 class BadInput(unittest.TestCase):
     """A 4xx and a close, never a silent drop."""
 
