Answer what is still read at the end; log members by name; check the tests' types

Seen by reading: stop_reading() shut both directions of an idle connection, so a request that had come but was not read yet could not be answered (fronts/http1.py), and the timers ended with the first moment in which nothing was owed (core/actor.py run), before the last requests were read.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -65,7 +65,7 @@
 
 @dataclass(slots=True)
 class Stop:
-    """The end: done is called when nothing is owed any more."""
+    """The end: done is called whenever nothing is owed."""
 
     done: Callable[[], None]
 
@@ -145,9 +145,9 @@
                 self.running.release()
 
     def run(self) -> None:
-        """The timers' thread: until everything is answered after a Stop."""
+        """The timers' thread, for good: what is still read after a Stop has its deadline, too."""
         tick = now_us() + TICK_US
-        while self.stop is None or any(not one.over for one in list(self.owed.values())):
+        while True:
             now = now_us()
             if self.timers and self.timers[0][0] <= now and self.running.acquire(blocking=False):
                 try:
@@ -163,8 +163,9 @@
                 self.retired = [link for link in self.retired if not link.done()]
                 for link in self.retired:
                     link.tick()
+            if self.stop is not None and all(one.over for one in list(self.owed.values())):
+                self.stop.done()
             time.sleep(NAP_S)
-        self.stop.done()
 
     def turn(self, batch: list[Message]) -> None:
         """One turn of the loop."""
@@ -336,7 +337,8 @@
             if found is not None and self.copies is not None:
                 self.copies.keep(*found)
         elif isinstance(action, Log):
-            LOG.info("module", extra=fields(text=action.text))
+            host = self.hosts.get(action.member)
+            LOG.info("module", extra=fields(member=host.name if host else "", text=action.text))
 
     def serve_own(self, number: int) -> None:
         """The final answer of a request from the router's own copy."""
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -420,7 +420,8 @@
                 conn.last = True
                 if conn.open is None and not conn.writing:
                     try:
-                        conn.sock.shutdown(socket.SHUT_RDWR)
+                        # Only the reading: what has come but is not read yet is served and answered still.
+                        conn.sock.shutdown(socket.SHUT_RD)
                     except OSError:
                         pass
 
--- a/lupintack/interface.py
+++ b/lupintack/interface.py
@@ -334,9 +334,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Log:
-    """A line for the staff."""
+    """A line for the staff, on a member where one is named."""
 
     text: str
+    member: int = 0
 
 
 Action = Fetch | Cancel | Refuse | Fail | ServeOwn | Keep | SetTimer | Subscribe | Log
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -644,8 +644,7 @@
         """Tell the staff, a member now and then at most."""
         if self.now - peer.log_at >= LOG_GAP_MS:
             peer.log_at = self.now
-            host = ".".join(str(byte) for byte in (peer.id >> 16).to_bytes(6, "big")[-4:])
-            self.out.append(Log(f"{host}:{peer.id & 0xFFFF} {text}"))
+            self.out.append(Log(text, peer.id))
 
     # What comes back
 
--- a/lupintack/wire.py
+++ b/lupintack/wire.py
@@ -208,6 +208,9 @@
             return struct.pack(">BB", 67, 1)
         case i.Log() | Fatal():
             raw = action.text.encode()
+            if isinstance(action, i.Log) and action.member:
+                host = ".".join(str(byte) for byte in (action.member >> 16).to_bytes(6, "big")[-4:])
+                raw = f"{host}:{action.member & 0xFFFF} ".encode() + raw
             offset = len(tail)
             tail += raw
             return struct.pack(">BII", 75 if isinstance(action, i.Log) else 74, offset, len(raw))
--- a/tests/test_cdni.py
+++ b/tests/test_cdni.py
@@ -12,37 +12,33 @@
 from lupintack.fronts.cdni.metadata import matches
 from tests.scenario import Scenario
 
-FILE = """
-enabled = true
-listen = "{cdni_at}"
-id = "AS64500:0"
-base = "{cdni}"
-
-[[host]]
-name = "maps.up"
-group = 9
-upstream = "AS64496:0"
+PLACES = """
 [[host.path]]
 prefix = "/maps/"
 class = "map-tiles"
 [[host.path]]
 prefix = "/ack/"
 class = "alert-ack"
+"""
+FILE = f"""
+enabled = true
+listen = "{{cdni_at}}"
+id = "AS64500:0"
+base = "{{cdni}}"
 
+[[host]]
+name = "maps.up"
+group = 9
+upstream = "AS64496:0"
+{PLACES}
 [[host]]
 name = "own"
 group = 3
 downstream = "AS64499:0"
-[[host.path]]
-prefix = "/maps/"
-class = "map-tiles"
-[[host.path]]
-prefix = "/ack/"
-class = "alert-ack"
-
+{PLACES}
 [[upstream]]
 id = "AS64496:0"
-metadata = "{up}/hostindex"
+metadata = "{{up}}/hostindex"
 """
 DOWNSTREAM = """
 [[downstream]]
@@ -73,14 +69,19 @@
     return json.dumps({"trigger": {"type": kind, **spec}, "cdn-path": path})
 
 
-def ri(uri: str = "http://maps.up/maps/a", path: tuple[str, ...] = ("AS64496:0",), **more: object) -> str:
+def ri(
+    uri: str = "http://maps.up/maps/a",
+    path: tuple[str, ...] = ("AS64496:0",),
+    hops: object = 3,
+    **more: object,
+) -> str:
     """A redirection request."""
     http = {"c-ip": "198.51.100.1", "cs-uri": uri, "cs-version": "HTTP/1.1", "cs-method": "GET"}
-    return json.dumps({"cdn-path": path, "max-hops": 3, "http": http} | more)
+    return json.dumps({"cdn-path": path, "max-hops": hops, "http": http} | more)
 
 
-def play(text: str, downstream: str = DOWNSTREAM) -> None:
-    Scenario(FILE + downstream).run(text)
+def play(text: str, downstream: str = DOWNSTREAM, link: float = 0.0) -> None:
+    Scenario(FILE + downstream, link).run(text)
 
 
 META = f"""
@@ -121,6 +122,23 @@
             cache expect w within=1??
         """, downstream=BARE)  # fmt: skip
 
+    def test_a_purge_binds_for_the_router_s_own_copies_too(self) -> None:
+        fill = """client a send GET {cdni}/content/own/maps/a
+            cache expect w
+            cache send w ok entity=t,issued={now} map
+            client a expect 200"""
+        play(f"""
+            {fill}
+            {fill}
+            client a send GET {{cdni}}/content/own/maps/a
+            client a expect 200 body=map
+            cache expect nothing 30
+            client u send POST {{cdni}}/triggers {COMMAND} body='{trigger(content_ccid=["3"])}'
+            client u expect 201
+            wait 150
+            {fill}
+        """, downstream=BARE, link=1e6)  # fmt: skip
+
     def test_our_metadata_is_served_to_downstream(self) -> None:
         play("""
             client d send GET {cdni}/metadata/hostindex
@@ -201,7 +219,7 @@
 
     def test_bad_requests(self) -> None:
         for head, body, status in (
-            (RI, "not json", 400), (RI, "[]", 400), (RI, "{}", 400), (RI, ri(**{"max-hops": "x"}), 400),
+            (RI, "not json", 400), (RI, "[]", 400), (RI, "{}", 400), (RI, ri(hops="x"), 400),
             (RI, ri(http={"c-ip": "x"}), 400), ("Content-Type:text/plain", ri(), 415),
             (f"{RI} Accept:text/html", ri(), 406),
         ):  # fmt: skip
