--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -202,7 +202,7 @@
         time.sleep(int(ms) / 1000)
 
     def client(self, name: str, verb: str, *words: str) -> None:
-        """A client, or another CDN that calls: send, expect, close, and wait TARGET body=... until it fits."""
+        """A client, or another CDN that calls: send, expect, close; wait TARGET body=... until it fits."""
         if verb == "send":
             self.client_send(name, *words)
         elif verb == "expect":
