Follow a moved board on SIGHUP; close silent and idle clients; frame strictly

At fault: main() waited for SIGTERM, SIGINT and SIGUSR1 alone; READ_LIMIT_S = 20 and the accepting loop that only slept over its bound; int(length[:12]) in parse_head, which read a padded length as another one; SILENT_S = 3.5 with a connect on top against the 4 s after which a stopped board counts as told; Board.heed, which took older events.

Now: SIGHUP reads the file, the board's reader moves at once from the last number, a bad file is logged and the old kept. Events are heeded once; a gap is asked for again, once. A first request is owed 2 s, an idle connection 6 s; room is made from silent ones, then from those idle for longest, never from one with a request owed. A bound for the clients follows the descriptors. Doubled or mixed framing fields, and bare line ends, get a 400.

--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import gc
 import logging
 import os
@@ -10,7 +11,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 
 from lupintack import config, logs
@@ -32,8 +33,8 @@
 SWITCH_S = 0.02  # turns are short, and every thread that waits for the interpreter wakes this often
 ACCEPT_ON_S = 0.45  # after SIGTERM: new connections still come
 READ_ON_S = 0.25  # and after that, requests on open ones
-CLOSING = 64  # clients' connections beside their third: closed by them, not yet by us
-CDNI_MOST = 48  # connections of the CDNI front
+CLOSING = 64  # clients' connections beside their third: closed by them, not yet by us; an eighth at most
+CDNI_MOST = 48  # connections of the CDNI front; a sixteenth at most
 CDNI_BODY_MOST = 65536
 FLUSH_S = 3.0  # and then answers on their way to slow clients
 
@@ -60,11 +61,13 @@
         )
         platform = Platform(self.core, conf.names.classes, lambda: self.is_ready)
         count = self.core.counters.add
-        most = conf.limits.sockets // 3 + CLOSING
+        sockets = conf.limits.sockets
+        most = sockets // 3 + min(CLOSING, sockets // 8)
         self.servers = [Server(conf.listen, platform.handle, spawn, count, most, BODY_MOST)]
         if cdni is not None:
+            cdni_most = min(CDNI_MOST, sockets // 16)
             front = CdniFront(cdni, self.core, self.roster, lambda: self.is_ready, spawn)
-            self.servers.append(Server(cdni.listen, front.handle, spawn, count, CDNI_MOST, CDNI_BODY_MOST))
+            self.servers.append(Server(cdni.listen, front.handle, spawn, count, cdni_most, CDNI_BODY_MOST))
 
     def connect(self, number: int, host: Host) -> Link:
         """The actor of a member that is sent to for the first time."""
@@ -90,6 +93,21 @@
             spawn(server.run, "accept")
         self.is_ready = True
 
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """After SIGHUP: the board may have moved; what else has changed waits for the next start."""
+        try:
+            conf = config.load(environ)
+        except config.ConfigError as error:
+            LOG.error("new configuration can't be used, the old one is kept", extra=logs.fields(reason=error))
+            return
+        self.board.move(conf.board)
+        skip = ("board", "known")  # the numbers continue, so what is known now comes from the board
+        names = [f.name for f in dataclasses.fields(conf) if f.name not in skip]
+        ignored = [name for name in names if getattr(conf, name) != getattr(self.conf, name)]
+        if ignored:
+            LOG.warning("changes ignored until the next start", extra=logs.fields(names=",".join(ignored)))
+        LOG.info("configuration read", extra=logs.fields(board=conf.board))
+
     def stop(self) -> None:
         """After SIGTERM: take what still comes, answer everything, and be done."""
         self.is_ready = False
@@ -124,7 +142,7 @@
     sys.setswitchinterval(SWITCH_S)
     gc.freeze()
     gc.set_threshold(50_000, 20, 50)  # nothing on a request's way makes cycles; a full collection is a stall
-    signals = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
+    signals = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
     signal.pthread_sigmask(signal.SIG_BLOCK, signals)
     try:
         node = Node(conf, cdni)
@@ -133,8 +151,11 @@
         return 2
     node.start()
     LOG.info("ready", extra=logs.fields(node=conf.name, listen=f"{conf.listen[0]}:{conf.listen[1]}"))
-    while signal.sigwait(signals) == signal.SIGUSR1:
-        node.print_counters()
+    while (got := signal.sigwait(signals)) in (signal.SIGUSR1, signal.SIGHUP):
+        if got == signal.SIGHUP:
+            node.reload(os.environ)
+        else:
+            node.print_counters()
     node.stop()
     node.print_counters()
     sys.stderr.flush()
--- a/lupintack/board.py
+++ b/lupintack/board.py
@@ -19,11 +19,16 @@
 LOG = logging.getLogger("board")
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 LINE_MOST = 4 << 20
-SILENT_S = 3.5  # a line comes each second; after so long without one the connection is held to be cut off
-AGAIN_S = 0.25  # between two tries
+SILENT_S = 1.8  # a line comes each second; after so long without one the connection is held to be cut off
+CONNECT_S = 1.0  # for a connect: with SILENT_S it stays well under the 4 s after which all counts as told
+AGAIN_S = 0.2  # between two tries, but for the first after a connection that told something
 NO_ZONE = 0xFFFF
 
 
+class Missed(ValueError):
+    """An event has not come: it is asked for again, once."""
+
+
 class Board:
     """Follows the notice board and words its events for the roster."""
 
@@ -32,7 +37,10 @@
         self.names = names
         self.roster = roster
         self.last = 0
-        self.skipped = 0
+        self.asked = -1  # the last number from which a gap was asked for again
+        self.lock = threading.Lock()  # of the numbers: an old reader may stand beside the new one
+        self.sock: socket.socket | None = None
+        self.turn = 0  # counts the moves: a reader of an earlier one ends
         self.stopped = threading.Event()
 
     def known(self, known: Mapping[str, Any]) -> None:
@@ -42,9 +50,11 @@
         self.last = max(self.last, int(known.get("rev", 0)))
 
     def heed(self, notice: Any) -> None:
-        """One event; what can't be read is logged, and the watch goes on."""
+        """One event; what can't be read is logged, and the next one's number passes it over."""
         try:
             number = int(notice["rev"])
+            if number <= self.last:
+                return  # told before: to heed it again would undo what has been told since
             if "pool" in notice:
                 pool = notice["pool"]
                 hosts = tuple(self.host(line) for line in pool.get("hosts", []))
@@ -57,7 +67,7 @@
         except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
             LOG.warning("notice can't be used", extra=fields(reason=repr(error), notice=str(notice)[:200]))
             return
-        self.last = max(self.last, number)
+        self.last = number
 
     def host(self, line: Mapping[str, Any]) -> Host:
         """A line of the pool."""
@@ -77,41 +87,77 @@
             born_unix_ms=float(line.get("born_ms", 0.0)),
         )
 
+    def move(self, address: tuple[str, int] | None) -> None:
+        """Follow the board at another address from now on; no read of the old one delays that."""
+        with self.lock:
+            if address == self.address:
+                return
+            self.address = address
+            self.turn += 1
+            sock = self.sock
+        LOG.info("board moves", extra=fields(to=address, last=self.last))
+        threading.Thread(target=self.run, name="board", daemon=True).start()
+        if sock is not None:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def run(self) -> None:
-        """Connect, watch, and connect again from the last number."""
-        while self.address is not None and not self.stopped.is_set():
+        """Connect, watch, and connect again from the last number, until the board moves."""
+        with self.lock:
+            turn, address = self.turn, self.address
+        while address is not None and turn == self.turn and not self.stopped.is_set():
+            heard = self.roster.heard_us
             try:
-                with socket.create_connection(self.address, timeout=SILENT_S) as sock:
-                    self.watch(sock)
+                with socket.create_connection(address, timeout=CONNECT_S) as sock:
+                    self.sock = sock
+                    self.watch(sock, turn)
             except (OSError, ValueError) as error:
-                LOG.info("board lost", extra=fields(reason=error, last=self.last))
-            self.stopped.wait(AGAIN_S)
+                if turn == self.turn:
+                    LOG.info("board lost", extra=fields(reason=error, last=self.last))
+            self.stopped.wait(AGAIN_S if heard == self.roster.heard_us else AGAIN_S / 10)
 
-    def watch(self, sock: socket.socket) -> None:
-        """Read lines until the connection ends."""
+    def watch(self, sock: socket.socket, turn: int) -> None:
+        """Read lines until the connection ends, the board falls silent, or it moves."""
         sock.sendall(b"watch %d\n" % self.last)
         buffer = bytearray()
-        while not self.stopped.is_set():
+        until = now_us() + int(SILENT_S * 1e6)
+        while turn == self.turn and not self.stopped.is_set():
+            # Only whole lines count: half a line that drips on must not pass for a board that works.
+            sock.settimeout(max(0.01, (until - now_us()) / 1e6))
             data = sock.recv(65536)
             if not data:
                 raise ConnectionResetError("closed by the board")
             buffer += data
-            self.roster.heard_us = now_us()
             *lines, rest = buffer.split(b"\n")
             buffer = bytearray(rest)
             if len(buffer) > LINE_MOST:
                 raise ValueError("a line is too long")
             for line in lines:
-                self.line(bytes(line))
+                with self.lock:
+                    if turn == self.turn and self.line(bytes(line)):
+                        self.roster.heard_us = now_us()
+                        until = self.roster.heard_us + int(SILENT_S * 1e6)
 
-    def line(self, raw: bytes) -> None:
-        """One line: an event, or the last number alone."""
+    def line(self, raw: bytes) -> bool:
+        """One line: an event, or the last number alone; whether it could be read."""
         if not raw.strip():
-            return
+            return False
         try:
             notice = json.loads(raw)
         except ValueError as error:
             LOG.warning("bad line", extra=fields(reason=error, line=raw[:100]))
-            return
-        if isinstance(notice, dict):
+            return False
+        event = isinstance(notice, dict)
+        number = notice.get("rev") if event else notice
+        if not isinstance(number, int) or isinstance(number, bool):
+            LOG.warning("bad line", extra=fields(reason="no number", line=raw[:100]))
+            return False
+        if number > self.last + event and self.asked != self.last:
+            # Guards against a gap, as after a line that was spoilt; one that stays is passed over.
+            self.asked = self.last
+            raise Missed(f"{number} came after {self.last}")
+        if event:
             self.heed(notice)
+        return True
--- a/lupintack/config.py
+++ b/lupintack/config.py
@@ -74,7 +74,9 @@
         raise ConfigError("EDGE_CONFIG: an object is wanted")
     try:
         return parse(data, environ)
-    except (WireError, TypeError, AttributeError, KeyError) as error:
+    except ConfigError:
+        raise
+    except (WireError, ValueError, TypeError, AttributeError, KeyError, OverflowError) as error:
         raise ConfigError(f"EDGE_CONFIG: {error}".replace("\n", " ")) from None
 
 
--- a/lupintack/core/copies.py
+++ b/lupintack/core/copies.py
@@ -16,7 +16,7 @@
 OVERHEAD = 600  # bytes that a copy takes beside its body
 HOLDS_PART = 20  # to tell a client that its copy holds costs this part of the bytes
 PURGES = 4096
-NEWS_US = 2_500_000  # no line from the notice board for so long: it may be cut off, and purges with it
+NEWS_US = 1_900_000  # no line from the notice board for so long: 2 s after a break all counts as told
 
 
 @dataclass(slots=True)
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -21,12 +21,17 @@
 LOG = logging.getLogger("http1")
 HEAD_MOST = 8192
 HEADERS_MOST = 64
+LENGTH_DIGITS = 12
 READ = 16384
-READ_LIMIT_S = 20  # well over the time after which clients close idle connections
+FIRST_S = 2.0  # for a connection's first whole request, and for the rest of any that has begun
+IDLE_S = 6.0  # between requests: over the 4 s after which clients close idle connections
+YOUNG_S = 0.15  # a connection is not closed to make room while its first request may be on its way
+SWEEP_S = 0.1  # between two looks at the connections
 WRITE_LIMIT_S = 10  # a client that takes nothing for so long is cut off
 SEND_BUFFER = 131072
 FULL_S = 0.002  # between two looks for room
-LINGER_S = 1  # after a 4xx the rest of what the client sends is read so long, or it might lose the answer
+LINGER_READ = 65536
+LINGER_S = 1.5  # after a 4xx the rest of what the client sends is read so long, or it might lose the answer
 REASONS = {
     200: "OK", 201: "Created", 204: "No Content", 301: "Moved Permanently", 302: "Found",
     303: "See Other", 304: "Not Modified", 307: "Temporary Redirect", 308: "Permanent Redirect",
@@ -39,6 +44,7 @@
 }  # fmt: skip
 TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 REQUEST_LINE = re.compile(rf"({TOKEN}) ([!-~]+) HTTP/(\d\.\d)")
+BARE = re.compile(rb"(?<!\r)\n|\r[^\n]")  # a line end that others may read as one, and we don't
 FIELD = re.compile(rf"({TOKEN}):[ \t]*([^\0\r\n]*?)[ \t]*")
 
 
@@ -63,7 +69,7 @@
 
 
 def parse_fields(lines: list[str]) -> dict[str, str]:
-    """Header fields; of those given twice a list is made, but for those that frame the message."""
+    """Header fields; of those given twice a list is made, but those that frame the message come once."""
     if len(lines) > HEADERS_MOST:
         raise Bad(431, "too many header fields")
     headers: dict[str, str] = {}
@@ -75,9 +81,9 @@
         key, value = match.groups()
         key = key.lower()
         if key in headers:
-            if key in ("content-length", "host", "transfer-encoding") and headers[key] != value:
+            if key in ("content-length", "host", "transfer-encoding"):
                 raise Bad(400, f"two of {key}")
-            value = headers[key] if key == "content-length" else f"{headers[key]}, {value}"
+            value = f"{headers[key]}, {value}"
         headers[key] = value
     return headers
 
@@ -95,15 +101,20 @@
     if version == "1.1" and "host" not in headers:
         raise Bad(400, "no Host")
     if "transfer-encoding" in headers:
+        if "content-length" in headers:
+            raise Bad(400, "Content-Length beside Transfer-Encoding")
         raise Bad(501, "transfer codings are not supported")
     length = headers.get("content-length", "0")
     if not (length.isascii() and length.isdigit()):
         raise Bad(400, "Content-Length is no number")
+    length = length.lstrip("0") or "0"
+    if len(length) > LENGTH_DIGITS:
+        raise Bad(413, "the body is too long")  # cut off, it would be another length: the rest a request
     if method in ("PUT", "POST") and "content-length" not in headers:
         raise Bad(411, "Content-Length is wanted")
     options = headers["connection"].lower().replace(" ", "").split(",") if "connection" in headers else []
     close = "close" in options or (version == "1.0" and "keep-alive" not in options)
-    return HttpRequest(method, target, headers, close=close), int(length[:12])
+    return HttpRequest(method, target, headers, close=close), int(length)
 
 
 def head(status: int, headers: Iterable[tuple[str, object]], length: int | None) -> bytes:
@@ -158,6 +169,10 @@
         self.writing = False
         self.closed = False
         self.last = False  # no request after this one
+        self.asked = False  # a whole request has come
+        self.lingers = False  # it had its last answer, and is read on for a moment
+        self.expired = False
+        self.since_us = now_us()  # of what is waited for: its first request, the rest of one, the next
 
     def run(self) -> None:
         """Read requests until the connection ends."""
@@ -185,10 +200,15 @@
         while at < 0:
             if len(self.buffer) > HEAD_MOST:
                 raise Bad(431, "the head is too long")
+            if BARE.search(self.buffer):
+                raise Bad(400, "a line ends in CR LF")
+            begun = bool(self.buffer)
             if not self.more():
                 if self.buffer.strip(b"\r\n"):
-                    raise Bad(400, "the request ends inside its head")
+                    raise self.cut("head")
                 return False
+            if not begun and self.asked:
+                self.since_us = now_us()
             while self.buffer[:2] == b"\r\n":
                 del self.buffer[:2]
             at = self.buffer.find(b"\r\n\r\n")
@@ -202,10 +222,11 @@
             self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
         while len(self.buffer) < length:
             if not self.more():
-                raise Bad(400, "the request ends inside its body")
+                raise self.cut("body")
         request.body = bytes(self.buffer[:length])
         del self.buffer[:length]
         request.came_us = now_us()
+        self.asked = True
         exchange = Exchange(self, request)
         with self.lock:
             self.open = exchange
@@ -245,18 +266,36 @@
                 break
             except ConnectionError:
                 return False
-            except BlockingIOError:
-                # The read limit: it guards against clients that hold a connection and send nothing, or half.
-                with self.lock:
-                    waits = self.open is not None or self.writing
-                if waits:
-                    continue
-                if self.buffer:
-                    raise Bad(408, "the request does not come") from None
-                return False
         self.buffer += data
         return bool(data)
 
+    def cut(self, where: str) -> Bad:
+        """Why a request is not whole."""
+        if self.expired:
+            return Bad(408, f"the rest of the {where} does not come")
+        return Bad(400, f"the request ends inside its {where}")
+
+    def idle_us(self, now: int) -> int:
+        """How long nothing has been owed on it; negative while something is."""
+        if self.open is not None or self.writing or self.expired:
+            return -1
+        return now - self.since_us
+
+    def overdue(self, now: int) -> bool:
+        """Guards against clients that hold a connection and say nothing, or half."""
+        limit = IDLE_S if self.asked and not self.buffer else FIRST_S
+        return self.idle_us(now) >= limit * 1e6
+
+    def expire(self) -> None:
+        """End it by the end of its reading: what has come but is not read yet is answered still."""
+        with self.lock:
+            if self.open is None and not self.writing and not self.expired:
+                self.expired = True
+                try:
+                    self.sock.shutdown(socket.SHUT_RD)
+                except OSError:
+                    pass
+
     def reply(self, exchange: Exchange, data: list[bytes], close: bool) -> bool:
         """Write the answer of the open request: what the kernel takes now, the rest behind."""
         with self.lock:
@@ -306,6 +345,7 @@
     def after_write(self) -> None:
         """The answer is out (under the lock): go on, or close."""
         self.answered.notify_all()
+        self.since_us = now_us()
         if self.closed or self.last:
             try:
                 self.sock.shutdown(socket.SHUT_WR if not self.closed else socket.SHUT_RDWR)
@@ -321,11 +361,13 @@
 
     def linger(self) -> None:
         """Read on for a moment after a refusal: a reset could take the answer from the client."""
+        until = now_us() + int(LINGER_S * 1e6)
+        self.lingers = True
         try:
             self.sock.shutdown(socket.SHUT_WR)
-            self.sock.settimeout(LINGER_S)
-            for _ in range(64):
-                if not self.sock.recv(READ):
+            while (left := until - now_us()) > 0 and not self.expired:
+                self.sock.settimeout(left / 1e6)
+                if not self.sock.recv(LINGER_READ):
                     return
         except OSError:
             pass
@@ -359,6 +401,7 @@
         self.spawn = spawn
         self.count = count
         self.most = most
+        self.spare = max(1, most // 8)  # places kept free, by ending idle connections
         self.body_most = body_most
         self.closing = False
         self.accepting = True
@@ -367,27 +410,39 @@
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = socket.socket(family)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Between two clients the accepting thread looks after the connections there are.
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, int(SWEEP_S * 1e6)))
         self.sock.bind(address)
         self.sock.listen(512)
 
     def run(self) -> None:
-        """Accept until told to stop."""
+        """Accept until told to stop, and look after the connections between."""
+        swept = 0
         while self.accepting:
-            # Guards the descriptors, as the peers' connections need the rest of them. A connection over the
-            # bound waits in the kernel; closing it would lose a request that its client has written already.
+            now = now_us()
+            if now - swept >= SWEEP_S * 1e6:
+                swept = now
+                self.sweep(now)
+            # Guards the descriptors, as the peers' connections need the rest of them. Room is made before it
+            # is wanted; where there is none yet, a connection waits in the kernel for a moment.
+            if len(self.conns) >= self.most - self.spare:
+                self.make_room(now)
             if len(self.conns) >= self.most:
                 time.sleep(FULL_S)
                 continue
             try:
                 sock, where = self.sock.accept()
+            except BlockingIOError:
+                continue  # nobody has come since the last look
             except OSError as error:
                 if self.accepting:
                     LOG.warning("accept failed", extra=fields(reason=error))
-                    threading.Event().wait(0.02)
+                    self.make_room(now)
+                    time.sleep(0.02)
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", WRITE_LIMIT_S, 0))
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", READ_LIMIT_S, 0))
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, 0))  # inherited
             conn = Connection(self, sock, str(where[0]))
             with self.lock:
                 self.conns.add(conn)
@@ -397,6 +452,31 @@
                 LOG.error("no thread for a client", extra=fields(reason=error))
                 conn.end()
 
+    def sweep(self, now: int) -> None:
+        """End connections that have waited too long for a request, or for the rest of one."""
+        with self.lock:
+            conns = list(self.conns)
+        for conn in conns:
+            if conn.overdue(now):
+                self.count("closed.silent")
+                conn.expire()
+
+    def make_room(self, now: int) -> None:
+        """End some connections on which nothing is owed: silent ones, then those idle for longest.
+
+        Guards against clients that open connections and say nothing, or ask once and stay: the usual ones
+        would be locked out. What is owed an answer is never ended.
+        """
+        with self.lock:
+            conns = list(self.conns)
+        ending = sum(conn.expired for conn in conns)
+        idle = [(conn.asked and not conn.lingers, -conn.idle_us(now), conn) for conn in conns]
+        idle = [one for one in idle if -one[1] >= YOUNG_S * 1e6]
+        idle.sort(key=lambda one: one[:2])
+        for _, _, conn in idle[: max(0, self.spare - ending)]:
+            self.count("closed.for_room")
+            conn.expire()
+
     def stop_accepting(self) -> None:
         """No new connections."""
         self.accepting = False
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -126,15 +126,15 @@
         self.members = {name: listen(self.member(name)) for name in HOSTS}
         self.cdns = {name: listen(self.cdn(name)) for name in ("up", "down")}
         self.vars |= {name: f"http://{at(sock)}" for name, sock in self.cdns.items()}
-        board = listen(lambda s: self.watches.put((s, Lines(s).until(b"\n").decode())))
+        board = self.new_board()
         hosts = [self.line(name) for name in HOSTS]
         known = {"rev": 1, "notices": [{"rev": 1, "pool": {"seq": 1, "whole": True, "hosts": hosts}}]}
-        data = {
+        self.data = {
             "name": "n0", "listen": "127.0.0.1:0", "seed": "7", "board": at(board), "known": known,
             "settings": SETTINGS, "link_bytes_per_s": self.link,
             "limits": {"sockets": 1024, "memory_mb": 192, **limits},
         }  # fmt: skip
-        conf = parse(data, {})
+        conf = parse(self.data, {})
         front = None
         if cdni:
             with socket.socket() as probe:
@@ -147,6 +147,9 @@
         self.node = Node(conf, front)
         self.node.start()
 
+    def new_board(self) -> socket.socket:
+        return listen(lambda s: self.watches.put((s, Lines(s).until(b"\n").decode())))
+
     def line(self, name: str, **changes: object) -> dict[str, object]:
         """A host's line on the notice board."""
         kind = HOSTS[name]
@@ -296,12 +299,14 @@
             self.named[name][0].shutdown(socket.SHUT_RDWR)
 
     def board(self, verb: str, *words: str) -> None:
-        """The notice board: expect a watch, send a line, close."""
+        """The notice board: expect a watch, send a line or half of one, close."""
         if verb == "expect":
             self.watching, line = self.watches.get(timeout=PATIENCE)
             assert line == " ".join(words), line
         elif verb == "send":
             self.watching.sendall(" ".join(words).encode() + b"\n")
+        elif verb == "half":
+            self.watching.sendall(" ".join(words).encode())
         else:
             self.watching.shutdown(socket.SHUT_RDWR)
 
@@ -319,9 +324,15 @@
             self.asked[name].sendall(raw.encode())
             self.asked[name].close()
 
-    def router(self, verb: str, what: str) -> None:
-        """The router itself: send TERM, expect stopped."""
-        if verb == "send":
+    def router(self, verb: str, *words: str) -> None:
+        """The router itself: send TERM, or HUP with a new board's address or a bad file; expect stopped."""
+        if words[0] == "HUP":
+            with tempfile.TemporaryDirectory() as folder:
+                file = Path(folder) / "config.json"
+                data = self.data | {"board": at(self.new_board()), "seed": "8"}
+                file.write_text("{" if words[1:] else json.dumps(data))
+                self.node.reload({"EDGE_CONFIG": str(file)})
+        elif verb == "send":
             self.stopping = threading.Thread(target=self.node.stop, daemon=True)
             self.stopping.start()
         else:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -12,6 +12,8 @@
 import unittest.mock
 from pathlib import Path
 
+from lupintack import board
+from lupintack.fronts import http1
 from lupintack.peers import actor
 from tests.scenario import SETTINGS, Scenario
 
@@ -188,6 +190,108 @@
         """)
 
 
+class Board(unittest.TestCase):
+    """News is heeded once, in order, and a board that ends, stops or moves is asked again from the last."""
+
+    def test_what_was_told_before_undoes_nothing(self) -> None:
+        pool = '{"rev":%d,"pool":{"whole":false,"hosts":[{line %s}]}}'
+        gone, drains, ready = pool % (2, "s-2 Gone"), pool % (3, "s-1 Terminating"), pool % (4, "s-1 Ready")
+        Scenario().run(f"""
+            board expect watch 1
+            board send {gone}
+            board send {drains}
+            board send {ready}
+            board send {drains}
+            board send 4
+            board close
+            board expect watch 4
+            client a send GET {TILE}
+            cache expect w at=s-1
+        """)
+
+    def test_half_an_event_and_a_gap_are_asked_for_again_and_a_gap_that_stays_is_passed_over(self) -> None:
+        flush = '{"rev":%d,"flush":{"collection":17,"ms":{now}}}'
+        Scenario().run(f"""
+            board expect watch 1
+            board half {flush % 2} {{"rev":3,"flu
+            board close
+            board expect watch 1
+            board send {flush % 2}
+            board send {flush % 4}
+            board expect watch 2
+            board send {flush % 4}
+            board send 4
+            board close
+            board expect watch 4
+        """)
+
+    def test_one_that_stops_is_left_for_a_new_connection_also_when_half_a_line_drips_on(self) -> None:
+        with unittest.mock.patch.object(board, "SILENT_S", 0.2):
+            Scenario().run("""
+                board expect watch 1
+                board expect watch 1
+                board half {"rev":2
+                board expect watch 1
+            """)
+
+    def test_a_new_configuration_moves_it_and_a_bad_one_changes_nothing(self) -> None:
+        Scenario().run(f"""
+            board expect watch 1
+            router send HUP bad
+            board send {{"rev":2,"flush":{{"collection":17,"ms":{{now}}}}}}
+            board send 2
+            board close
+            board expect watch 2
+            router send HUP
+            board expect watch 2
+            board send {{"rev":3,"pool":{{"whole":false,"hosts":[{{line s-1 Gone}}, {{line s-2 Gone}}]}}}}
+            board close
+            board expect watch 3
+            client a send GET {TILE}
+            cache expect w at=p-*
+        """)
+
+
+class Crowd(unittest.TestCase):
+    """Clients that hold connections for nothing are closed; what is owed an answer never is."""
+
+    def test_silent_ones_and_halves_are_closed_in_time(self) -> None:
+        with unittest.mock.patch.multiple(http1, FIRST_S=0.2, IDLE_S=0.4):
+            Scenario().run(f"""
+                client a send raw ''
+                client b send raw 'GET {TILE} HT'
+                client c send raw 'PUT {ACK} HTTP/1.1\\r\\nHost: x\\r\\nContent-Length: 5\\r\\n\\r\\nab'
+                client d send GET /alive
+                client d expect 200
+                client a expect closed
+                client b expect 408
+                client c expect 408
+                client d expect closed
+            """)
+
+    def test_room_is_made_from_idle_ones(self) -> None:
+        play = Scenario()
+        play.node.servers[0].most, play.node.servers[0].spare = 3, 1
+        with unittest.mock.patch.multiple(http1, FIRST_S=60, IDLE_S=60):
+            play.run(f"""
+                client a send GET {TILE} Req-Wait-Ms:5000
+                cache expect w
+                client b send GET /alive
+                client b expect 200
+                client c send raw ''
+                client d send GET {TILE}?nth=1
+                cache expect v
+                cache send v ok - two
+                client d expect 200 body=two
+                client c expect closed
+                client e send GET {TILE}?nth=2
+                cache expect u
+                client b expect closed
+                cache send w ok - one
+                client a expect 200 body=one
+            """)
+
+
 class OwnCopies(unittest.TestCase):
     """What the router keeps itself, where its configuration gives it a link."""
 
@@ -285,6 +389,16 @@
         self.assertIn("event=counters", process.communicate(timeout=10)[1])
         self.assertEqual(process.returncode, 0)
 
+    def test_hup_does_not_end_it(self) -> None:
+        process = self.start(json.dumps({"settings": SETTINGS, "known": {}}))
+        assert process.stderr is not None
+        self.assertIn("event=ready", process.stderr.readline())
+        process.send_signal(signal.SIGHUP)
+        self.assertIn('event="configuration read"', process.stderr.readline())
+        process.terminate()
+        process.communicate(timeout=10)
+        self.assertEqual(process.returncode, 0)
+
     def test_a_bad_configuration_is_one_line_and_a_code(self) -> None:
         wrong = '{"settings": {"services": 3}}'
         for config in ("{", "[]", wrong, '{"known": 3}', '{"seed": "x"}', '{"board": "x"}'):
@@ -299,6 +413,8 @@
 
     def test_each_gets_its_status(self) -> None:
         get = f"GET {TILE} HTTP/1.1\\r\\nHost: x\\r\\n"
+        put = f"PUT {ACK} HTTP/1.1\\r\\nHost: x\\r\\n"
+        five = "Content-Length: 5\\r\\n"
         for raw, status in (
             ("nonsense\\r\\n\\r\\n", 400),
             (f"{get}Req-Id: zz\\r\\nReq-Wait-Ms: 5\\r\\n\\r\\n", 400),
@@ -309,11 +425,29 @@
             (f"PUT {ACK} HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n", 411),
             (f"PUT {ACK} HTTP/1.1\\r\\nHost: x\\r\\nContent-Length: 50000\\r\\n\\r\\n", 413),
             (f"{get}Transfer-Encoding: chunked\\r\\n\\r\\n", 501),
+            (f"{put}{five}Transfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n\\r\\n{get}\\r\\n", 400),
+            (f"{put}{five}{five}\\r\\nhello", 400),
+            (f"{put}Content-Length: 5, 5\\r\\n\\r\\nhello", 400),
+            (f"{put}Content-Length: +5\\r\\n\\r\\nhello", 400),
+            (f"{put}Content-Length: -1\\r\\n\\r\\n", 400),
+            (f"{put}Content-Length: {'9' * 5000}\\r\\n\\r\\n", 413),
+            (f"{put}Content-Length : 5\\r\\n\\r\\nhello", 400),
+            (f"GET {TILE} HTTP/1.1\\nHost: x\\n\\n", 400),
             (f"{get}X: {'y' * 9000}", 431),
         ):
             with self.subTest(raw=raw):
                 Scenario().run(f"client a send raw '{raw}'\nclient a expect {status}\nclient a expect closed")
 
+    def test_a_padded_length_is_the_length_it_names(self) -> None:
+        """Cut off after some digits it would be 0, and the body would be read as the next request."""
+        head = f"PUT {ACK} HTTP/1.1\\r\\nHost: x\\r\\nReq-Id: 9b1f03aa5c7e2d41\\r\\nReq-Wait-Ms: 2000\\r\\n"
+        Scenario().run(f"""
+            client a send raw '{head}Content-Length: 0000000000000005\\r\\n\\r\\nhello'
+            cache expect w body=hello
+            cache send w ok - done
+            client a expect 200
+        """)
+
 
 if __name__ == "__main__":
     unittest.main()
