Judge errors by whether another cache serves the request; one break, one strike

A line of log for each attempt that ended badly showed 564 errors, all of ids that no cache knows, each tried up to six times at once; a cache that answers four of these in a row was struck out.

Checked and ruled out: no connection was closed on a bad want, no attempt timed out, the board was well.

At fault: book() in policy.py, which struck a cache for any ERROR, struck it once for each attempt on a connection that broke, and set lost_at for a RESET alone; on_ended(), which tried a request again after any number of errors.

Now an error strikes a cache when another one serves that request; after errors from two caches the request is given up. Attempts that were out when a connection broke count as one failure, and a second one in a row means a new process.

--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -37,6 +37,7 @@
 SIGMAS = 1.5  # and by this many standard errors of its own share; 2 wait too long for thin evidence
 PRIOR_GOOD = 2.0  # good attempts that everybody starts with
 LEAST_BAD = 2.5  # bad attempts before anything is held against a member: one bad object condemns nobody
+ERRORS = 2  # caches that answer a request with an error before it counts as a bad one
 EJECT_MS = 2500.0  # first time out of use; doubles with each failed return
 EJECT_MOST_MS = 8000.0  # longest time out of use, so that recovery is bounded
 TRIAL_GAP_MS = 400.0  # between the single requests that test a returning member
@@ -122,6 +123,7 @@
     good: float = 0.0
     bad: float = 0.0
     strikes: int = 0
+    struck_at: float = -math.inf
     out: int = 0
     mean_out: float = 0.0
     mean_at: float = 0.0
@@ -204,6 +206,7 @@
     sent: int = 0
     risk_at: float = -math.inf
     risk_peer: Peer | None = None
+    erred: list[Attempt] = field(default_factory=list)
 
 
 class Router:
@@ -591,6 +594,7 @@
         """A cache that only fails goes out of use; if most others fail too, only where parents stand in."""
         one = attempt.peer
         one.strikes += 1
+        one.struck_at = self.now
         if self.ejected(one):
             if attempt.trial:
                 self.eject(one, "failed its trial")
@@ -725,7 +729,8 @@
         over = self.now + self.settings.answer_grace >= req.ask.deadline and event.outcome == Outcome.TIMEOUT
         unheld = event.outcome == Outcome.MISS and not req.ask.write  # nobody holds it, and fills are short
         in_time = cut or self.now + req.work < req.ask.deadline
-        if self.extra >= 1.0 and in_time and not (over or unheld):
+        bad = len(req.erred) >= ERRORS  # and so at fault itself, whoever is asked next
+        if self.extra >= 1.0 and in_time and not (over or unheld or bad):
             if attempt is not None and not cut and self.fill_failed(event):
                 self.hold(req, attempt)
             if self.send(req):
@@ -748,6 +753,8 @@
             if req is not None and not req.ask.size_kb and event.elapsed > 0 and math.isfinite(event.elapsed):
                 self.learn_work(req.ask.cls, event.elapsed)
             self.book_good(attempt.peer, attempt)
+            for failed in req.erred if req is not None else ():
+                self.strike(failed)  # another has served it
             if self.settings.own_copies and event.final and req is not None and req.keep > 1:
                 self.out.append(Keep(event.request))  # asked for before, and so likely to be again
             # Where hits are not told, only a first request is held to have needed a fill.
@@ -764,10 +771,18 @@
             self.book_fill(True)
             if outcome == Outcome.FULL and source is not None and note == Note.UNTOLD:
                 self.book_bad(source, attempt)
-        elif outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
-            if outcome != Outcome.ERROR:
+        elif outcome == Outcome.ERROR:
+            # Whose fault it is shows elsewhere: a request that errs wherever it comes is a bad one.
+            if req is not None:
+                req.erred.append(attempt)
+        elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+            one = attempt.peer
+            # Danger: a connection that breaks takes down all that is out on it; that is one failure.
+            if outcome == Outcome.RESET and attempt.sent_at <= one.struck_at:
+                return
+            if outcome == Outcome.CONNECT_FAILED or one.strikes:
                 # The process is gone, whatever the list says; when it answers again it will be a cold one.
-                attempt.peer.lost_at = self.now
+                one.lost_at = self.now
             self.strike(attempt)
         elif outcome == Outcome.TIMEOUT and not attempt.overdue:
             self.book_overdue(attempt)
