Send a busy cache's request to the next on the board while half its location is free

A line of log for each refusal showed a first look for a held copy, a miss, and a refusal, at one cache with 34 attempts out, while the two beside it had 3 to 12 and reported loads of 0.4.

Ruled out: nobody was out of use or cold, no fill was cut back, and further attempts were saved up in full.

At fault: idle_cache(), which looked for a free cache only where misses join running fills; send() then refused.

Now the next place on the board takes the request while at least half of the location's caches are free.

--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -59,6 +59,7 @@
 LOOK_AT = 0.4  # from this part of the aim as expected time a request takes only what its cache holds
 SHED_AT = 0.75  # and from this part it is refused
 JOINED = 1.8  # both are so many times more where misses join running fills, and so wait less
+NEXT = 2  # places on the board that a busy cache's request may go to, where each new copy is a fill
 FULL_AT = 0.85  # a cache that reports to be busier than this is not even looked at then
 AGAIN_AT = 0.6  # a cache that reports to be busier than this answers late, it has not lost an answer
 LOAD_PACE = 0.1  # weight of the newest report in a cache's load
@@ -463,10 +464,17 @@
             p.weight = min(WEIGH_MOST, max(1.0 / WEIGH_MOST, p.weight * (mean / load) ** WEIGH_POWER))
 
     def idle_cache(self, req: Pending) -> Peer | None:
-        """In place of a refusal: the next cache with free places, where joins make a new copy cheap."""
-        if not self.settings.joins or self.fills_allowed < 1.0:
+        """In place of a refusal: the next cache with free places, while the location has enough of them.
+
+        Danger: where misses join no running fill each new copy is a fill more. When half the location is busy
+        the fills are what it waits for, and more of them would make it worse.
+        """
+        if self.fills_allowed < 1.0:
             return None
-        ready = (p for p in self.board(req, self.caches) if not self.ejected(p) and p.warmth(self.now) >= 1.0)
+        ready = [p for p in self.board(req, self.caches) if not self.ejected(p) and p.warmth(self.now) >= 1.0]
+        if not self.settings.joins:
+            free = sum(self.expected(req, p) <= 0.0 for p in ready)
+            ready = ready[:NEXT] if free * 2 >= len(ready) else []
         return next((p for p in ready if self.expected(req, p) <= 0.0), None)
 
     # Where to
--- a/tests/test_scoreboard.py
+++ b/tests/test_scoreboard.py
@@ -16,6 +16,20 @@
     return sorted(members, key=lambda m: -score(object_id, m))
 
 
+def test_a_busy_caches_requests_go_to_the_next_one_while_half_the_location_is_free() -> None:
+    """Danger: an object's fans would be refused beside idle caches, or flood them with fills."""
+    r = h.router(joins=False)
+    sent = [h.fetches(r.handle(0.0, [h.ask(n, 5, size_kb=3000.0)])) for n in range(80)]
+    used = Counter(fetch[0].member for fetch in sent if fetch)
+    first, second, *others = board(5, h.CACHES)
+    assert set(used) == {first, second} and used[second] >= 8, used
+    assert all(fetch[0].source in h.PARENTS for fetch in sent if fetch and fetch[0].member == second)
+    for other in others:
+        r.peers[other].count(0.0, 60)
+    refused = r.handle(0.0, [h.ask(99, 5, size_kb=3000.0)])
+    assert not [f for f in h.fetches(refused) if f.source in h.PARENTS]
+
+
 def test_what_comes_new_all_day_is_not_kept_for_good() -> None:
     """New objects and replaced members come all day; what is kept of them has a bound."""
     r = h.router()
