--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -398,6 +399,20 @@
             """)
 
 
+    def test_a_silent_one_makes_room_soon_but_not_before_its_request_can_come(self) -> None:
+        """With 150 ms for each, hundreds of them at once kept the usual clients waiting as long."""
+        play = Scenario()
+        server, ends = play.node.servers[0], socket.socketpair()
+        conn = http1.Connection(server, ends[0], "client")
+        server.conns.add(conn)
+        for ms, ended in ((20, False), (60, True)):
+            server.make_room(conn.since_us + ms * 1000)
+            self.assertEqual(conn.expired, ended)
+        play.run("client a send GET /alive\nclient a expect 200")
+        for end in ends:
+            end.close()
+
+
 class OwnCopies(unittest.TestCase):
     """What the router keeps itself, where its configuration gives it a link."""
 
