Answer a request that crosses the router's own end of the reading

Read in the code, confirmed by the scenario, which fails without the change: expire() and stop_reading() end the reading of an idle connection; a request that had come by then was handed on, but await_answer() then read the end that we had made ourselves as the client's leaving, and dropped the answer.

Now a connection whose reading we ended waits for the answer and says Connection: close in it.

--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -147,7 +147,7 @@
         close: bool = False,
     ) -> bool:
         """The one answer; False where the client has left or an answer was given before."""
-        close = close or self.request.close or self.conn.server.closing
+        close = close or self.request.close or self.conn.server.closing or self.conn.last
         more = [("Connection", "close")] if close else []
         length = None if status in (204, 304) else len(body)
         data = [head(status, [*headers, *more], length)]
@@ -173,6 +173,7 @@
         self.asked = False  # a whole request has come
         self.lingers = False  # it had its last answer, and is read on for a moment
         self.expired = False
+        self.deaf = False  # we have ended the reading
         self.since_us = now_us()  # of what is waited for: its first request, the rest of one, the next
 
     def run(self) -> None:
@@ -240,6 +241,10 @@
             with self.lock:
                 if self.open is not exchange and not self.writing:
                     return not (self.closed or self.last)
+                if self.deaf:
+                    # Guards a request that crossed our own end of the reading: no client has left.
+                    self.answered.wait()
+                    continue
             if len(self.buffer) > HEAD_MOST:
                 # Guards against a client that sends on and on while its request is open.
                 with self.lock:
@@ -292,10 +297,15 @@
         with self.lock:
             if self.open is None and not self.writing and not self.expired:
                 self.expired = True
-                try:
-                    self.sock.shutdown(socket.SHUT_RD)
-                except OSError:
-                    pass
+                self.end_reading()
+
+    def end_reading(self) -> None:
+        """Under the lock, with nothing open: what has come is read still, and its answer is the last."""
+        self.last = self.deaf = True
+        try:
+            self.sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            pass
 
     def reply(self, exchange: Exchange, data: list[bytes], close: bool) -> bool:
         """Write the answer of the open request: what the kernel takes now, the rest behind."""
@@ -501,11 +511,7 @@
             with conn.lock:
                 conn.last = True
                 if conn.open is None and not conn.writing:
-                    try:
-                        # Only the reading: what has come but is not read yet is served and answered still.
-                        conn.sock.shutdown(socket.SHUT_RD)
-                    except OSError:
-                        pass
+                    conn.end_reading()
 
     def busy(self) -> bool:
         """Whether any answer is still owed or on its way."""
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
 import unittest.mock
 from pathlib import Path
@@ -17,7 +18,7 @@
 from lupintack import board
 from lupintack.fronts import http1
 from lupintack.peers import actor, resp
-from tests.scenario import SETTINGS, Scenario
+from tests.scenario import SETTINGS, Lines, Scenario
 
 TILE = "/ops/map-tiles/00000000000000aa"
 ACK = "/ops/alert-ack/00000000000000ac"
@@ -399,6 +400,23 @@
             """)
 
 
+    def test_a_request_that_crosses_the_end_is_answered(self) -> None:
+        """The end of the reading is ours; taken for the client's leaving, it lost a request that had come."""
+        play = Scenario()
+        ends = socket.socketpair()
+        conn = http1.Connection(play.node.servers[0], ends[0], "client")
+        ends[1].sendall(f"GET {TILE} HTTP/1.1\r\nHost: x\r\n".encode())
+        ends[1].sendall(b"Req-Id: 9b1f03aa5c7e2d41\r\nReq-Wait-Ms: 2000\r\n\r\n")
+        conn.expire()
+        threading.Thread(target=conn.run, daemon=True).start()
+        play.clients["a"] = Lines(ends[1])
+        play.run("""
+            cache expect w
+            cache send w ok - crossed
+            client a expect 200 Connection:close body=crossed
+            client a expect closed
+        """)
+
     def test_a_silent_one_makes_room_soon_but_not_before_its_request_can_come(self) -> None:
         """With 150 ms for each, hundreds of them at once kept the usual clients waiting as long."""
         play = Scenario()
