Count a connection's silence from the first write unanswered, and pass over one in doubt

A line of log for each attempt that ended badly showed 458 of 8,592 ended by their deadline, the first and only ones of their requests, and a single connection found silent.

At fault: ask_silent() in peers/actor.py counted from the last write, so that a dead connection under steady traffic was never asked; best() gave it every new want, as it had the least out once the deadlines had passed.

Now silence counts from the first write since something was heard; after 0.4 s of it other connections are preferred, after 0.6 s `there` is sent, and 0.6 s later the connection ends. The peers look four times a second.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -48,7 +48,7 @@
 LOG = logging.getLogger("core")
 TURN_MOST = 64  # messages in one turn: the clock must not grow old under a flood
 NAP_S = 0.01  # the timer's thread looks again this often: no timer is set closer than that
-TICK_US = 1_000_000  # between two looks of the peers after idle connections
+TICK_US = 250_000  # between two looks of the peers after idle and silent connections
 DUE_LIMIT, DUE_TOKEN = 0, 1
 
 
--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -27,8 +27,9 @@
 CONNECTIONS = 24  # connections to one member
 SEND_LIMIT_US = 1_000_000  # a write to a member that takes nothing more ends its connection
 BACKLOG_MOST = 262_144
-ASK_AFTER_US = 1_500_000  # without a byte back since the last write, before `there` is sent
-ASK_LIMIT_US = 900_000  # for the answer to `there`
+DOUBT_US = 400_000  # without an answer since the first write that waits for one: others are preferred
+ASK_AFTER_US = 600_000  # and before `there` is sent
+ASK_LIMIT_US = 600_000  # for the answer to `there`
 SPENT = 64  # ids given up on a connection that it remembers
 IDLE_PART = 0.7  # idle connections are closed this early, so that no want crosses the member's own close
 
@@ -113,7 +114,8 @@
         self.spent: deque[str] = deque(maxlen=SPENT)
         self.lock = threading.Lock()
         self.backlog = bytearray()  # the rest of what is begun; nothing new is written here before it is out
-        self.used_us = self.heard_us = self.wrote_us = now_us()
+        self.used_us = now_us()
+        self.quiet_us = 0  # when the first write went out since something was heard; 0: none has
         self.asked_us = 0  # when `there` was sent, until something is heard
         self.silent = False
 
@@ -162,14 +164,13 @@
         try:
             while True:
                 parts = list(reader.array())
-                self.heard_us, self.asked_us = now_us(), 0
+                self.used_us, self.asked_us, self.quiet_us = now_us(), 0, 0
                 if len(parts) == 2 and bytes(parts[1]) == b"yes":
                     continue
                 if len(parts) != 4 or not words.WIRE_ID.fullmatch(parts[0]):
                     raise resp.FrameError(f"an answer of {len(parts)} strings, or to no id")
                 wire_id = parts[0].decode("latin-1")
                 order = self.open.get(wire_id)
-                self.used_us = self.heard_us
                 # Else it comes after never_mind, a second time, or was never asked for: nobody waits for it.
                 if order is not None:
                     ending, answer = words.answer(parts, order.ask, reports)
@@ -190,7 +191,8 @@
         with self.lock:
             if self.down is not None or self.sock is None or len(self.backlog) > BACKLOG_MOST:
                 return False
-            self.wrote_us = now_us()
+            if not self.quiet_us:
+                self.quiet_us = now_us()
             try:
                 done = 0 if self.backlog else self.sock.send(data, socket.MSG_DONTWAIT)
             except BlockingIOError:
@@ -325,8 +327,8 @@
             if order.stale(order):
                 self.tell(Ended(order, Ending.WITHDRAWN))
                 continue
-            best = self.best(order.ask.wire_id)
             full = len(self.conns) >= CONNECTIONS
+            best = self.best(order.ask.wire_id)
             if best is not None and (len(best.open) < STREAMS or full):
                 self.put(best, order)
                 continue
@@ -336,17 +338,22 @@
                 if self.terms.room.take(not self.conns):
                     opening += 1
                     self.open_one()
-                elif best is not None:
+                elif best := best or self.best(order.ask.wire_id, doubted=True):
                     self.put(best, order)
                     continue
             kept.append(order)
         self.waiting = kept
         self.crowded = bool(kept)
 
-    def best(self, wire_id: str) -> Conn | None:
-        """The connection with the least out, of those that may have this want."""
+    def best(self, wire_id: str, doubted: bool = False) -> Conn | None:
+        """The connection with the least out, of those that may have this want; doubted ones in need only."""
         best, least = None, self.terms.max_streams
+        since = now_us() - DOUBT_US
         for conn in self.conns:
+            # Guards against one that says nothing any more: what is out on it ends by its deadline, and the
+            # connection with the least out would have every new want until it was found out.
+            if not doubted and 0 < conn.quiet_us < since:
+                continue
             out = len(conn.open)
             if out < least and conn.up and conn.down is None and not conn.backlog:
                 # Guards against a late answer to a given-up attempt being read as this one's: same id.
@@ -390,7 +397,7 @@
             if conn.asked_us and now - conn.asked_us >= ASK_LIMIT_US:
                 conn.silent = True
                 conn.close()
-            elif not conn.asked_us and conn.wrote_us > conn.heard_us and now - conn.wrote_us >= ASK_AFTER_US:
+            elif not conn.asked_us and conn.quiet_us and now - conn.quiet_us >= ASK_AFTER_US:
                 conn.write(resp.command(b"there", b"%d" % now))
                 conn.asked_us = now
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -16,6 +16,7 @@
 
 from lupintack import __main__ as main
 from lupintack import board
+from lupintack.core import actor as core
 from lupintack.fronts import http1
 from lupintack.peers import actor, resp
 from tests.scenario import SETTINGS, Lines, Scenario
@@ -491,6 +492,28 @@
             client a expect 200 body=elsewhere
         """)
 
+    def test_one_under_steady_traffic_is_found_silent_and_gets_no_more(self) -> None:
+        """Counted from the last write, a dead connection that is written to often was never asked."""
+        ask = "client c%d send GET %s?nth=%d Req-Wait-Ms:5000\nwait 40"
+        with unittest.mock.patch.object(core, "TICK_US", 20_000):
+            play = Scenario()
+            play.node.terms.room.most = 1  # nothing but the silent connection
+            play.run("\n".join(ask % (n, TILE, n) for n in range(15)))
+        words = [play.wants.get(timeout=5)[2][0] for _ in range(10)]
+        self.assertIn("there", words)
+
+    def test_one_in_doubt_is_passed_over_for_another(self) -> None:
+        with unittest.mock.patch.multiple(actor, DOUBT_US=50_000, ASK_AFTER_US=60_000_000):
+            play = Scenario()
+            play.run(f"""
+                client a send GET {TILE}
+                cache expect w
+                wait 100
+                client b send GET {TILE}?nth=1
+                cache expect v
+            """)
+        self.assertIsNot(play.named["w"][0], play.named["v"][0])
+
     def test_one_that_answers_is_kept_and_an_ack_is_not_sent_again(self) -> None:
         Scenario().run(f"""
             client a send GET /ops/river-video/00000000000000aa Req-Wait-Ms:5000
