Hold fills back while they come late on a full link, the origin's included

Fills by origin take 757 ms at the median (p90 1,146) against 231 before, 47 of them waiting, and the aim is about 980: 22 to 26% of all requests come late. Lines at fault: STRAIN_AT 0.45 lets nearly half of the fills be overdue before fewer are asked for, and `held_only` with the origin as source held nothing back, as the origin holds everything (policy.send). Ruled out: the caches (hits 190 to 250 ms all along, reported load 0.3 to 0.5), waiting for the source (fill_wait 47 ms), the links of two locations (x1 0.3 while their fills are as slow), CPU (0.25 s at most in a second), descriptors (36 of 384). Change: limits/strain.py; a second share follows fills that came late on their way rather than by waiting for their source, and what is held back names no origin.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -10,6 +10,7 @@
 
 import heapq
 import logging
+import os
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 from lupintack.core.ending import Ending
 from lupintack.core.messages import Answer, Ask, Ended, Left, Link, Order
 from lupintack.core.roster import Change, Host, Roster
+from lupintack.core.trace import wanted
 from lupintack.interface import (
     Action,
     AttemptEnded,
@@ -117,6 +119,7 @@
         self.heard = 0  # the number of the last purge that the module has heard of
         self.now = now_us()
         self.stop: Stop | None = None
+        self.trace = wanted(os.environ)
 
     # What the others call
 
@@ -214,7 +217,10 @@
                 self.stop = message
         self.on_timers(events)
         if events:
-            for action in self.router.handle(module_ms(self.now), events):
+            actions = self.router.handle(module_ms(self.now), events)
+            if self.trace is not None:
+                self.trace(self.now, events, actions)
+            for action in actions:
                 self.act(action)
         for number in self.swept:
             one = self.owed.pop(number, None)
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -20,6 +20,7 @@
     Log, Member, MemberList, Note, Outcome, Purged, Refuse, Repeat, Request, ServeOwn, ServiceClass, SetTimer,
     Settings, State, Subscribe, TimerFired,
 )
+from lupintack.limits.strain import Strain, Terms
 
 # Ordinary path
 HOLD_MS = 5000.0  # an object's fills stay with another parent this long after its top parent failed one
@@ -68,13 +69,10 @@
 WEIGH_POWER = 0.05  # each change is this power of (mean load / own load): minutes of balance, not seconds
 WEIGH_MOST = 1.5  # bounds of a weight, and their inverse: few objects ever move
 
-# Fills under strain
-STRAIN_MS = 1000.0  # span over which fills are judged together, whoever supplies them
-STRAIN_LEAST = 8  # outcomes of fills that a judgement wants
-STRAIN_AT = 0.45  # share of failed or overdue fills from which fewer are allowed
-STRAIN_CUT = 0.7  # the allowed share is multiplied by this after a bad span
-STRAIN_GAIN = 0.3  # and rises by this after a good one
-STRAIN_FLOOR = 0.1  # but never falls below this: something must show when the strain is over
+# Fills under strain (limits/strain.py): failed or overdue ones, whoever supplies them; and ones that came
+# late on their way, as a link that many share is full: there fewer at a time bring as many, and in time
+FAILING = Terms(at=0.45, gain=0.3, cut=0.7, floor=0.1, span=1000.0, least=8)
+CROWDED = Terms(at=0.2, gain=0.1, cut=0.7, floor=0.1, span=1000.0, least=8)
 
 # Cold members
 COLD_PART = 0.8  # part of the stated multiple that all routers together may use; sizes are rough
@@ -234,8 +232,8 @@
         self.purged: OrderedDict[tuple[int, int], float] = OrderedDict()
         self.purge_floor = -math.inf
         self.extra = EXTRA_MOST
-        self.fills_allowed = 1.0
-        self.fills_good = self.fills_bad = self.fills_at = self.fills = 0.0
+        self.fills = 0.0
+        self.failing, self.crowded = Strain(FAILING), Strain(CROWDED)
         self.parent_margin = BLIND_MARGIN if settings.tells == "none" else PARENT_MARGIN
         self.work: list[float] = [c.aim * WORK_GUESS for c in settings.classes]
         self.measured: list[int] = [0] * len(settings.classes)
@@ -389,7 +387,7 @@
             source = self.origin
         if peer is None or not self.may_repeat(req, peer):
             return False
-        held_only = not writes and self.fills_allowed < 1.0 and self.random.random() > self.fills_allowed
+        held_only = not writes and self.strained() and self.random.random() > self.fills_allowed()
         aim = min(req.cls.aim + req.cls.aim_stretch * req.work, req.cls.deadline)
         late = 0.0 if req.sent or writes or cache_trial else self.expected(req, peer) / aim
         late /= JOINED if self.settings.joins else 1.0
@@ -399,6 +397,8 @@
                 return False
             # What its cache holds can be had in time still; a fill would have to wait with the others.
             peer, source, trial = (idle, source, trial) if idle else (peer, None, False)
+        if held_only and source is self.origin:
+            source, trial = None, False  # the origin holds everything: naming it would be no restraint
         soft = max(SOFT_LEAST_MS, aim - SOFT_RESERVE * req.work - SOFT_MARGIN_MS)
         attempt = Attempt(peer, source, now, cache_trial or trial)
         for one in (peer, source):
@@ -425,7 +425,7 @@
         """The oldest copy that will do, and whether a running fill may be joined."""
         cls = req.cls
         age = 0.0
-        if cls.fresh_for > 0 and (req.sent or self.fills_allowed < 1.0):
+        if cls.fresh_for > 0 and (req.sent or self.strained()):
             age = cls.fresh_for + cls.usable_after  # fills fail: an ageing copy beats none
         purged = self.purge_time(req.ask)
         if self.now - purged > self.settings.purge_settles + PURGE_MARGIN_MS:
@@ -469,7 +469,7 @@
         Danger: where misses join no running fill each new copy is a fill more. When half the location is busy
         the fills are what it waits for, and more of them would make it worse.
         """
-        if self.fills_allowed < 1.0:
+        if self.strained():
             return None
         ready = [p for p in self.board(req, self.caches) if not self.ejected(p) and p.warmth(self.now) >= 1.0]
         if not self.settings.joins:
@@ -614,21 +614,13 @@
             if sum(p.strikes == 0 for p in peers) * 2 > len(peers) or self.settings.direct:
                 self.eject(one, "fails and answers nothing")
 
-    def book_fill(self, bad: bool) -> None:
-        """Fewer fills while many fail whoever supplies them: a slow origin or a full link needs less work."""
-        if bad:
-            self.fills_bad += 1.0
-        else:
-            self.fills_good += 1.0
-        total = self.fills_bad + self.fills_good
-        if self.now - self.fills_at < STRAIN_MS or total < STRAIN_LEAST:
-            return
-        strained = self.fills_bad > STRAIN_AT * total
-        self.fills_at, self.fills_good, self.fills_bad = self.now, 0.0, 0.0
-        if strained:
-            self.fills_allowed = max(STRAIN_FLOOR, self.fills_allowed * STRAIN_CUT)
-        else:
-            self.fills_allowed = min(1.0, self.fills_allowed + STRAIN_GAIN)
+    def fills_allowed(self) -> float:
+        """The share of fills to ask for."""
+        return min(self.failing.allowed, self.crowded.allowed)
+
+    def strained(self) -> bool:
+        """Whether fills are held back."""
+        return self.fills_allowed() < 1.0
 
     def book_overdue(self, attempt: Attempt) -> None:
         """Silence is told apart by who else answers: a cache heard since points to the source.
@@ -639,7 +631,7 @@
         if one.heard_at > attempt.sent_at:
             if source is not None:
                 self.book_bad(source, attempt)
-                self.book_fill(True)
+                self.failing.book(self.now, True)
         else:
             self.strike(attempt)
 
@@ -684,7 +676,7 @@
             if sum(not self.ejected(p) for p in self.parents) < 2:
                 self.hold(req, attempt)
             # An answer may be lost though its cache is well: where fills are joined, to ask again is cheap.
-            calm = self.fills_allowed >= 1.0 and (attempt.peer.load or 0.0) < AGAIN_AT
+            calm = not self.strained() and (attempt.peer.load or 0.0) < AGAIN_AT
             if self.settings.joins and self.settings.second_copies and calm:
                 self.extra -= self.send(req, attempt.peer)
             return
@@ -774,12 +766,14 @@
                 self.fills += 1.0
                 self.book_good(source, attempt)
                 if not attempt.overdue:
-                    self.book_fill(False)
+                    self.failing.book(self.now, False)
+                # What waited for its source would wait as long beside fewer others.
+                self.crowded.book(self.now, attempt.overdue and event.fill_wait * 2.0 < event.elapsed)
         elif by_source and source is not None:
             self.book_bad(source, attempt)
-            self.book_fill(True)
+            self.failing.book(self.now, True)
         elif note in (Note.ORIGIN_FAILED, Note.NO_FILL_PLACE) or no_place:
-            self.book_fill(True)
+            self.failing.book(self.now, True)
             if outcome == Outcome.FULL and source is not None and note == Note.UNTOLD:
                 self.book_bad(source, attempt)
         elif outcome == Outcome.ERROR:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -62,7 +62,7 @@
     made = h.router()
     sent = drive(made, {p: "hung" for p in (*h.PARENTS, h.ORIGIN)}, 4000.0)
     assert all(not made.ejected(made.peers[m]) for m in (*h.CACHES, *h.PARENTS))
-    assert any(f.held_only for f in sent[-50:]) and made.fills_allowed < 0.6
+    assert any(f.held_only for f in sent[-50:]) and made.failing.allowed < 0.6
 
 
 def test_one_bad_object_condemns_nobody() -> None:
--- /dev/null
+++ b/tests/test_strain.py
@@ -0,0 +1,94 @@
+"""Fewer fills are asked for while they come late on their way, by every router alike."""
+
+from __future__ import annotations
+
+import pytest
+
+from lupintack import interface as i
+from lupintack.limits.strain import Strain, Terms
+from lupintack.policy import Router
+from tests import helpers as h
+
+TERMS = Terms(at=0.2, gain=0.1, cut=0.7, floor=0.1, span=1000.0, least=8)
+
+
+@pytest.mark.parametrize(
+    ("bad", "spans", "allowed"),
+    [(0, 3, 1.0), (1, 3, 1.0), (2, 1, 0.7), (8, 1, 0.7), (8, 2, 0.49), (8, 50, 0.1)],
+)
+def test_the_share_falls_with_bad_spans_to_its_floor(bad: int, spans: int, allowed: float) -> None:
+    strain = Strain(TERMS)
+    for span in range(1, spans + 1):
+        for n in range(TERMS.least):
+            strain.book(span * 1000.0, n < bad)
+    assert strain.allowed == pytest.approx(allowed)
+
+
+def test_few_outcomes_or_a_short_time_are_no_judgement() -> None:
+    few, soon = Strain(TERMS), Strain(TERMS)
+    for n in range(TERMS.least - 1):
+        few.book(5000.0 + n, True)
+    for n in range(100):
+        soon.book(n * 9.9, True)
+    assert few.allowed == soon.allowed == 1.0
+
+
+def test_the_share_comes_back_by_steps() -> None:
+    strain = Strain(TERMS)
+    strain.allowed = 0.3
+    seen = []
+    for n in range(1, 91):
+        strain.book(n * 200.0, False)
+        seen.append(strain.allowed)
+    assert seen == sorted(seen) and seen[-1] == 1.0
+    assert max(b - a for a, b in zip(seen, seen[1:], strict=False)) == pytest.approx(0.1)
+
+
+def late_fills(made: Router, waited: float, rounds: int = 40) -> list[i.Fetch]:
+    """Objects never asked for before; half of the answers come late, and waited so many ms at the source."""
+    sent = []
+    now = 1000.0
+    for n in range(1, rounds + 1):
+        now += 100.0
+        actions = made.handle(now, [h.ask(n, object_id=n, now=now)])
+        fetch = h.fetches(actions)[0]
+        sent.append(fetch)
+        if n % 2:
+            timer = next(a for a in actions if isinstance(a, i.SetTimer))
+            made.handle(now, [h.ended(fetch, i.Outcome.OK, final=True, note=i.Note.FILLED)])
+            assert timer.when > now
+            continue
+        timer = next(a for a in actions if isinstance(a, i.SetTimer))
+        now = timer.when
+        made.handle(now, [i.TimerFired(timer.token)])
+        note = i.Note.FILLED_BY_ORIGIN
+        made.handle(
+            now, [h.ended(fetch, i.Outcome.OK, elapsed=900.0, fill_wait=waited, final=True, note=note)]
+        )
+    return sent
+
+
+def test_fills_late_on_their_way_restrain_further_ones() -> None:
+    made = h.router()
+    late_fills(made, waited=50.0)
+    assert made.crowded.allowed < 0.8
+
+
+def test_fills_that_waited_for_their_source_do_not() -> None:
+    made = h.router()
+    late_fills(made, waited=800.0)
+    assert made.crowded.allowed == 1.0
+
+
+def test_a_fill_held_back_names_no_origin() -> None:
+    """The origin holds everything: 'give what you hold' is no restraint there. No parent is up here."""
+    made = h.router()
+    made.handle(500.0, [h.delta(*(h.member(p, state=0) for p in h.PARENTS))])
+    made.crowded.allowed = 0.5
+    sent = []
+    for n in range(1, 101):
+        actions = made.handle(1000.0 + n, [h.ask(n, object_id=n, now=1000.0 + n)])
+        sent += h.fetches(actions)
+        made.handle(1000.0 + n, [h.ended(f, i.Outcome.MISS) for f in h.fetches(actions)])
+    assert all(f.source != h.ORIGIN for f in sent if f.held_only)
+    assert 30 < sum(f.source == h.ORIGIN for f in sent) < 70
