Spread what all routers do after the same news by each one's own seed

Need: waits told to refused clients were always 100 ms, times out of use 2,500 ms doubling, trials 400 ms and tries at a silent board 200 ms apart at every router. With 40 instances that lose the same parent (tests/test_fleet.py), all trials stop for 6.25 s at a time and then come together; 100 refusals in 200 ms tell one and the same wait. Change: Router.apart draws a wait within 40% of its mean, Board.again_s likewise, both from the router's seed; what is told keeps within what the settings allow.

--- a/lupintack/board.py
+++ b/lupintack/board.py
@@ -8,6 +8,7 @@
 import socket
 import threading
 from collections.abc import Mapping
+from random import Random
 from typing import Any
 
 from lupintack.clock import now_us
@@ -21,7 +22,8 @@
 LINE_MOST = 4 << 20
 SILENT_S = 1.8  # a line comes each second; after so long without one the connection is held to be cut off
 CONNECT_S = 1.0  # for a connect: with SILENT_S it stays well under the 4 s after which all counts as told
-AGAIN_S = 0.2  # between two tries, but for the first after a connection that told something
+AGAIN_S = 0.2  # between two tries, but for the first after a connection that told something; in the mean
+APART = 0.4  # they differ by up to this part, or all routers would come back to a board in one moment
 NO_ZONE = 0xFFFF
 
 
@@ -32,10 +34,11 @@
 class Board:
     """Follows the notice board and words its events for the roster."""
 
-    def __init__(self, address: tuple[str, int] | None, names: Names, roster: Roster) -> None:
+    def __init__(self, address: tuple[str, int] | None, names: Names, roster: Roster, seed: int = 0) -> None:
         self.address = address
         self.names = names
         self.roster = roster
+        self.random = Random(seed)
         self.last = 0
         self.asked = -1  # the last number from which a gap was asked for again
         self.lock = threading.Lock()  # of the numbers: an old reader may stand beside the new one
@@ -116,7 +119,11 @@
             except (OSError, ValueError) as error:
                 if turn == self.turn:
                     LOG.info("board lost", extra=fields(reason=error, last=self.last))
-            self.stopped.wait(AGAIN_S if heard == self.roster.heard_us else AGAIN_S / 10)
+            self.stopped.wait(self.again_s(told=heard != self.roster.heard_us))
+
+    def again_s(self, told: bool) -> float:
+        """How long to wait for the next try, after a connection that told something or one that didn't."""
+        return (AGAIN_S / 10 if told else AGAIN_S) * self.random.uniform(1.0 - APART, 1.0 + APART)
 
     def watch(self, sock: socket.socket, turn: int) -> None:
         """Read lines until the connection ends, the board falls silent, or it moves."""
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -76,7 +76,7 @@
         if conf.link_bytes_per_s > 0:
             copies = Copies(room(conf.limits.memory_mb), conf.link_bytes_per_s)
         self.core = Core(conf.settings, conf.seed, self.roster, self.connect, copies)
-        self.board = Board(conf.board, conf.names, self.roster)
+        self.board = Board(conf.board, conf.names, self.roster, conf.seed)
         platform = Platform(self.core, conf.names.classes, lambda: self.is_ready)
         count = self.core.counters.add
         sockets = conf.limits.sockets
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -51,7 +51,8 @@
 SOFT_MARGIN_MS = 120.0  # kept back as well, for the fill's way
 EXTRA_RATE = 0.15  # further attempts earned by each request: trouble must not multiply the load
 EXTRA_MOST = 15.0  # further attempts that may be saved up
-RETRY_AFTER_MS = 100.0  # advised wait after a refusal
+RETRY_AFTER_MS = 100.0  # advised wait after a refusal, in the mean
+APART = 0.4  # waits differ by up to this part of them, or all routers that heard the same act in one moment
 SIZE_PACE = 0.02  # weight of the newest sample in the mean sending time of a class
 WORK_GUESS = 1.0  # sending time of a class nobody has measured, as a part of its aim: rather too much
 
@@ -572,9 +573,9 @@
 
     def on_trial(self, peer: Peer) -> bool:
         """Whether a member out of use may be tested with a request: a trickle, never a flood."""
-        due = self.ejected(peer) and self.now >= max(peer.ejected_until, peer.trial_at + TRIAL_GAP_MS)
+        due = self.ejected(peer) and self.now >= max(peer.ejected_until, peer.trial_at)
         if due:
-            peer.trial_at = self.now
+            peer.trial_at = self.now + self.apart(TRIAL_GAP_MS)
         return due
 
     def book_good(self, one: Peer, attempt: Attempt) -> None:
@@ -651,12 +652,17 @@
 
     def eject(self, peer: Peer, why: str) -> None:
         """Take a member out of use for a while; its objects pass down the scoreboard."""
-        peer.ejected_until = self.now + min(EJECT_MOST_MS, EJECT_MS * 2.0 ** min(peer.ejections, 6))
+        wait = self.apart(EJECT_MS * 2.0 ** min(peer.ejections, 6))
+        peer.ejected_until = self.now + min(EJECT_MOST_MS, wait)
         peer.ejections += 1
         peer.trials = peer.strikes = 0
         peer.good = peer.bad = 0.0
         self.log(peer, f"{why}: out of use")
 
+    def apart(self, wait: float) -> float:
+        """A wait that differs from router to router and from time to time, by the router's own seed."""
+        return wait * (1.0 + APART * (2.0 * self.random.random() - 1.0))
+
     def log(self, peer: Peer, text: str) -> None:
         """Tell the staff, a member now and then at most."""
         if self.now - peer.log_at >= LOG_GAP_MS:
@@ -807,5 +813,5 @@
         shared = req.cls.repeat == Repeat.KEYED and req.cls.dedup_group == "all"
         safe = req.cls.repeat == Repeat.SAFE or req.risk_peer is None or shared
         self.finish(req.ask.id)
-        later = min(RETRY_AFTER_MS, self.settings.max_retry_after)
+        later = min(self.apart(RETRY_AFTER_MS), self.settings.max_retry_after)
         self.out.append(Refuse(req.ask.id, later) if safe else Fail(req.ask.id))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,9 @@
 import pytest
 
 from lupintack import interface as i
+from lupintack.board import Board
+from lupintack.config import Names
+from lupintack.core.roster import Roster
 from lupintack.policy import Router
 from tests import helpers as h
 
@@ -194,3 +197,108 @@
             assert fullest(sent, known.cold_span, partial(room, known, since=born[c])) <= 1.0
         last = {c: max(fleet.to(c), default=0.0) for c in old}
         assert all(at <= born[c + 500] for c, at in last.items()), "sent to a cache that is gone"
+
+
+def together(times: list[float], span: float) -> int:
+    """The most that falls within any span."""
+    return round(fullest(times, span, lambda at: 1.0)) if times else 0
+
+
+def test_trials_of_a_member_out_of_use_are_a_trickle_until_it_is_back() -> None:
+    fleet = Fleet()
+    bad = h.PARENTS[0]
+    fleet.fates[bad] = (i.Outcome.ERROR, i.Note.SOURCE_LOST)
+    fleet.run(6_000.0)
+    assert all(made.ejected(made.peers[bad]) for made in fleet.routers)
+    fleet.run(20_000.0)
+    trials = [at for at in fleet.to(bad) if at > 8_000.0]
+    assert 0 < together(trials, 1_000.0) <= ROUTERS * 4
+    assert together(trials, 50.0) <= ROUTERS / 2, "all try in one moment"
+    assert max(b - a for a, b in zip(trials, trials[1:], strict=False)) < 4_000.0
+    del fleet.fates[bad]
+    fleet.run(40_000.0)
+    assert not any(made.ejected(made.peers[bad]) for made in fleet.routers)
+
+
+def test_what_all_do_after_the_same_news_is_spread() -> None:
+    fleet = Fleet()
+    fleet.run(500.0)
+    ids = [c for z in range(ZONES) for c in caches(z)]
+    fleet.tell(h.delta(*(member(c, state=0) for c in (*ids, *h.PARENTS, h.ORIGIN))))
+    fleet.run(700.0)
+    waits = [later for at, later in fleet.refused if at > 500.0]
+    assert len(waits) >= ROUTERS and len({round(w) for w in waits}) > 30
+    assert 50.0 < min(waits) and max(waits) <= fleet.routers[0].settings.max_retry_after
+    tight = h.router(max_retry_after=20.0)
+    tight.handle(1.0, [h.delta(*(h.member(m, state=0) for m in (*h.CACHES, *h.PARENTS, h.ORIGIN)))])
+    told = h.finals(tight.handle(2.0, [h.ask(1, now=2.0)]))[0]
+    assert isinstance(told, i.Refuse) and told.retry_after == 20.0
+    again = [Board(None, Names((), (), (), ()), Roster(0.0), seed).again_s(told=False) for seed in range(40)]
+    assert len({round(s * 1000) for s in again}) > 20 and 0.1 < min(again) < max(again) < 0.3
+
+
+@pytest.mark.parametrize("outcome", [i.Outcome.CONNECT_FAILED, i.Outcome.RESET, i.Outcome.TIMEOUT])
+def test_a_cache_that_fails_is_judged_alone(outcome: i.Outcome) -> None:
+    """Full and refusing connections, resetting, or taking and saying nothing."""
+    fleet = Fleet()
+    bad = caches(0)[1]
+    fleet.fates[bad] = (outcome, i.Note.UNTOLD)
+    fleet.run(8_000.0)
+    for made in fleet.routers:
+        assert {p.id for p in made.caches if made.ejected(p)} <= {bad}
+    assert all(
+        made.ejected(made.peers[bad])
+        for made in fleet.routers
+        if bad in made.peers and made.caches[0].info.zone == 0
+    )
+    del fleet.fates[bad]
+    fleet.run(40_000.0)
+    assert not any(made.ejected(p) for made in fleet.routers for p in made.caches)
+
+
+@pytest.mark.parametrize("outcome", [i.Outcome.CONNECT_FAILED, i.Outcome.RESET, i.Outcome.TIMEOUT])
+def test_an_ack_never_runs_again_whatever_befalls_the_fleet(outcome: i.Outcome) -> None:
+    fleet = Fleet()
+    fleet.run(1_000.0)
+    first = {id(s): len(s) for s in fleet.sent}
+    fleet.fates |= {c: (outcome, i.Note.UNTOLD) for c in caches(0)}
+    fleet.tell(h.delta(*(member(c, state=0) for c in caches(1)[:2]), member(1500, started=fleet.now)))
+    fleet.run(4_000.0, cls=h.UNSAFE)
+    for sent in fleet.sent:
+        times: dict[int, list[i.Fetch]] = {}
+        for _, f in sent[first[id(sent)] :]:
+            times.setdefault(f.request, []).append(f)
+        hit = {f.member for tries in times.values() for f in tries} & set(fleet.fates)
+        assert hit or fleet.sent.index(sent) % ZONES
+        for tries in times.values():
+            ran = [
+                n
+                for n, f in enumerate(tries)
+                if f.member in fleet.fates and outcome is not i.Outcome.CONNECT_FAILED
+            ]
+            assert not ran or ran[0] == len(tries) - 1, "sent again after it may have run"
+
+
+def test_a_member_listed_gone_and_listed_again_is_used_again() -> None:
+    fleet = Fleet()
+    fleet.run(1_000.0)
+    parent = h.PARENTS[1]
+    fleet.tell(h.delta(member(parent, state=0)))
+    gone = fleet.now
+    fleet.run(3_000.0)
+    assert not [at for at in fleet.to(parent) if at > gone]
+    fleet.tell(h.delta(member(parent, started=fleet.now)))
+    back = fleet.now
+    fleet.run(back + 15_000.0)
+    assert [at for at in fleet.to(parent) if at > back]
+
+
+def test_a_purge_of_everything_binds_at_all_from_the_same_moment() -> None:
+    fleet = Fleet()
+    fleet.run(1_000.0, objects=50)
+    at = fleet.now
+    fleet.tell(i.Purged(0, 0, 200.0))
+    fleet.run(at + 3_000.0, objects=50)
+    after = [(t, f) for sent in fleet.sent for t, f in sent if t > at]
+    assert len(after) > 1_000
+    assert all(0.0 < f.max_age <= t - at + 200.0 and not f.join for t, f in after)
