Take ageing copies only for requests whose own fill is held back

Change: whether a request's fill is held back is drawn once, when it comes; only then, or on a further attempt, an ageing copy does, a router's own as well.

--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -196,12 +196,13 @@
 
 @dataclass(slots=True, eq=False)
 class Pending:
-    """A request for which an answer is owed; work is its own sending time."""
+    """A request for which an answer is owed; work is its own sending time; held: no fill is asked for."""
 
     ask: Request
     cls: ServiceClass
     work: float
     first: bool = False
+    held: bool = False
     keep: int = 1
     live: dict[int, Attempt] = field(default_factory=dict)
     tried: list[int] = field(default_factory=list)
@@ -342,6 +343,7 @@
         req = self.pending[ask.id] = Pending(ask, cls, work)
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_RATE)
         self.rank(req, size)
+        req.held = self.strained() and self.random.random() > self.fills_allowed()
         if ask.own_age >= 0.0 and self.own_fits(req):
             del self.pending[ask.id]
             self.out.append(ServeOwn(ask.id))
@@ -397,7 +399,7 @@
             source = self.origin
         if peer is None or not self.may_repeat(req, peer):
             return False
-        held_only = not writes and self.strained() and self.random.random() > self.fills_allowed()
+        held_only = not writes and req.held
         aim = min(req.cls.aim + req.cls.aim_stretch * req.work, req.cls.deadline)
         late = 0.0 if req.sent or writes or cache_trial else self.expected(req, peer) / aim
         late /= JOINED if self.settings.joins else 1.0
@@ -435,8 +437,8 @@
         """The oldest copy that will do, and whether a running fill may be joined."""
         cls = req.cls
         age = 0.0
-        if cls.fresh_for > 0 and (req.sent or self.strained()):
-            age = cls.fresh_for + cls.usable_after  # fills fail: an ageing copy beats none
+        if cls.fresh_for > 0 and (req.sent or req.held):
+            age = cls.fresh_for + cls.usable_after  # no fill, or one that failed: an ageing copy beats none
         purged = self.purge_time(req.ask)
         if self.now - purged > self.settings.purge_settles + PURGE_MARGIN_MS:
             return age, self.settings.joins
--- a/tests/test_strain.py
+++ b/tests/test_strain.py
@@ -92,3 +92,22 @@
         made.handle(1000.0 + n, [h.ended(f, i.Outcome.MISS) for f in h.fetches(actions)])
     assert all(f.source != h.ORIGIN for f in sent if f.held_only)
     assert 30 < sum(f.source == h.ORIGIN for f in sent) < 70
+
+
+def test_an_ageing_copy_does_only_where_the_own_fill_is_held_back() -> None:
+    """A copy past its fresh time earns less: it is no answer to a request whose fill may be asked for."""
+    made = h.router()
+    made.crowded.allowed = 0.5
+    fresh = made.settings.classes[h.PAGE].fresh_for
+    sent = []
+    own = 0
+    for n in range(1, 201):
+        now = n * 100.0
+        actions = made.handle(now, [h.ask(n, n, h.PAGE, now, own_age=fresh + 500.0 if n % 2 else -1.0)])
+        own += any(isinstance(a, i.ServeOwn) for a in actions)
+        sent += h.fetches(actions)
+        made.handle(now, [h.ended(f, i.Outcome.OK, final=True) for f in h.fetches(actions)])
+        made.crowded.allowed = 0.5
+    held = [f for f in sent if f.held_only]
+    assert 30 < own < 70 and 30 < len(held) < 70
+    assert all((f.max_age > fresh) == f.held_only for f in sent)
