Ask no further fill for a request that the origin has failed

Line at fault: Router.on_ended sent again whatever the fill's end told. Change: after ORIGIN_FAILED a request's further attempts ask for what is held alone, an ageing copy included.

--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -750,6 +750,8 @@
         over = self.now + self.settings.answer_grace >= req.ask.deadline and event.outcome == Outcome.TIMEOUT
         unheld = event.outcome == Outcome.MISS and not req.ask.write  # nobody holds it, and fills are short
         in_time = cut or self.now + req.work < req.ask.deadline
+        # Danger: forty routers' saved-up attempts, all at an origin that has just stopped, stop it again.
+        req.held |= event.note == Note.ORIGIN_FAILED
         bad = len(req.erred) >= ERRORS  # and so at fault itself, whoever is asked next
         if self.extra >= 1.0 and in_time and not (over or unheld or bad):
             if attempt is not None and not cut and self.fill_failed(event):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -302,3 +302,16 @@
     after = [(t, f) for sent in fleet.sent for t, f in sent if t > at]
     assert len(after) > 1_000
     assert all(0.0 < f.max_age <= t - at + 200.0 and not f.join for t, f in after)
+
+
+def test_an_origin_that_stops_is_not_asked_again_by_forty_saved_up_budgets() -> None:
+    fleet = Fleet()
+    fleet.run(3_000.0)
+    at = fleet.now
+    fleet.fates |= {p: (i.Outcome.FULL, i.Note.ORIGIN_FAILED) for p in (*h.PARENTS, h.ORIGIN)}
+    fleet.run(at + 1_000.0)
+    after = [f for sent in fleet.sent for t, f in sent if t > at]
+    fills: dict[int, int] = {}
+    for f in after:
+        fills[f.request] = fills.get(f.request, 0) + (not f.held_only and f.source != f.member)
+    assert len(fills) > 400 and max(fills.values()) == 1
