Learn the sending time of a class that never hits from its whole time

Found on reading the change again: cold budgets count sending times that are learned from hits, and alert-acks are always told as filled by the origin (trace: 54 to 66 of them each 3 s, none a hit, some 60 ms each). Their sending time stayed at the first guess, the whole aim of 600 ms, so that a cold cache was passed over or charged ten times an ack. Until a class has been sent alone, its whole time is the bound now; the new test fails without it (600 against 60).

--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -365,6 +365,8 @@
         for mean, count in pairs:
             count[cls] += 1
             mean[cls] += (work - mean[cls]) * max(SIZE_PACE, 1.0 / count[cls])
+        if not self.sent_alone[cls]:  # a class without hits, as writes are: its whole time is the bound
+            self.sending[cls] = min(self.sending[cls], self.work[cls])
 
     def rank(self, req: Pending, size: float) -> None:
         """Keep rank: lowest on a first request, else by gap x size against a running quantile."""
