--- a/lupintack/config.py
+++ b/lupintack/config.py
@@ -50,6 +50,8 @@
     names: Names
     limits: Limits
     link_bytes_per_s: float = 0.0
+    admin: tuple[str, int] | None = None  # the second address
+    tmp: str = ""  # where the processes of an upgrade find one another; empty: nowhere
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -83,6 +85,7 @@
         seed_number = int(seed, 16)
     except ValueError:
         raise ConfigError(f"seed: hex digits are wanted, not {seed!r}") from None
+    admin = environ.get("EDGE_ADMIN_ADDR") or data.get("admin_addr")
     known = data.get("known", {})
     if not isinstance(known, dict):
         raise ConfigError("known: an object is wanted")
@@ -107,4 +110,6 @@
             idle_us=int(float(limits.get("conn-idle", 15000.0)) * 1000),
         ),
         link_bytes_per_s=link,
+        admin=address(admin, "admin_addr") if admin else None,
+        tmp=environ.get("TMPDIR", ""),
     )
--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -22,6 +22,7 @@
 from lupintack.core.counters import Counters
 from lupintack.core.ending import Ending
 from lupintack.core.messages import Answer, Ask, Ended, Left, Link, Order
+from lupintack.core.retune import Retune, apply
 from lupintack.core.roster import Change, Host, Roster
 from lupintack.core.trace import wanted
 from lupintack.interface import (
@@ -76,7 +77,7 @@
     """The very end: what is still owed is failed now."""
 
 
-Message = Ask | Left | Ended | Change | Stop | Close
+Message = Ask | Left | Ended | Change | Retune | Stop | Close
 
 
 def same(one: Ask, other: Ask) -> bool:
@@ -118,6 +119,7 @@
         self.timer_number = 0
         self.heard = 0  # the number of the last purge that the module has heard of
         self.now = now_us()
+        self.processes = 1  # that share the router's budgets
         self.stop: Stop | None = None
         self.trace = wanted(os.environ)
 
@@ -211,6 +213,8 @@
                 self.on_left(message, events)
             elif isinstance(message, Change):
                 self.on_change(message, events, held)
+            elif isinstance(message, Retune):
+                apply(self, message)
             elif isinstance(message, Close):
                 self.on_close(events)
             else:
--- a/lupintack/core/copies.py
+++ b/lupintack/core/copies.py
@@ -81,6 +81,12 @@
         while self.bytes > self.most:
             self.drop(next(iter(self.held)))
 
+    def limit(self, most_bytes: int) -> None:
+        """Other room: what is over goes, the longest unused first."""
+        self.most = most_bytes
+        while self.bytes > self.most and self.held:
+            self.drop(next(iter(self.held)))
+
     def drop(self, key: tuple[int, int]) -> None:
         copy = self.held.pop(key, None)
         if copy is not None:
--- a/lupintack/core/roster.py
+++ b/lupintack/core/roster.py
@@ -18,6 +18,7 @@
 from lupintack.clock import module_ms, now_us, unix_age_us
 from lupintack.core.messages import Ask, Order
 from lupintack.interface import Event, ListKind, Member, MemberList, Purged, State
+from lupintack.lifecycle.bans import Bans
 from lupintack.logs import fields
 
 LOG = logging.getLogger("roster")
@@ -57,6 +58,13 @@
     done: Callable[[], None] | None = None
 
 
+class BansNews:
+    """The operators have taken members out, or put some back."""
+
+
+News = PoolNews | PurgeNews | BansNews
+
+
 @dataclass(slots=True)
 class Change:
     """What the module's actor hears: events, the hosts behind the ids, and whom to tell when it holds."""
@@ -77,9 +85,12 @@
     """The list's actor. Its tables are written by its own thread alone and read by any."""
 
     def __init__(self, settles_ms: float) -> None:
-        self.mailbox: SimpleQueue[PoolNews | PurgeNews | None] = SimpleQueue()
+        self.mailbox: SimpleQueue[News | None] = SimpleQueue()
         self.settles_us = int(settles_ms * 1000) + 4_000_000
-        self.hosts: dict[int, Host] = {}
+        self.listed: dict[int, Host] = {}  # as the list says
+        self.hosts: dict[int, Host] = {}  # and with the operators' bans laid over it
+        self.bans = Bans()  # replaced whole, never changed
+        self.banned: frozenset[int] = frozenset()  # binds writes from when it is set
         self.purged: OrderedDict[tuple[bool, int], tuple[int, int]] = OrderedDict()  # when told, its number
         self.floor = 0  # the number of the last purge that is not remembered by itself
         self.last_purge = 0
@@ -98,6 +109,15 @@
         """Copies older than that moment are out of date."""
         self.mailbox.put(PurgeNews(object_id, group, unix_ms, done))
 
+    def ban(self, bans: Bans) -> None:
+        """The operators' word, all of it: it binds every write from now on, whatever waits in the mailbox."""
+        self.bans, self.banned = bans, frozenset(member_id(name) for name in bans.out)
+        self.mailbox.put(BansNews())
+
+    def find(self, name: str) -> Host | None:
+        """A member as the list has it."""
+        return self.listed.get(member_id(name))
+
     # What a peer asks at the moment of a write
 
     def stale(self, order: Order) -> bool:
@@ -110,7 +130,7 @@
         """
         for number in (order.member, order.source):
             host = self.hosts.get(number)
-            if number and (host is None or host.state is not State.READY):
+            if number and (host is None or host.state is not State.READY or number in self.banned):
                 return True
         return self.unheard(order.ask, order.heard)
 
@@ -132,23 +152,40 @@
             except (ValueError, TypeError, OverflowError) as error:
                 LOG.warning("news can't be used", extra=fields(reason=error))
 
-    def heed(self, news: PoolNews | PurgeNews) -> Change:
+    def heed(self, news: News) -> Change:
         """Bring the tables up to date, and word the news for the module."""
-        return self.on_pool(news) if isinstance(news, PoolNews) else self.on_purge(news)
+        if isinstance(news, PoolNews):
+            return self.on_pool(news)
+        return self.on_purge(news) if isinstance(news, PurgeNews) else self.on_bans()
+
+    def on_bans(self) -> Change:
+        """What the bans make of the list now: those that it makes other than they were held are told."""
+        bans = self.bans
+        moved = [h for n, h in self.listed.items() if self.laid(bans, h) != self.hosts.get(n)]
+        return self.on_pool(PoolNews(False, tuple(moved)))
+
+    @staticmethod
+    def laid(bans: Bans, host: Host) -> Host:
+        state, born = bans.lay(host.name, host.state, host.born_unix_ms)
+        same = state is host.state and born == host.born_unix_ms
+        return host if same else replace(host, state=state, born_unix_ms=born)
 
     def on_pool(self, news: PoolNews) -> Change:
         now = now_us()
+        bans = self.bans
         members = []
         pairs = []
         if news.whole:
             named = {member_id(host.name) for host in news.hosts}
             left = [number for number in self.hosts if number not in named]
+            self.listed = {number: host for number, host in self.listed.items() if number in named}
             pairs = [(number, replace(self.hosts.pop(number), state=State.GONE)) for number in left]
-        for host in news.hosts:
-            number = member_id(host.name)
-            self.hosts[number] = host
+        for listed in news.hosts:
+            number = member_id(listed.name)
+            host = self.laid(bans, listed)
+            self.listed[number], self.hosts[number] = listed, host
             if host.state is State.GONE:
-                del self.hosts[number]  # who is not on the list may not be sent to, either
+                del self.hosts[number], self.listed[number]  # who is not listed may not be sent to, either
             pairs.append((number, host))
             started = 0.0
             if host.born_unix_ms > 0:
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -30,6 +30,8 @@
 ROOM_S = 0.01  # between two looks for some to end
 WRITE_LIMIT_S = 10  # a client that takes nothing for so long is cut off
 SEND_BUFFER = 131072
+BACKLOG = 512  # connections that the kernel has taken and we have not
+LAST_S = 0.3  # for what is queued when the listening ends, where no place is free for it
 FULL_S = 0.002  # between two looks for room
 LINGER_READ = 65536
 LINGER_S = 1.5  # after a 4xx the rest of what the client sends is read so long, or it might lose the answer
@@ -59,8 +61,8 @@
     return headers
 
 
-def parse_head(raw: bytes) -> tuple[HttpRequest, int]:
-    """A request's head, and the length of the body that follows."""
+def parse_head(raw: bytes, bodyless: bool = False) -> tuple[HttpRequest, int]:
+    """A request's head, and the length of the body that follows; bodyless: a POST may name none."""
     lines = raw.decode("latin-1").split("\r\n")
     match = REQUEST_LINE.fullmatch(lines[0])
     if match is None:
@@ -81,7 +83,7 @@
     length = length.lstrip("0") or "0"
     if len(length) > LENGTH_DIGITS:
         raise Bad(413, "the body is too long")  # cut off, it would be another length: the rest a request
-    if method in ("PUT", "POST") and "content-length" not in headers:
+    if method in ("PUT", "POST") and "content-length" not in headers and not bodyless:
         raise Bad(411, "Content-Length is wanted")
     options = headers["connection"].lower().replace(" ", "").split(",") if "connection" in headers else []
     close = "close" in options or (version == "1.0" and "keep-alive" not in options)
@@ -183,7 +185,7 @@
             at = self.buffer.find(b"\r\n\r\n")
         if at > HEAD_MOST:
             raise Bad(431, "the head is too long")
-        request, length = parse_head(bytes(self.buffer[:at]))
+        request, length = parse_head(bytes(self.buffer[:at]), self.server.bodyless)
         if length > self.server.body_most:
             raise Bad(413, "the body is too long")
         del self.buffer[: at + 4]
@@ -374,6 +376,8 @@
         count: Callable[[str], None],
         most: int,
         body_most: int,
+        reuse: bool = False,
+        bodyless: bool = False,
     ) -> None:
         self.handle = handle
         self.spawn = spawn
@@ -381,8 +385,10 @@
         self.most = most
         self.spare = max(1, most // 8)  # places kept free, by ending idle connections
         self.body_most = body_most
+        self.bodyless = bodyless
         self.closing = False
         self.accepting = True
+        self.opened = False
         self.conns: set[Connection] = set()
         self.lock = threading.Lock()
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -390,14 +396,33 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Between two clients the accepting thread looks after the connections there are.
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, int(SWEEP_S * 1e6)))
+        if reuse:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.sock.bind(address)
-        self.sock.listen(512)
+
+    def open(self) -> None:
+        """Listen. Not before all is ready: of two processes on one port each gets what it listens for."""
+        self.sock.listen(BACKLOG)
+        self.opened = True
 
     def run(self) -> None:
-        """Accept until told to stop, and look after the connections between."""
-        swept = made = 0
-        while self.accepting:
+        """Accept until told to stop, and look after the connections between; then close."""
+        try:
+            self.accepts()
+        finally:
+            self.sock.close()
+
+    def accepts(self) -> None:
+        """New connections; after the word to stop, what is queued still, as a close would reset it."""
+        swept = made = until = 0
+        while True:
             now = now_us()
+            if not self.accepting:
+                if not until:
+                    until = now + int(LAST_S * 1e6)
+                    self.sock.setblocking(False)
+                if now >= until:
+                    return
             if now - swept >= SWEEP_S * 1e6:
                 swept = now
                 self.sweep(now)
@@ -412,8 +437,12 @@
             try:
                 sock, where = self.sock.accept()
             except BlockingIOError:
+                if until:
+                    return
                 continue  # nobody has come since the last look
             except OSError as error:
+                if not self.opened:
+                    return
                 if self.accepting:
                     LOG.warning("accept failed", extra=fields(reason=error))
                     self.make_room(now)
@@ -460,13 +489,18 @@
         """HTTP/1.1 has no word for it before an answer: `Connection: close` comes with each."""
 
     def stop_accepting(self) -> None:
-        """No new connections."""
+        """No new connections, within SWEEP_S; what the kernel has taken by then is served."""
         self.accepting = False
-        try:
-            self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
-        self.sock.close()
+
+    def end_idle(self, idle_us: int) -> None:
+        """End what has had nothing owed for so long, also in the middle of a request's coming."""
+        now = now_us()
+        with self.lock:
+            conns = list(self.conns)
+        for conn in conns:
+            if conn.idle_us(now) >= idle_us:
+                self.count("closed.emptied")
+                conn.expire()
 
     def forget(self, conn: Connection) -> None:
         with self.lock:
--- a/lupintack/fronts/http2.py
+++ b/lupintack/fronts/http2.py
@@ -408,6 +408,9 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, int(ACCEPT_S * 1e6)))
         self.sock.bind(address)
+
+    def open(self) -> None:
+        """Listen."""
         self.sock.listen(128)
 
     def apply(self, terms: StreamTerms) -> None:
--- a/lupintack/interface.py
+++ b/lupintack/interface.py
@@ -113,6 +113,7 @@
     warm_after: float = 0.0
     cold_multiple: float = 1.0
     cold_span: float = 1000.0
+    processes: int = 1  # of this router, that share its budgets while it is upgraded
     parent_kind: int = -1
     origin_kind: int = -1
     parent_cold_from: float = 1.0
--- /dev/null
+++ b/lupintack/lifecycle/folder.py
@@ -0,0 +1,167 @@
+"""What the processes of one router leave for one another under `$TMPDIR`. The only I/O of this room.
+
+A process holds a lock on a file of its own for as long as it lives, so that neither a crash nor a number that
+comes again leaves a partner that is none. Files are replaced whole, and only under the folder's lock.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import hashlib
+import json
+import logging
+import os
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+from lupintack.lifecycle.partner import Partner
+from lupintack.logs import fields
+
+LOG = logging.getLogger("lifecycle")
+LOCK_S = 0.4  # an answer at the second address is due within 1 s, whatever holds the lock
+LOCK_AGAIN_S = 0.005
+FILE_MOST = 1 << 20
+
+
+class FolderError(OSError):
+    """The folder can't be used; the text says how."""
+
+
+class Folder:
+    """One router's files: `lock`, `bans.json`, and `run.PID` of each living process."""
+
+    def __init__(self, base: str, name: str, listen: str) -> None:
+        key = hashlib.blake2b(f"{name}\0{listen}".encode(), digest_size=8).hexdigest()
+        self.path = Path(base) / f"lupintack-{key}"
+        self.pid = os.getpid()
+        self.born_ns = time.monotonic_ns()
+        self.seen: tuple[int, int, int] | None = None
+        self.fd = -1
+        try:
+            self.path.mkdir(mode=0o700, exist_ok=True)
+            with self.locked():
+                self.fd = os.open(self.mine, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+                fcntl.flock(self.fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            if self.fd >= 0:
+                os.close(self.fd)
+            raise FolderError(f"{self.path} can't be used: {error.strerror or error}") from None
+        self.tell("starting")
+
+    @property
+    def mine(self) -> Path:
+        return self.path / f"run.{self.pid}"
+
+    @property
+    def bans(self) -> Path:
+        return self.path / "bans.json"
+
+    @contextlib.contextmanager
+    def locked(self) -> Iterator[None]:
+        """The folder's lock, for a moment; FolderError where another process keeps it."""
+        fd = os.open(self.path / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            until = time.monotonic() + LOCK_S
+            while True:
+                try:
+                    fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                    break
+                except BlockingIOError:
+                    if time.monotonic() >= until:
+                        raise FolderError("another process keeps the lock") from None
+                    time.sleep(LOCK_AGAIN_S)
+            yield
+        finally:
+            os.close(fd)  # and the lock with it
+
+    def tell(self, phase: str) -> None:
+        """How this process stands, for the other one. One write: a reader sees the old text or the new."""
+        text = json.dumps({"born_ns": self.born_ns, "phase": phase}).encode().ljust(96)
+        try:
+            os.pwrite(self.fd, text, 0)
+        except OSError as error:
+            LOG.warning("own state can't be written", extra=fields(reason=error))
+
+    def others(self) -> list[Partner]:
+        """The other living processes of this router; what crashed ones left is removed."""
+        found = []
+        try:
+            names = [n for n in os.listdir(self.path) if n.startswith("run.") and n != self.mine.name]
+        except OSError:
+            return []
+        for name in names:
+            one = self.partner(name)
+            if one is not None:
+                found.append(one)
+        return found
+
+    def partner(self, name: str) -> Partner | None:
+        try:
+            fd = os.open(self.path / name, os.O_RDWR | os.O_CLOEXEC)
+        except OSError:
+            return None
+        try:
+            try:
+                fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
+            except BlockingIOError:
+                data = json.loads(os.read(fd, 96) or b"{}")
+                return Partner(int(name.partition(".")[2]), int(data["born_ns"]), str(data["phase"]))
+            # Made and not locked yet is told from left behind by the folder's lock, under which both happen.
+            fcntl.flock(fd, fcntl.LOCK_UN)
+            self.remove(name)
+        except (OSError, ValueError, KeyError, TypeError, AttributeError):
+            pass  # being written just now: the next look tells
+        finally:
+            os.close(fd)
+        return None
+
+    def remove(self, name: str) -> None:
+        with self.locked():
+            fd = os.open(self.path / name, os.O_RDWR | os.O_CLOEXEC)
+            try:
+                fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                os.unlink(self.path / name)
+            finally:
+                os.close(fd)
+
+    # The bans
+
+    def changed(self) -> bool:
+        """Whether the bans were written since they were last read."""
+        return self.stamp() != self.seen
+
+    def stamp(self) -> tuple[int, int, int] | None:
+        try:
+            stat = os.stat(self.bans)
+        except OSError:
+            return None
+        return (stat.st_ino, stat.st_mtime_ns, stat.st_size)
+
+    def read(self) -> bytes | None:
+        """The bans as they were last written; None where nobody has."""
+        self.seen = self.stamp()
+        try:
+            with open(self.bans, "rb") as file:
+                return file.read(FILE_MOST)
+        except FileNotFoundError:
+            return None
+
+    def write(self, text: bytes) -> None:
+        """Replace the bans, whole. Under the lock."""
+        new = self.path / f"bans.{self.pid}.new"
+        with open(new, "wb") as file:
+            file.write(text)
+            file.flush()
+        os.replace(new, self.bans)
+        self.seen = self.stamp()
+
+    def close(self) -> None:
+        """Leave: nothing of this process is found any more. The bans stay."""
+        try:
+            with self.locked():
+                os.unlink(self.mine)
+        except OSError:
+            pass
+        os.close(self.fd)
--- /dev/null
+++ b/lupintack/lifecycle/partner.py
@@ -0,0 +1,58 @@
+"""How two processes of one router share its limits while an upgrade runs. Pure.
+
+The two are one router: descriptors and memory are counted together, and a cold member's budget is the
+router's, not the process's.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+PROCESS_MB = 24  # what one process needs without any copies of its own
+
+
+class Side(Enum):
+    """Who a process is in an upgrade."""
+
+    ALONE = "alone"
+    OLD = "old"  # there is a younger one
+    NEW = "new"  # there is an older one
+
+
+@dataclass(frozen=True)
+class Partner:
+    """Another living process of this router, as its file in the folder says."""
+
+    pid: int
+    born_ns: int
+    phase: str
+
+
+@dataclass(frozen=True)
+class Share:
+    """What a process may use of the router's limits."""
+
+    member_sockets: int
+    memory_mb: int  # from which the room for own copies is reckoned; 0: none
+    processes: int  # that share each cold member's budget
+
+
+def side(born_ns: int, pid: int, others: list[Partner]) -> Side:
+    """Which side of an upgrade a process is on; of several others the one that matters is any younger one."""
+    if not others:
+        return Side.ALONE
+    return Side.OLD if any((o.born_ns, o.pid) > (born_ns, pid) for o in others) else Side.NEW
+
+
+def share(which: Side, others: int, sockets: int, memory_mb: int, own: int) -> Share:
+    """Descriptors to members, memory and budgets; `sockets` are those for members of a process alone, `own`
+    what a further process needs for itself: it comes off before the rest is divided.
+    """
+    if which is Side.ALONE:
+        return Share(sockets, memory_mb, 1)
+    processes = others + 1
+    each = max(8, (sockets - own * others) // processes)
+    # Own copies go where the clients are going: the old side's give way at once.
+    left = 0 if which is Side.OLD else max(0, memory_mb - PROCESS_MB * others)
+    return Share(each, left, processes)
--- /dev/null
+++ b/lupintack/lifecycle/state.py
@@ -0,0 +1,107 @@
+"""The life of one process of the router: starting, ready, evacuating, evacuated, stopping.
+
+Pure: times are monotonic microseconds and come as arguments. Ready, `/alive`, evacuate, rejoin, SIGTERM and
+an upgrade all read this one machine; nothing else holds an opinion on whether the process takes work.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Phase(Enum):
+    """Where a process stands."""
+
+    STARTING = "starting"
+    READY = "ready"
+    EVACUATING = "evacuating"
+    EVACUATED = "evacuated"
+    STOPPING = "stopping"
+
+
+@dataclass(frozen=True)
+class Pace:
+    """How an evacuation goes: the front asks every 0.1 s, and new connections come for 0.2 s after its no."""
+
+    mild_us: int = 600_000  # so long connections are left to end with their next answer
+    calm_us: int = 300_000  # from then on what has been idle for so long is ended
+    last_us: int = 1_500_000  # and from here on everything idle: no request may come 2 s before the fourth
+    young_us: int = 40_000  # second. A connection so young may have a request on its way
+
+
+@dataclass(frozen=True)
+class Leave:
+    """How a process ends after SIGTERM."""
+
+    close_answers: bool  # each answer closes from the first moment on
+    accept_us: int  # for so long new connections are taken; what is queued then is taken to the last
+    read_us: int  # and so long, from SIGTERM, requests on open ones
+
+
+ALONE = Leave(close_answers=False, accept_us=450_000, read_us=700_000)
+BESIDE = Leave(close_answers=True, accept_us=100_000, read_us=1_200_000)
+
+
+class Life:
+    """The state machine; its callers hold one lock."""
+
+    def __init__(self, pace: Pace | None = None) -> None:
+        self.pace = pace or Pace()
+        self.phase = Phase.STARTING
+        self.since_us = 0  # of an evacuation
+        self.asked_empty = False  # evacuate was called before the start was over
+
+    @property
+    def ready(self) -> bool:
+        """Whether the front should send work here."""
+        return self.phase is Phase.READY
+
+    @property
+    def closing(self) -> bool:
+        """Whether each answer ends its connection."""
+        return self.phase in (Phase.EVACUATING, Phase.EVACUATED)
+
+    def started(self, now: int) -> None:
+        """All is known that must be before the first request."""
+        if self.phase is Phase.STARTING:
+            self.phase = Phase.EVACUATING if self.asked_empty else Phase.READY
+            self.since_us = now
+
+    def evacuate(self, now: int) -> bool:
+        """Take no more work; True always: a process that starts remembers it, one that stops is doing it."""
+        if self.phase is Phase.STARTING:
+            self.asked_empty = True
+        elif self.phase is Phase.READY:
+            self.phase = Phase.EVACUATING
+            self.since_us = now
+        return True
+
+    def rejoin(self) -> bool:
+        """Back to work, also in the middle of an evacuation; False where the process is stopping."""
+        if self.phase is Phase.STOPPING:
+            return False
+        self.asked_empty = False
+        if self.phase is not Phase.STARTING:
+            self.phase = Phase.READY
+        return True
+
+    def term(self) -> None:
+        """SIGTERM, for good."""
+        self.phase = Phase.STOPPING
+
+    def look(self, now: int, held: int) -> int:
+        """Of an evacuation with so many connections left: how long one may be idle; negative: for ever."""
+        if not self.closing:
+            return -1
+        gone = now - self.since_us
+        if self.phase is Phase.EVACUATING and held == 0 and gone >= self.pace.mild_us:
+            self.phase = Phase.EVACUATED
+        if gone < self.pace.mild_us:
+            return -1
+        return self.pace.calm_us if gone < self.pace.last_us else self.pace.young_us
+
+
+def leave(partner_ready: bool) -> Leave:
+    """How to end: beside a ready partner, which takes what is new, or alone, while the front finds out."""
+    return BESIDE if partner_ready else ALONE
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -22,8 +22,10 @@
 from lupintack.fronts.platform import BODY_MOST, Platform
 from lupintack.http2.schedule import Priority
 from lupintack.interface import ListKind, MemberList
+from lupintack.lifecycle.folder import Folder
 from lupintack.peers.actor import Peer, Room, Terms
 from lupintack.settings import files
+from lupintack.upkeep import Fronts, Upkeep
 
 if TYPE_CHECKING:  # imported only where the feature is on
     from lupintack.fronts.cdni.conf import Cdni
@@ -31,12 +33,12 @@
     from lupintack.settings.operator import Operator
 
 LOG = logging.getLogger("lupintack")
-ACCEPT_ON_S = 0.45  # after SIGTERM: new connections still come
-READ_ON_S = 0.25  # and after that, requests on open ones
 CLOSING = 64  # clients' connections beside their third: closed by them, not yet by us; an eighth at most
 CDNI_MOST = 48  # connections of the CDNI front; a sixteenth at most
 OWN = 24  # descriptors for all else: listeners, the board, files, what is just being closed
 CDNI_BODY_MOST = 65536
+ADMIN_MOST = 32  # connections of the second address; a sixteenth at most, eight at least
+TAKE_S = 0.7  # what comes for so long after SIGTERM is owed its answer
 KILL_S = 3.0  # SIGKILL comes after the longest deadline, counted as this where it is longer, and 0.7 s
 SPARE_S = 0.05  # and the end is so long before it
 FLUSH_S = 0.25  # so long before the end what is owed yet is failed, and slow clients take the rest
@@ -47,11 +49,22 @@
     threading.Thread(target=target, name=name, daemon=True).start()
 
 
+def folder(conf: config.Config) -> Folder | None:
+    """What the processes of one router share; without one that can be used it starts all the same."""
+    try:
+        return Folder(conf.tmp, conf.name, f"{conf.listen[0]}:{conf.listen[1]}")
+    except OSError as error:
+        LOG.error("no folder to share with an upgrade", extra=logs.fields(reason=error))
+        return None
+
+
 class Listener(Protocol):
     """What the fronts' servers have in common."""
 
     sock: socket.socket
 
+    def open(self) -> None: ...
+
     def run(self) -> None: ...
 
     def drain(self) -> None: ...
@@ -70,14 +83,13 @@
         self.conf = conf
         self.wanted = wanted
         self.http2: list[Http2Server] = []
-        self.is_ready = False
         self.roster = Roster(conf.settings.purge_settles)
         copies = None
         if conf.link_bytes_per_s > 0:
             copies = Copies(room(conf.limits.memory_mb), conf.link_bytes_per_s)
         self.core = Core(conf.settings, conf.seed, self.roster, self.connect, copies)
         self.board = Board(conf.board, conf.names, self.roster, conf.seed)
-        platform = Platform(self.core, conf.names.classes, lambda: self.is_ready)
+        platform = Platform(self.core, conf.names.classes, lambda: self.upkeep.life.ready)
         count = self.core.counters.add
         sockets = conf.limits.sockets
         most = sockets // 3 + min(CLOSING, sockets // 8)
@@ -86,19 +98,34 @@
         h2_most = min(http2.connections, sockets // 4) if http2 is not None else 0
         h2_ports = 0 if http2 is None else 1 + bool(http2.cdni_listen and cdni is not None)
         limits = conf.limits
+        admin_most = max(8, min(ADMIN_MOST, sockets // 16)) if conf.admin is not None else 0
         self.terms = Terms(
             limits.max_streams,
             limits.connect_timeout_us,
             limits.idle_us,
             conf.names.reports,
-            Room(max(8, sockets - most - cdni_most - h2_most * h2_ports - OWN)),
+            Room(max(8, sockets - most - cdni_most - h2_most * h2_ports - admin_most - OWN)),
+        )
+        self.http1 = Server(
+            conf.listen, platform.handle, spawn, count, most, BODY_MOST, reuse=conf.admin is not None
         )
-        self.http1 = Server(conf.listen, platform.handle, spawn, count, most, BODY_MOST)
         self.servers: list[Listener] = [self.http1]
+        held, close, idle = (lambda: len(self.http1.conns)), self.close_answers, self.http1.end_idle
+        own = admin_most + OWN
+        self.upkeep = Upkeep(
+            self.core, self.roster, self.terms.room, Fronts(held, close, idle), limits.memory_mb, own
+        )
+        self.admin: Server | None = None
+        if conf.admin is not None:
+            from lupintack.fronts.admin import BODY_MOST as CALL_MOST
+            from lupintack.fronts.admin import Admin
+
+            handle = Admin(self.upkeep).handle
+            self.admin = Server(conf.admin, handle, spawn, count, admin_most, CALL_MOST, bodyless=True)
         if cdni is not None:
             from lupintack.fronts.cdni.front import CdniFront
 
-            front = CdniFront(cdni, self.core, self.roster, lambda: self.is_ready, spawn)
+            front = CdniFront(cdni, self.core, self.roster, lambda: self.upkeep.life.ready, spawn)
             self.servers.append(Server(cdni.listen, front.handle, spawn, count, cdni_most, CDNI_BODY_MOST))
         if http2 is not None:
             from lupintack.fronts.http2 import Http2Server
@@ -128,6 +155,10 @@
                 self.http2.append(http2_server(http2.cdni_listen, front.handle, CDNI_BODY_MOST, True))
             self.servers += self.http2
 
+    def close_answers(self, closing: bool) -> None:
+        """Whether each answer ends its connection, while the router is emptied."""
+        self.http1.closing = closing
+
     def connect(self, number: int, host: Host) -> Link:
         """The actor of a member that is sent to for the first time."""
         assert host.dial is not None
@@ -135,6 +166,8 @@
 
     def start(self) -> None:
         """All that is known before the first request, then everything that runs."""
+        if self.conf.admin is not None:
+            self.upkeep.join(folder(self.conf) if self.conf.tmp else None)
         self.board.known(self.conf.known)
         first = []
         while not self.roster.mailbox.empty():
@@ -148,9 +181,15 @@
         spawn(self.roster.run, "roster")
         spawn(self.core.run, "core")
         spawn(self.board.run, "board")
+        if self.admin is not None:
+            self.admin.open()
+            spawn(self.admin.run, "admin")
+            spawn(self.upkeep.run, "upkeep")
+        self.upkeep.started()
         for server in self.servers:
+            server.open()
             spawn(server.run, "accept")
-        self.is_ready = True
+        self.upkeep.steer(self.http1.sock)
 
     def reload(self, environ: Mapping[str, str]) -> None:
         """After SIGHUP: the board may have moved; what else has changed waits for the next start."""
@@ -196,15 +235,17 @@
 
     def stop(self) -> None:
         """After SIGTERM: take what still comes, answer everything, and be done."""
-        self.is_ready = False
+        plan = self.upkeep.term()
         longest = max((c.deadline for c in self.conf.settings.classes), default=0.0) / 1000.0
-        end = time.monotonic() + ACCEPT_ON_S + READ_ON_S + min(longest, KILL_S) - SPARE_S
+        end = time.monotonic() + TAKE_S + min(longest, KILL_S) - SPARE_S
+        if plan.close_answers:
+            self.close_answers(True)
         for server in self.servers:
             server.drain()
-        time.sleep(ACCEPT_ON_S)
+        time.sleep(plan.accept_us / 1e6)
         for server in self.servers:
             server.stop_accepting()
-        time.sleep(READ_ON_S)
+        time.sleep((plan.read_us - plan.accept_us) / 1e6)
         for server in self.servers:
             server.stop_reading()
         answered = threading.Event()
@@ -213,6 +254,7 @@
             self.core.post(Close())  # what is still open then is answered now, before the kill cuts it off
         while any(server.busy() for server in self.servers) and time.monotonic() < end:
             time.sleep(0.01)
+        self.upkeep.close()
 
     def print_counters(self) -> None:
         now = {f"http2.{n}.now.{k}": v for n, one in enumerate(self.http2) for k, v in one.explain().items()}
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -163,7 +163,7 @@
             return 1.0
         return self.cold_from + (1.0 - self.cold_from) * max(0.0, now - started) / ramp
 
-    def allow(self, now: float, span: float) -> float:
+    def allow(self, now: float, span: float, processes: int = 1) -> float:
         """Work (ms of sending) that this router may still send a cold member; bounded in every span.
 
         Danger: shared among a hundred routers a cold parent's budget is less than one request for each, and
@@ -175,6 +175,7 @@
         rate = whole / self.routers
         if self.rank is not None and rate < COLD_UNIT:
             rate = min(whole, COLD_UNIT) if self.rank < max(1, int(whole / COLD_UNIT)) else 0.0
+        rate /= processes  # of this router, while it is upgraded
         # A full bucket and its refill meet in the worst span, so each gets half of what the span may hold.
         most = rate * min(self.multiple * COLD_PART / part, 2.0) * span / 2
         self.tokens = min(most, self.tokens + rate / 2 * max(0.0, now - self.token_at))
@@ -256,6 +257,15 @@
         self.util_at = fields.index("cpu_share") if "cpu_share" in fields else None
         self.weighed_at = 0.0
 
+    def retune(self, settings: Settings) -> None:
+        """Other settings from now on; a class that keeps its name and number keeps what was learned of it."""
+        old, self.settings = self.settings.classes, settings
+        for n, cls in enumerate(settings.classes):
+            if n >= len(old) or old[n].name != cls.name:
+                self.work[n : n + 1] = [cls.aim * WORK_GUESS]
+                self.sending[n : n + 1] = [cls.aim * WORK_GUESS]
+                self.measured[n : n + 1], self.sent_alone[n : n + 1] = [0], [0]
+
     def handle(self, now: float, events: Iterable[Event]) -> Sequence[Action]:
         """Turn what happened at one moment into what is done about it."""
         self.now = max(self.now, now) if math.isfinite(now) else self.now
@@ -557,7 +567,8 @@
 
     def fits(self, peer: Peer, need: float) -> bool:
         """A cold member has a hard budget: every attempt and every fill that may reach it counts."""
-        return peer.warmth(self.now) >= 1.0 or peer.allow(self.now, self.settings.cold_span) >= need
+        known = self.settings
+        return peer.warmth(self.now) >= 1.0 or peer.allow(self.now, known.cold_span, known.processes) >= need
 
     def may_repeat(self, req: Pending, peer: Peer) -> bool:
         """Whether an attempt there is harmless, given those that may have run."""
--- /dev/null
+++ b/lupintack/upkeep.py
@@ -0,0 +1,263 @@
+"""Carries out what the operators say to one running process, and what its partner in an upgrade asks of it.
+
+It asks the pure parts of `lifecycle/` and tells the fronts, the roster and the core. Calls of the second
+address run on their connections' threads and never wait for the core; a look every LOOK_S follows the other
+process and the clock.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from lupintack.clock import now_us
+from lupintack.core.actor import Core
+from lupintack.core.copies import room
+from lupintack.core.retune import Retune
+from lupintack.core.roster import Roster
+from lupintack.fronts.admin import Verdict
+from lupintack.fronts.steer import steer
+from lupintack.interface import State
+from lupintack.lifecycle import bans as state_of_bans
+from lupintack.lifecycle.bans import NAME_MOST, OUT_MOST, Bans
+from lupintack.lifecycle.folder import Folder
+from lupintack.lifecycle.partner import Partner, Share, Side, share, side
+from lupintack.lifecycle.state import Leave, Life, Phase, leave
+from lupintack.logs import fields
+from lupintack.peers.actor import Room
+
+LOG = logging.getLogger("upkeep")
+LOOK_S = 0.05
+
+
+@dataclass(frozen=True)
+class Fronts:
+    """What the clients' fronts do for it."""
+
+    held: Callable[[], int]  # connections that clients hold
+    close_answers: Callable[[bool], None]  # whether each answer ends its connection
+    end_idle: Callable[[int], None]  # end what has been idle for so many microseconds
+
+
+class Upkeep:
+    """The operators' desk, the folder shared with a partner, and the node's life."""
+
+    def __init__(
+        self, core: Core, roster: Roster, sockets: Room, fronts: Fronts, memory_mb: int, own_sockets: int
+    ) -> None:
+        self.core = core
+        self.roster = roster
+        self.sockets = sockets
+        self.fronts = fronts
+        self.limits = (sockets.most, memory_mb, own_sockets)
+        self.life = Life()
+        self.folder: Folder | None = None
+        self.lock = threading.Lock()  # of the life, and of what is said of members
+        self.partners: list[Partner] = []
+        self.share = Share(sockets.most, memory_mb, 1)
+        self.told: Phase | None = None
+        self.closing = False
+
+    # The operators' calls
+
+    def ready(self) -> Verdict:
+        """Whether the front should send work here; the line says where the process stands."""
+        return Verdict(200 if self.life.ready else 503, self.life.phase.value)
+
+    def exclude(self, name: str) -> Verdict:
+        """Nothing more to a member, from before the answer on."""
+        host = self.roster.find(name)
+        if len(name) > NAME_MOST or (host is None and name not in self.roster.bans.out):
+            return Verdict(404, "no such cache is listed")
+        if host is not None and host.kind == self.core.settings.origin_kind:
+            return Verdict(409, "the origin can't be taken out: nothing stands in for it")
+        with self.lock:
+            if len(self.roster.bans.out) >= OUT_MOST:
+                return Verdict(507, f"{OUT_MOST} are out already; put some back first")
+            was = name in self.roster.bans.out
+            kept = self.change(lambda bans, now: bans.exclude(name, now))
+        LOG.info("cache taken out", extra=fields(cache=name, again=was, kept=kept or "yes"))
+        if kept:
+            return Verdict(500, f"out in this process, but not kept for the next one: {kept}")
+        return Verdict(200, f"out{' already' if was else ''}{self.left(name)}")
+
+    def include(self, name: str) -> Verdict:
+        """A member is back, however often it was taken out."""
+        if name not in self.roster.bans.out and self.roster.find(name) is None:
+            return Verdict(404, "no such cache is listed or out")
+        with self.lock:
+            was = name in self.roster.bans.out
+            kept = self.change(lambda bans, now: bans.include(name, now))
+        LOG.info("cache put back", extra=fields(cache=name, was_out=was, kept=kept or "yes"))
+        if kept:
+            return Verdict(500, f"back in this process, but not kept for the next one: {kept}")
+        return Verdict(200, "back, held to be cold" if was else "was not out")
+
+    def evacuate(self) -> Verdict:
+        with self.lock:
+            self.life.evacuate(now_us())
+        self.look_at_life()
+        return Verdict(200, self.life.phase.value)
+
+    def rejoin(self) -> Verdict:
+        with self.lock:
+            done = self.life.rejoin()
+        self.look_at_life()
+        return Verdict(200 if done else 409, self.life.phase.value)
+
+    def left(self, name: str) -> str:
+        """A warning where a location has no cache left that may be sent to."""
+        host = self.roster.find(name)
+        if host is None:
+            return ""
+        hosts = list(self.roster.listed.values())
+        mates = [h for h in hosts if (h.zone, h.kind == host.kind) == (host.zone, True)]
+        out = self.roster.bans.out
+        some = any(h.state is State.READY and h.name not in out for h in mates)
+        return "" if some else "; none of its kind is left in its location"
+
+    def change(self, call: Callable[[Bans, float], bool]) -> str:
+        """Bring the operators' word into force, and keep it; why it could not be kept. Under the lock."""
+        now = time.time() * 1000
+        bans = copied(self.roster.bans)
+        call(bans, now)
+        self.roster.ban(bans)  # binding first: whatever the disk says, nothing more goes there
+        if self.folder is None:
+            return ""
+        try:
+            with self.folder.locked():
+                bans = self.kept() or bans
+                call(bans, now)
+                self.folder.write(bans.dump())
+        except OSError as error:
+            LOG.error("bans can't be kept", extra=fields(reason=error))
+            return str(error)
+        self.roster.ban(bans)
+        return ""
+
+    def kept(self) -> Bans | None:
+        """What the folder holds; None where it holds nothing that can be used, which the log says."""
+        if self.folder is None:
+            return None
+        text = self.folder.read()
+        if text is None:
+            return None
+        try:
+            return state_of_bans.parse(text)
+        except state_of_bans.BansError as error:
+            LOG.error("kept bans can't be used", extra=fields(file=self.folder.bans, reason=error))
+            return None
+
+    # The process
+
+    def join(self, folder: Folder | None) -> None:
+        """Before the first request: what the folder holds is in force from the start."""
+        self.folder = folder
+        found = self.kept()
+        if found is not None:
+            self.roster.ban(found)
+            if found.out:
+                LOG.info("bans found", extra=fields(out=",".join(sorted(found.out))))
+        self.look_at_partners()
+
+    def started(self) -> None:
+        with self.lock:
+            self.life.started(now_us())
+        self.tell()
+
+    def steer(self, sock: object) -> None:
+        """New connections come here from now on, where an older process listens, too."""
+        if self.partners:
+            import socket
+
+            assert isinstance(sock, socket.socket)
+            done = steer(sock, len(self.partners))
+            LOG.info("upgrade", extra=fields(older=self.partners[0].pid, steered=done))
+
+    def term(self) -> Leave:
+        """SIGTERM: how to leave."""
+        with self.lock:
+            self.life.term()
+        self.tell()
+        self.look_at_partners()
+        mine = (self.folder.born_ns, self.folder.pid) if self.folder is not None else (0, 0)
+        ready = any(o.phase == Phase.READY.value and (o.born_ns, o.pid) > mine for o in self.partners)
+        return leave(ready)
+
+    def close(self) -> None:
+        """The very end."""
+        folder, self.folder = self.folder, None
+        if folder is not None:
+            folder.close()
+
+    def run(self) -> None:
+        """Look after all of it, for good."""
+        while True:
+            time.sleep(LOOK_S)
+            try:
+                self.look_at_life()
+                self.look_at_partners()
+                self.look_at_bans()
+            except Exception:  # one look's fault must not end the others
+                LOG.exception("look failed")
+
+    def look_at_life(self) -> None:
+        """An evacuation goes on, or is over."""
+        with self.lock:
+            limit = self.life.look(now_us(), self.fronts.held())
+            closing = self.life.closing
+            stopping = self.life.phase is Phase.STOPPING
+        if closing != self.closing and not stopping:
+            self.closing = closing
+            self.fronts.close_answers(closing)
+        if limit >= 0:
+            self.fronts.end_idle(limit)
+        self.tell()
+
+    def tell(self) -> None:
+        """A new phase is logged, and the partner's to read."""
+        phase = self.life.phase
+        if phase is not self.told:
+            if self.told is not None:
+                LOG.info("phase", extra=fields(phase=phase.value, before=self.told.value))
+            self.told = phase
+            if self.folder is not None:
+                self.folder.tell(phase.value)
+
+    def look_at_partners(self) -> None:
+        """Share the limits with whoever else lives."""
+        folder = self.folder
+        if folder is None:
+            return
+        others = folder.others()
+        which = side(folder.born_ns, folder.pid, others)
+        self.partners = others
+        wanted = share(which, len(others), *self.limits)
+        if wanted == self.share:
+            return
+        self.share = wanted
+        told = fields(side=which.value, processes=wanted.processes, member_sockets=wanted.member_sockets)
+        LOG.info("limits shared", extra=told)
+        self.sockets.most = wanted.member_sockets
+        alone = which is Side.ALONE
+        memory = room(self.limits[1]) if alone else room(wanted.memory_mb)
+        self.core.post(Retune(processes=wanted.processes, copies=memory))
+
+    def look_at_bans(self) -> None:
+        """What was said to the partner binds here as well."""
+        folder = self.folder
+        if folder is None or not folder.changed():
+            return
+        with self.lock:
+            found = self.kept()
+            if found is not None and found != self.roster.bans:
+                self.roster.ban(found)
+                LOG.info("bans heard from the other process", extra=fields(out=",".join(sorted(found.out))))
+
+
+def copied(bans: Bans) -> Bans:
+    """One that may be changed: those of the roster never are."""
+    return replace(bans, out=dict(bans.out), back=dict(bans.back))
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -70,7 +70,7 @@
 class Scenario:
     """Everything that one scenario needs, on loopback addresses."""
 
-    def __init__(self, cdni: str = "", link: float = 0.0, **limits: object) -> None:
+    def __init__(self, cdni: str = "", link: float = 0.0, tmp: str = "", **limits: object) -> None:
         self.link = link
         self.wants: Queue[tuple[str, socket.socket, list[str]]] = Queue()
         self.named: dict[str, tuple[socket.socket, str]] = {}
@@ -86,7 +86,8 @@
         self.data = deployment.configuration(
             {name: at(sock) for name, sock in self.members.items()}, at(board), "127.0.0.1:0", link, **limits
         )
-        conf = parse(self.data, {})
+        self.data["admin_addr"] = "127.0.0.1:0"
+        conf = parse(self.data, {"TMPDIR": tmp})
         front = None
         if cdni:
             with socket.socket() as probe:
@@ -148,6 +149,9 @@
     def close(self) -> None:
         for server in self.node.servers:
             server.stop_accepting()
+        if self.node.admin is not None:
+            self.node.admin.stop_accepting()
+        self.node.upkeep.close()
         self.node.board.stopped.set()
         for sock in (*self.members.values(), *self.cdns.values()):
             sock.close()
@@ -231,6 +235,7 @@
             member, sock, parts = self.wants.get(timeout=PATIENCE)
             assert parts[0] == "want", parts
             self.named[name] = (sock, parts[1])
+            self.wanted_at = member
             self.vars[name] = parts[1]
             told = {"at": member, "body": parts[3]} | resp.pairs(parts[2].encode())
             for word in words:
@@ -252,6 +257,19 @@
         else:
             self.named[name][0].shutdown(socket.SHUT_RDWR)
 
+    def staff(self, verb: str, method: str, target: str, status: str, *words: str) -> None:
+        """The operators: call METHOD TARGET, and what is expected of the answer."""
+        assert verb == "call" and self.node.admin is not None
+        with socket.create_connection(self.node.admin.sock.getsockname()) as sock:
+            lines = Lines(sock)
+            sock.sendall(f"{method} {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            first, headers, body = lines.message()
+            match("status", first.split()[1], status)
+            for word in words:
+                field, _, pattern = word.partition(":")
+                match(field, body if field == "body" else headers.get(field, ""), pattern)
+            assert not sock.recv(1), "one call a connection"
+
     def board(self, verb: str, *words: str) -> None:
         """The notice board: expect a watch, send a line or half of one, close."""
         if verb == "expect":
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,256 @@
+"""The second address: the five calls, and what a ban and an evacuation do to traffic."""
+
+from __future__ import annotations
+
+import socket
+import time
+from pathlib import Path
+
+import pytest
+
+from lupintack.core.roster import member_id
+from tests.scenario import Lines, Scenario
+from tests.site import eventually
+
+TILE = "/ops/map-tiles/00000000000000aa"
+
+
+def test_each_call_has_its_answer() -> None:
+    Scenario().run(f"""
+        staff call GET /api/ready 200 body:ready*
+        staff call POST /api/ready 405 allow:GET
+        staff call GET /api/exclude?name=s-1 405 allow:POST
+        staff call GET /api/nothing 404
+        staff call GET / 404
+        staff call GET {TILE} 404
+        staff call POST /api/exclude 400 body:name=ID*
+        staff call POST /api/exclude?name= 400
+        staff call POST /api/exclude?name=s-1&name=s-2 400 body:*once*
+        staff call POST /api/exclude?nome=s-1 400
+        staff call POST /api/exclude?name=%zz 400
+        staff call POST /api/exclude?name=%ff 400
+        staff call POST /api/exclude?name=s-9 404
+        staff call POST /api/include?name=s-9 404
+        staff call POST /api/exclude?name=o-1 409 body:*origin*
+        staff call POST /api/exclude?name=%73-1 200 body:out*
+        staff call POST /api/exclude?name=s-1 200 body:out*already*
+        staff call POST /api/include?name=s-1 200 body:back*
+        staff call POST /api/include?name=s-1 200 body:was*not*out*
+        staff call POST /api/evacuate 200
+        staff call POST /api/evacuate 200
+        staff call GET /api/ready 503 body:evacua*
+        staff call POST /api/rejoin 200
+        staff call POST /api/rejoin 200
+        staff call GET /api/ready 200
+    """)
+
+
+def test_silent_and_half_calls_hold_nothing_up() -> None:
+    play = Scenario()
+    assert play.node.admin is not None
+    where = play.node.admin.sock.getsockname()
+    silent = [socket.create_connection(where) for _ in range(50)]
+    for one in silent[::2]:
+        one.sendall(b"GET /api/re")
+    began = time.monotonic()
+    play.run("staff call GET /api/ready 200", close=False)
+    assert time.monotonic() - began < 1.0
+    eventually(lambda: play.node.admin is not None and len(play.node.admin.conns) <= 32)
+    for one in silent:
+        one.close()
+    play.close()
+
+
+def test_answers_wait_neither_for_the_core_nor_for_the_board() -> None:
+    play = Scenario()
+    with play.node.core.running:  # a turn that does not end
+        play.run(
+            """
+            staff call GET /api/ready 200
+            staff call POST /api/exclude?name=s-1 200
+            staff call POST /api/include?name=s-1 200
+            staff call POST /api/evacuate 200
+            staff call POST /api/rejoin 200
+            """,
+            close=False,
+        )
+    play.close()
+
+
+def test_a_ban_binds_at_the_write_and_holds_whatever_the_list_says() -> None:
+    """What waits for a connect when the ban comes is not written, and a list that calls it ready changes
+    nothing until the call back, after which it is cold.
+    """
+    play = Scenario()
+    play.run(
+        """
+        board expect watch 1
+        staff call POST /api/exclude?name=s-1 200
+        staff call POST /api/exclude?name=s-1 200
+        """,
+        close=False,
+    )
+    one = member_id("s-1")
+    for change in ('"Ready"', '"Terminating"', '"Gone"', '"Ready"'):
+        rev = play.node.board.last + 1
+        line = "{line s-1 Ready}".replace("Ready", change.strip('"'))
+        play.run(
+            f"""board send {{"rev":{rev},"pool":{{"whole":false,"seq":{rev},"hosts":[{line}]}}}}""", False
+        )
+        eventually(lambda rev=rev: play.node.board.last == rev)  # type: ignore[misc]
+        eventually(lambda: play.node.roster.mailbox.empty())
+        assert one in play.node.roster.banned
+        host = play.node.roster.hosts.get(one)
+        assert host is None or host.state.name != "READY"
+    for n in range(20):
+        play.run(
+            f"""
+            client a send GET /ops/map-tiles/{n:016x}
+            cache expect w at=s-2
+            cache send w ok - one
+            client a expect 200 body=one
+            """,
+            close=False,
+        )
+    play.run("staff call POST /api/include?name=s-1 200", close=False)
+    eventually(lambda: play.node.core.router.peers.get(one) is not None)
+    peer = play.node.core.router.peers[one]
+    assert peer.ready and peer.started > 0 and peer.warmth(peer.started) == peer.cold_from
+    play.close()
+
+
+def test_a_want_that_waits_when_the_ban_comes_is_not_written() -> None:
+    play = Scenario()
+    order_gone: list[object] = []
+    stale = play.node.roster.stale
+
+    def asked(order: object) -> bool:
+        if not order_gone:  # the ban comes between the decision and the write
+            order_gone.append(order)
+            told = play.node.upkeep.exclude(play.node.roster.hosts[order.member].name)  # type: ignore[attr-defined]
+            assert told.status == 200
+        return stale(order)  # type: ignore[arg-type]
+
+    play.node.roster.stale = asked  # type: ignore[method-assign]
+    play.run(
+        f"""
+        client a send GET {TILE}
+        cache expect w
+        cache send w ok - one
+        client a expect 200 body=one
+        """,
+        close=False,
+    )
+    served = play.wanted_at
+    assert play.node.roster.banned and member_id(served) not in play.node.roster.banned
+    play.close()
+
+
+def test_a_ban_holds_over_a_restart_and_foreign_state_does_not_stop_one(tmp_path: Path) -> None:
+    play = Scenario(tmp=str(tmp_path))
+    play.run("staff call POST /api/exclude?name=s-2 200")
+    play = Scenario(tmp=str(tmp_path))
+    assert play.node.roster.banned == {member_id("s-2")}
+    folder = play.node.upkeep.folder
+    assert folder is not None
+    bans = folder.bans
+    play.run("staff call POST /api/include?name=s-2 200")
+    assert Scenario_out(tmp_path) == frozenset()
+    bans.write_bytes(b"")
+    assert Scenario_out(tmp_path) == frozenset()
+
+
+def Scenario_out(tmp_path: Path) -> frozenset[int]:
+    play = Scenario(tmp=str(tmp_path))
+    found = play.node.roster.banned
+    play.close()
+    return found
+
+
+def test_a_ban_that_can_t_be_kept_is_in_force_and_a_no(tmp_path: Path) -> None:
+    play = Scenario(tmp=str(tmp_path))
+    folder = play.node.upkeep.folder
+    assert folder is not None
+    with folder.locked():
+        play.run("staff call POST /api/exclude?name=s-1 500 body:*not*kept*", close=False)
+    assert play.node.roster.banned == {member_id("s-1")}
+    play.run("staff call POST /api/exclude?name=s-1 200")
+
+
+def test_evacuate_ends_kept_connections_and_answers_what_is_open() -> None:
+    play = Scenario()
+    play.run(
+        f"""
+        client kept send GET /alive
+        client kept expect 200
+        client used send GET /alive
+        client used expect 200
+        client half send raw 'GET {TILE} HTT'
+        client slow send GET {TILE} Req-Wait-Ms:4000
+        cache expect w
+        staff call POST /api/evacuate 200
+        client used send GET {TILE}?nth=2
+        cache expect v
+        cache send v ok - two
+        client used expect 200 Connection:close body=two
+        client new send GET {TILE}?nth=3
+        cache expect u
+        cache send u ok - three
+        client new expect 200 Connection:close body=three
+        client kept expect closed
+        client half expect 408
+        cache send w ok - one
+        client slow expect 200 Connection:close body=one
+        """,
+        close=False,
+    )
+    eventually(lambda: not play.node.http1.conns)
+    eventually(lambda: play.node.upkeep.life.phase.value == "evacuated")
+    play.run(
+        f"""
+        staff call POST /api/rejoin 200
+        staff call GET /api/ready 200
+        client back send GET {TILE}?nth=4
+        cache expect w
+        cache send w ok - four
+        client back expect 200 Connection: body=four
+        client back send GET /alive
+        client back expect 200
+        """
+    )
+
+
+@pytest.mark.parametrize("tries", [3])
+def test_evacuate_and_rejoin_within_a_second(tries: int) -> None:
+    play = Scenario()
+    for _ in range(tries):
+        play.run(
+            """
+            staff call POST /api/evacuate 200
+            staff call GET /api/ready 503
+            staff call POST /api/rejoin 200
+            staff call GET /api/ready 200
+            """,
+            close=False,
+        )
+    play.run("client a send GET /alive\nclient a expect 200 Connection:")
+
+
+def test_term_while_evacuated_ends_and_rejoin_is_refused() -> None:
+    Scenario().run("""
+        staff call POST /api/evacuate 200
+        router send TERM
+        wait 50
+        staff call POST /api/rejoin 409 body:stopping*
+        router expect stopped
+    """)
+
+
+def test_lines_are_one_line() -> None:
+    play = Scenario()
+    assert play.node.admin is not None
+    with socket.create_connection(play.node.admin.sock.getsockname()) as sock:
+        sock.sendall(b"POST /api/exclude?name=s-1%0a HTTP/1.1\r\nHost: x\r\n\r\n")
+        status, _, body = Lines(sock).message()
+    assert " 400 " in status and body.count("\n") == 1
+    play.close()
--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,202 @@
+"""The pure parts of day-to-day service, and the folder that two processes share."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lupintack.interface import State
+from lupintack.lifecycle.bans import Bans, BansError, parse
+from lupintack.lifecycle.folder import Folder, FolderError
+from lupintack.lifecycle.partner import Partner, Share, Side, share, side
+from lupintack.lifecycle.state import Life, Pace, Phase, leave
+
+NAMES = st.sampled_from(["s-1", "s-2", "p-1"])
+S = 1_000_000
+
+
+def test_an_evacuation_ends_what_is_idle_before_two_seconds_are_over() -> None:
+    life = Life()
+    life.started(0)
+    assert life.ready and not life.closing
+    life.evacuate(10 * S)
+    assert not life.ready and life.closing
+    assert life.look(10 * S + 500_000, 3) == -1  # the front still sends
+    assert life.look(10 * S + 700_000, 3) == Pace().calm_us
+    assert life.look(10 * S + 1_600_000, 3) == Pace().young_us
+    assert life.phase is Phase.EVACUATING
+    life.look(10 * S + 1_700_000, 0)
+    assert life.phase is Phase.EVACUATED and life.closing
+    assert life.rejoin() and life.ready and life.look(12 * S, 9) == -1
+
+
+def test_a_process_that_stops_does_not_come_back() -> None:
+    life = Life()
+    life.evacuate(0)  # before the start is over
+    assert life.phase.value == "starting"
+    life.started(1)
+    assert life.phase.value == "evacuating"
+    life.term()
+    assert life.evacuate(2) and not life.rejoin() and life.phase is Phase.STOPPING
+
+
+@given(st.lists(st.tuples(st.sampled_from("serlkt"), st.integers(0, 3 * S))))
+def test_not_ready_never_takes_for_good(steps: list[tuple[str, int]]) -> None:
+    """Whatever comes in whatever order: an evacuated process ends idle connections two seconds after the
+    word at the latest, a ready one ends none, and SIGTERM is the last word.
+    """
+    life, now, out = Life(), 0, -1
+    life.started(0)
+    for what, later in steps:
+        now += later
+        if what == "e":
+            was = life.ready
+            assert life.evacuate(now)
+            out = now if was else out
+        elif what == "r":
+            assert life.rejoin() == (life.phase is not Phase.STOPPING)
+        elif what == "l":
+            limit = life.look(now, later % 2)
+            assert (limit < 0) or life.closing
+            if life.closing and now - out >= 1_900_000:
+                assert 0 <= limit <= 100_000
+        elif what == "t":
+            life.term()
+        else:
+            life.started(now)
+        assert life.ready == (life.phase is Phase.READY)
+        assert not (life.ready and life.closing)
+        if what == "t":
+            assert life.phase is Phase.STOPPING
+
+
+def test_beside_a_ready_partner_answers_close_at_once_and_the_listener_soon() -> None:
+    assert leave(True).close_answers and not leave(False).close_answers
+    assert leave(True).accept_us < leave(False).accept_us
+
+
+@given(st.lists(st.tuples(st.booleans(), NAMES)))
+def test_bans_are_a_set_and_survive_being_kept(steps: list[tuple[bool, str]]) -> None:
+    bans, out = Bans(), set[str]()
+    for now, (exclude, name) in enumerate(steps):
+        changed = bans.exclude(name, now) if exclude else bans.include(name, now)
+        assert changed == ((name in out) != exclude)
+        out = out | {name} if exclude else out - {name}
+        assert set(bans.out) == out
+        assert parse(bans.dump()) == bans
+        for one in ("s-1", "s-2", "p-1"):
+            for state in State:
+                laid = bans.lay(one, state, 0.0)[0]
+                assert laid is not State.READY or one not in out
+                assert laid is state or (one in out and state is State.READY)
+
+
+def test_what_comes_back_is_cold_from_the_latest_start_there_may_be() -> None:
+    bans = Bans()
+    bans.exclude("s-1", 1000.0)
+    bans.exclude("s-1", 2000.0)
+    assert bans.out == {"s-1": 1000.0}
+    bans.include("s-1", 5000.0)
+    assert bans.lay("s-1", State.READY, 0.0) == (State.READY, 5000.0)
+    assert bans.lay("s-1", State.READY, 6000.0) == (State.READY, 6000.0)
+    assert bans.lay("s-2", State.READY, 0.0) == (State.READY, 0.0)
+    bans.include("s-2", 5000.0 + 700_000.0)
+    assert bans.back == {}  # long warm
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        (b"", "empty"),
+        (b'{"bans": 1, "out": {"s-1"', "not JSON"),
+        (b"[" * 100_000, "not JSON"),
+        (b"[]", "not a state"),
+        (b'{"bans": 2, "out": {}, "back": {}}', "version"),
+        (b'{"bans": 1, "out": ["s-1"], "back": {}}', "out: an object"),
+        (b'{"bans": 1, "out": {}}', "back: an object"),
+        (b'{"bans": 1, "out": {"s-1": "now"}, "back": {}}', "Unix time"),
+        (b'{"bans": 1, "out": {"s-1": NaN}, "back": {}}', "Unix time"),
+        (b'{"bans": 1, "out": {"s-1": 1' + b"0" * 400 + b'}, "back": {}}', "Unix time"),
+    ],
+)
+def test_a_state_that_can_t_be_read_says_why(text: bytes, told: str) -> None:
+    with pytest.raises(BansError, match=told):
+        parse(text)
+
+
+def test_two_processes_share_one_router_s_limits() -> None:
+    assert share(Side.ALONE, 0, 300, 80, 40) == Share(300, 80, 1)
+    old, new = share(Side.OLD, 1, 300, 80, 40), share(Side.NEW, 1, 300, 80, 40)
+    assert old.member_sockets + new.member_sockets + 40 <= 300
+    assert (old.memory_mb, new.memory_mb) == (0, 56)
+    assert old.processes == new.processes == 2
+    assert share(Side.OLD, 2, 20, 32, 40).member_sockets == 8  # never none
+    one = Partner(7, 100, "ready")
+    assert side(50, 9, []) is Side.ALONE
+    assert side(50, 9, [one]) is Side.OLD and side(200, 9, [one]) is Side.NEW
+    assert side(150, 9, [one, Partner(8, 200, "starting")]) is Side.OLD
+
+
+SLEEPER = """
+import sys, time
+from lupintack.lifecycle.folder import Folder
+f = Folder(sys.argv[1], "n0", "127.0.0.1:1")
+f.tell("ready")
+print("there", flush=True)
+sys.stdin.readline()
+f.close() if sys.argv[2] == "close" else None
+"""
+
+
+@pytest.mark.parametrize("how", ["close", "crash"])
+def test_a_partner_is_one_only_while_it_lives(tmp_path: Path, how: str) -> None:
+    one = Folder(str(tmp_path), "n0", "127.0.0.1:1")
+    other_router = Folder(str(tmp_path), "n1", "127.0.0.1:2")
+    with subprocess.Popen(
+        [sys.executable, "-c", SLEEPER, str(tmp_path), how],
+        stdin=subprocess.PIPE, stdout=subprocess.PIPE, cwd=Path(__file__).parents[1],
+    ) as process:  # fmt: skip
+        assert process.stdout is not None
+        process.stdout.readline()
+        found = one.others()
+        assert [(p.pid, p.phase) for p in found] == [(process.pid, "ready")]
+        assert other_router.others() == []
+        assert side(one.born_ns, one.pid, found) is Side.OLD
+        process.communicate(b"\n")
+    assert one.others() == []
+    assert sorted(os.listdir(one.path)) == ["lock", f"run.{os.getpid()}"]
+    one.close()
+    assert os.listdir(one.path) == ["lock"]
+    other_router.close()
+
+
+def test_bans_are_replaced_whole_and_heard_by_the_other(tmp_path: Path) -> None:
+    folder = Folder(str(tmp_path), "n0", "127.0.0.1:1")
+    assert folder.read() is None and not folder.changed()
+    with folder.locked():
+        folder.write(b"one\n")
+    assert not folder.changed() and folder.read() == b"one\n"
+    other = folder.path / "theirs"
+    other.write_bytes(b"two!\n")
+    os.replace(other, folder.bans)
+    assert folder.changed() and folder.read() == b"two!\n" and not folder.changed()
+    folder.close()
+
+
+def test_a_lock_that_is_kept_is_said_in_time(tmp_path: Path) -> None:
+    folder = Folder(str(tmp_path), "n0", "127.0.0.1:1")
+    with folder.locked(), pytest.raises(FolderError, match="keeps the lock"), folder.locked():
+        pass
+    folder.close()
+
+
+def test_a_folder_that_can_t_be_made_is_named(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    with pytest.raises(FolderError, match="can't be used"):
+        Folder(str(tmp_path / "file"), "n0", "127.0.0.1:1")
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -13,13 +13,14 @@
 # From the ground up; a room may import those before it, and itself.
 FLOORS = [
     ("clock", "logs", "interface"),
-    ("limits", "http2"),
+    ("limits", "http2", "lifecycle"),
     ("settings",),
     ("policy", "wire"),
     ("drill", "config", "operator"),
     ("core",),
     ("peers",),
     ("board", "fronts", "client"),
+    ("upkeep",),
     ("node",),
     ("__main__",),
     ("standins",),
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -19,6 +19,7 @@
 from lupintack import node as main
 from lupintack.core import actor as core
 from lupintack.fronts import http1
+from lupintack.lifecycle import state
 from lupintack.peers import actor, resp
 from lupintack.standins import deployment
 from lupintack.standins.deployment import SETTINGS
@@ -235,7 +236,8 @@
     """The end comes before the kill, and nobody is cut off."""
 
     def test_what_is_owed_at_the_end_is_failed_before_the_kill(self) -> None:
-        with unittest.mock.patch.multiple(main, ACCEPT_ON_S=0.1, READ_ON_S=0.1, KILL_S=0.5):
+        soon = unittest.mock.patch.object(state, "ALONE", state.Leave(False, 100_000, 200_000))
+        with soon, unittest.mock.patch.multiple(main, TAKE_S=0.2, KILL_S=0.5):
             Scenario().run("""
                 client a send GET /ops/river-video/00000000000000aa Req-Wait-Ms:5000
                 cache expect w
