Apply new settings at SIGHUP whole, in one turn of the core, or keep all of the old

settings/changes.py (pure) checks a new file against the running one and numbers the classes; reload.py reads all before anything changes; core/retune.py applies it in a turn and swaps the front's table. A request keeps its class; one whose class went between front and core is refused at once.

--- a/lupintack/config.py
+++ b/lupintack/config.py
@@ -4,11 +4,12 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
 from lupintack.interface import Settings
+from lupintack.settings.changes import check_sound
 from lupintack.settings.errors import ConfigError, SettingsError
 from lupintack.settings.files import address
 from lupintack.settings.instance import read_settings
@@ -51,6 +52,7 @@
     limits: Limits
     link_bytes_per_s: float = 0.0
     admin: tuple[str, int] | None = None  # the second address
+    raw: Mapping[str, Any] = field(default_factory=dict)  # the file, but for what was known
     tmp: str = ""  # where the processes of an upgrade find one another; empty: nowhere
 
 
@@ -78,6 +80,7 @@
     raw = data.get("settings", {})
     link = float(data.get("link_bytes_per_s", 0.0))
     settings = replace(read_settings(json.dumps(raw).encode()), own_copies=link > 0)
+    check_sound(settings)
     limits = raw.get("limits", {})
     machine = data.get("limits", {})
     seed = str(data.get("seed", "0"))
@@ -111,5 +114,6 @@
         ),
         link_bytes_per_s=link,
         admin=address(admin, "admin_addr") if admin else None,
+        raw={key: value for key, value in data.items() if key not in ("known", "admin_addr")},
         tmp=environ.get("TMPDIR", ""),
     )
--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -119,6 +119,7 @@
         self.timer_number = 0
         self.heard = 0  # the number of the last purge that the module has heard of
         self.now = now_us()
+        self.numbers = {cls.name: n for n, cls in enumerate(settings.classes)}  # of classes that are served
         self.processes = 1  # that share the router's budgets
         self.stop: Stop | None = None
         self.trace = wanted(os.environ)
@@ -243,6 +244,11 @@
             self.counters["answered.refused"] += 1
             ask.sink.refused(int(self.settings.max_retry_after))
             return
+        if ask.cls_name and self.numbers.get(ask.cls_name) != ask.cls:
+            # Its class has gone, or has another number, since the front read it: nothing has run.
+            self.counters["answered.refused"] += 1
+            ask.sink.refused(0)
+            return
         twin = self.owed.get(self.ids.get(ask.wire_id, 0))
         if twin is not None and not (twin.safe and same(twin.ask, ask)):
             # Guards against a client that uses an open id for something else: the caches know requests by
--- a/lupintack/core/messages.py
+++ b/lupintack/core/messages.py
@@ -39,6 +39,7 @@
     body: bytes = b""
     have: str = ""
     number: int = 0  # given by the core
+    cls_name: str = ""  # the class as the front knew it: its number may have gone to another since
 
 
 @dataclass(slots=True)
--- a/lupintack/core/retune.py
+++ b/lupintack/core/retune.py
@@ -2,32 +2,47 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from lupintack.core.messages import Ask
 from lupintack.interface import Settings
+from lupintack.settings.changes import numbered
 
 if TYPE_CHECKING:
     from lupintack.core.actor import Core
 
+Numbers = dict[str, tuple[int, bool]]
+
 
 @dataclass(slots=True)
 class Retune:
     """What changes; None: as it is."""
 
     settings: Settings | None = None
+    done: Callable[[Numbers], None] | None = None  # a front's classes: number and whether it writes, by name
     processes: int | None = None  # that share the router's budgets in an upgrade
     copies: int | None = None  # bytes of own copies
 
 
 def apply(core: Core, new: Retune) -> None:
-    """Inside the core's turn."""
-    settings = new.settings or core.settings
+    """Inside the core's turn: all of it, before anything else is heard."""
     if new.processes is not None:
         core.processes = new.processes
-    settings = replace(settings, processes=core.processes)
+    settings = replace(core.settings, processes=core.processes)
+    if new.settings is not None:
+        # What the front has read and the core not heard keeps its number, too.
+        used = {one.ask.cls for one in core.owed.values()}
+        used |= {message.cls for message in list(core.mailbox) if isinstance(message, Ask)}
+        classes = numbered(core.settings.classes, new.settings.classes, used)
+        settings = replace(new.settings, classes=classes, processes=core.processes)
+        served = {cls.name for cls in new.settings.classes}
+        core.numbers = {cls.name: n for n, cls in enumerate(classes) if cls.name in served}
     if settings != core.settings:
         core.settings = settings
         core.router.retune(settings)
+    if new.done is not None:
+        new.done({name: (n, settings.classes[n].write) for name, n in core.numbers.items()})
     if new.copies is not None and core.copies is not None:
         core.copies.limit(new.copies)
--- a/lupintack/core/roster.py
+++ b/lupintack/core/roster.py
@@ -86,7 +86,7 @@
 
     def __init__(self, settles_ms: float) -> None:
         self.mailbox: SimpleQueue[News | None] = SimpleQueue()
-        self.settles_us = int(settles_ms * 1000) + 4_000_000
+        self.settle(settles_ms)
         self.listed: dict[int, Host] = {}  # as the list says
         self.hosts: dict[int, Host] = {}  # and with the operators' bans laid over it
         self.bans = Bans()  # replaced whole, never changed
@@ -97,6 +97,10 @@
         self.heard_us = now_us()  # when a source of news last showed that it is there
         self.tell: Callable[[Change], None] = lambda change: None
 
+    def settle(self, settles_ms: float) -> None:
+        """How long purges matter, by new settings."""
+        self.settles_us = int(settles_ms * 1000) + 4_000_000
+
     # What a source of news calls
 
     def pool(self, whole: bool, hosts: tuple[Host, ...], version: int = 0) -> None:
--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -91,6 +91,7 @@
     def __init__(self, conf: Cdni, core: Core, store: metadata.Store) -> None:
         self.conf = conf
         self.core = core
+        self.names = tuple(cls.name for cls in core.settings.classes)  # as the CDNI file was read
         self.store = store
         self.once = Once()
 
@@ -136,6 +137,7 @@
             object_id=int(content.item, 16),
             part=content.part,
             group=group,
+            cls_name=self.names[content.cls],
             deadline_us=request.came_us + wait * 1000 - min(MARGIN_US, wait * 100),
             sink=PeerSink(exchange, lambda: self.once.forget(wire_id) if unsafe else None),
             repeated=request.headers.get("req-retry") == "1",
@@ -157,6 +159,7 @@
             object_id=int(content.item, 16),
             part=content.part,
             group=group,
+            cls_name=self.names[content.cls],
             deadline_us=now_us() + int(cls.deadline * 1000),
             sink=sink,
         )
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -388,7 +388,7 @@
         self.bodyless = bodyless
         self.closing = False
         self.accepting = True
-        self.opened = False
+        self.reuse = reuse
         self.conns: set[Connection] = set()
         self.lock = threading.Lock()
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -399,11 +399,15 @@
         if reuse:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.sock.bind(address)
+        if not reuse:
+            self.sock.listen(BACKLOG)
 
     def open(self) -> None:
-        """Listen. Not before all is ready: of two processes on one port each gets what it listens for."""
-        self.sock.listen(BACKLOG)
-        self.opened = True
+        """Listen, where the port is shared: of two processes on one port each gets what it listens for, so
+        that must not begin before all is ready.
+        """
+        if self.reuse:
+            self.sock.listen(BACKLOG)
 
     def run(self) -> None:
         """Accept until told to stop, and look after the connections between; then close."""
@@ -441,8 +445,6 @@
                     return
                 continue  # nobody has come since the last look
             except OSError as error:
-                if not self.opened:
-                    return
                 if self.accepting:
                     LOG.warning("accept failed", extra=fields(reason=error))
                     self.make_room(now)
--- a/lupintack/fronts/http2.py
+++ b/lupintack/fronts/http2.py
@@ -408,10 +408,10 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, int(ACCEPT_S * 1e6)))
         self.sock.bind(address)
+        self.sock.listen(128)
 
     def open(self) -> None:
-        """Listen."""
-        self.sock.listen(128)
+        """It listens from the start: its port is not shared with another process."""
 
     def apply(self, terms: StreamTerms) -> None:
         """Other bounds, for what comes from now on (SIGHUP)."""
--- a/lupintack/fronts/platform.py
+++ b/lupintack/fronts/platform.py
@@ -50,10 +50,13 @@
 
     def __init__(self, core: Core, classes: tuple[str, ...], ready: Callable[[], bool]) -> None:
         self.core = core
-        self.classes = {name: number for number, name in enumerate(classes)}
-        self.writes = [cls.write for cls in core.settings.classes]
+        self.classes = {name: (n, core.settings.classes[n].write) for n, name in enumerate(classes)}
         self.ready = ready
 
+    def retune(self, classes: dict[str, tuple[int, bool]]) -> None:
+        """Other classes from now on: number and whether it writes, by name; in a core's turn."""
+        self.classes = classes
+
     def handle(self, exchange: Exchange) -> None:
         """One request, on the thread of its connection."""
         request = exchange.request
@@ -76,10 +79,10 @@
         """The request in the core's words."""
         request, headers = exchange.request, exchange.request.headers
         match = TARGET.fullmatch(request.target)
-        cls = self.classes.get(match[1]) if match is not None else None
-        if match is None or cls is None:
+        found = self.classes.get(match[1]) if match is not None else None
+        if match is None or found is None:
             raise Bad(404, "no such class or object")
-        write = self.writes[cls]
+        cls, write = found
         if request.method != ("PUT" if write else "GET"):
             raise Bad(405, "PUT is for a class that writes, GET for the others")
         wire_id = headers.get("req-id", "")
@@ -109,6 +112,7 @@
             write=write,
             body=request.body,
             have=have,
+            cls_name=match[1],
         )
 
 
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 import socket
 import threading
@@ -10,7 +9,7 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Protocol
 
-from lupintack import config, logs, operator
+from lupintack import config, logs
 from lupintack.board import Board
 from lupintack.clock import module_ms, now_us
 from lupintack.core.actor import Close, Core, Stop
@@ -24,6 +23,7 @@
 from lupintack.interface import ListKind, MemberList
 from lupintack.lifecycle.folder import Folder
 from lupintack.peers.actor import Peer, Room, Terms
+from lupintack.reload import reload
 from lupintack.settings import files
 from lupintack.upkeep import Fronts, Upkeep
 
@@ -89,7 +89,7 @@
             copies = Copies(room(conf.limits.memory_mb), conf.link_bytes_per_s)
         self.core = Core(conf.settings, conf.seed, self.roster, self.connect, copies)
         self.board = Board(conf.board, conf.names, self.roster, conf.seed)
-        platform = Platform(self.core, conf.names.classes, lambda: self.upkeep.life.ready)
+        platform = self.platform = Platform(self.core, conf.names.classes, lambda: self.upkeep.life.ready)
         count = self.core.counters.add
         sockets = conf.limits.sockets
         most = sockets // 3 + min(CLOSING, sockets // 8)
@@ -192,51 +192,13 @@
         self.upkeep.steer(self.http1.sock)
 
     def reload(self, environ: Mapping[str, str]) -> None:
-        """After SIGHUP: the board may have moved; what else has changed waits for the next start."""
-        try:
-            conf = config.load(environ)
-        except config.ConfigError as error:
-            LOG.error("new configuration can't be used, the old one is kept", extra=logs.fields(reason=error))
-            return
-        if not self.reload_operator(environ):
-            return
-        self.board.move(conf.board)
-        skip = ("board", "known")  # the numbers continue, so what is known now comes from the board
-        names = [f.name for f in dataclasses.fields(conf) if f.name not in skip]
-        ignored = [name for name in names if getattr(conf, name) != getattr(self.conf, name)]
-        if ignored:
-            LOG.warning("changes ignored until the next start", extra=logs.fields(names=",".join(ignored)))
-        LOG.info("configuration read", extra=logs.fields(board=conf.board))
-
-    def reload_operator(self, environ: Mapping[str, str]) -> bool:
-        """The operator's file again: what can change while running does so, whole or not at all."""
-        try:
-            wanted = operator.load(environ)
-        except config.ConfigError as error:
-            LOG.error("new operator file can't be used, the old one is kept", extra=logs.fields(reason=error))
-            return False
-        if self.wanted is None or wanted is None:
-            if wanted is not self.wanted:
-                LOG.warning("changes ignored until the next start", extra=logs.fields(names="operator file"))
-            return True
-        from lupintack.settings.operator import Http2, live_keys
-        from lupintack.settings.terms import stream_terms
-
-        live = live_keys(Http2)
-        names = Http2.__struct_fields__
-        changed = [n for n in names if getattr(wanted.http2, n) != getattr(self.wanted.http2, n)]
-        for server in self.http2:
-            server.apply(stream_terms(wanted.http2))
-        waiting = [f"http2.{name}" for name in changed if name not in live]
-        if waiting:
-            LOG.warning("changes ignored until the next start", extra=logs.fields(names=",".join(waiting)))
-        LOG.info("operator file read", extra=logs.fields(changed=",".join(n for n in changed if n in live)))
-        return True
+        """SIGHUP."""
+        reload(self, environ)
 
     def stop(self) -> None:
         """After SIGTERM: take what still comes, answer everything, and be done."""
         plan = self.upkeep.term()
-        longest = max((c.deadline for c in self.conf.settings.classes), default=0.0) / 1000.0
+        longest = max((c.deadline for c in self.core.settings.classes), default=0.0) / 1000.0
         end = time.monotonic() + TAKE_S + min(longest, KILL_S) - SPARE_S
         if plan.close_answers:
             self.close_answers(True)
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -202,6 +202,7 @@
     ask: Request
     cls: ServiceClass
     work: float
+    most: int  # attempts that it may have
     first: bool = False
     held: bool = False
     keep: int = 1
@@ -350,7 +351,7 @@
         work = size / pace * 1000.0 if size and pace > 0 else self.work[ask.cls]
         if size and pace > 0:
             self.learn_work(ask.cls, work, True)
-        req = self.pending[ask.id] = Pending(ask, cls, work)
+        req = self.pending[ask.id] = Pending(ask, cls, work, self.settings.max_attempts)
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_RATE)
         self.rank(req, size)
         req.held = self.strained() and self.random.random() > self.fills_allowed()
@@ -399,7 +400,7 @@
     def send(self, req: Pending, again: Peer | None = None) -> bool:
         """Send one attempt if any member may have it; again: to this cache, if it may."""
         ask, now = req.ask, self.now
-        if req.sent >= self.settings.max_attempts or now >= ask.deadline:
+        if req.sent >= min(req.most, self.settings.max_attempts) or now >= ask.deadline:
             return False
         peer, cache_trial = self.pick_cache(req)
         if again is not None and again.ready and self.fits(again, self.sending[ask.cls]):
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -231,7 +231,7 @@
 
 def made_pending(made: Router, object_id: int) -> Pending:
     """A request on which boards can be asked for."""
-    return Pending(h.ask(1, object_id), made.settings.classes[0], 300.0)
+    return Pending(h.ask(1, object_id), made.settings.classes[0], 300.0, 6)
 
 
 def test_cache_that_fails_while_its_neighbours_fail_too_stays_in_use() -> None:
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -20,14 +20,17 @@
     ("core",),
     ("peers",),
     ("board", "fronts", "client"),
-    ("upkeep",),
+    ("upkeep", "reload"),
     ("node",),
     ("__main__",),
     ("standins",),
     ("cli",),
 ]
 LEVEL = {room: level for level, rooms in enumerate(FLOORS) for room in rooms}
-DECISIONS = ("limits", "policy.py", "http2/schedule.py")
+DECISIONS = (
+    "limits", "policy.py", "http2/schedule.py", "settings/changes.py",
+    "lifecycle/state.py", "lifecycle/bans.py", "lifecycle/partner.py",
+)  # fmt: skip
 MACHINE = {"time", "random", "socket", "threading", "select", "os", "queue", "logging"}
 
 
