Let HTTP/2 and the CDNI front follow the node's states and share their ports in an upgrade

Need: with HTTP/2 or CDNI on, the second process of an upgrade ended with 'can't listen', and an evacuation told their connections nothing. One listening socket (fronts/listener.py) for all fronts; GOAWAY at evacuate, new connections kept again after rejoin. Off on the platform. tests/test_http2.py has the evacuation.

--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -16,6 +16,7 @@
 
 from lupintack.clock import now_us
 from lupintack.fronts.exchange import REASONS, Bad, Exchange, HttpRequest, nothing
+from lupintack.fronts.listener import BACKLOG, bound
 from lupintack.logs import fields
 
 LOG = logging.getLogger("http1")
@@ -30,7 +31,6 @@
 ROOM_S = 0.01  # between two looks for some to end
 WRITE_LIMIT_S = 10  # a client that takes nothing for so long is cut off
 SEND_BUFFER = 131072
-BACKLOG = 512  # connections that the kernel has taken and we have not
 LAST_S = 0.3  # for what is queued when the listening ends, where no place is free for it
 FULL_S = 0.002  # between two looks for room
 LINGER_READ = 65536
@@ -391,16 +391,8 @@
         self.reuse = reuse
         self.conns: set[Connection] = set()
         self.lock = threading.Lock()
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self.sock = socket.socket(family)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Between two clients the accepting thread looks after the connections there are.
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, int(SWEEP_S * 1e6)))
-        if reuse:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        self.sock.bind(address)
-        if not reuse:
-            self.sock.listen(BACKLOG)
+        self.sock = bound(address, SWEEP_S, reuse)
 
     def open(self) -> None:
         """Listen, where the port is shared: of two processes on one port each gets what it listens for, so
@@ -487,6 +479,14 @@
             self.count("closed.for_room")
             conn.expire()
 
+    def close_answers(self, closing: bool) -> None:
+        """Whether each answer ends its connection."""
+        self.closing = closing
+
+    def held(self) -> int:
+        """Connections that clients hold."""
+        return len(self.conns)
+
     def drain(self) -> None:
         """HTTP/1.1 has no word for it before an answer: `Connection: close` comes with each."""
 
--- a/lupintack/fronts/http2.py
+++ b/lupintack/fronts/http2.py
@@ -21,6 +21,7 @@
 from lupintack.clock import now_us
 from lupintack.fronts import fields as words
 from lupintack.fronts.exchange import Bad, Exchange, HttpRequest, nothing
+from lupintack.fronts.listener import BACKLOG, bound
 from lupintack.http2.schedule import Priority, parse
 from lupintack.http2.wire import Header, Role, Wire, WireTerms
 from lupintack.limits.drain import Drain
@@ -30,6 +31,7 @@
 LOG = logging.getLogger("http2")
 SWEEP_S = 0.05  # between two looks at what time has brought
 ACCEPT_S = 0.1  # between two looks whether to accept still
+LAST_S = 0.3  # for what is queued when the listening ends, where no place is free for it
 FULL_S = 0.002  # between two looks for room
 YOUNG_US = 40_000  # a connection is not closed to make room while its first request may be on its way
 READ_IN = 8  # bytes that tell HTTP/1.1 from the preface
@@ -382,6 +384,7 @@
         wait_ms: int = 500,
         seed: int = 0,
         fifo: bool = False,
+        reuse: bool = False,
     ) -> None:
         """`free` tells how many requests the core would still take; `blocking`: `handle` may wait."""
         self.handle = handle
@@ -403,15 +406,13 @@
         self.accepting = True
         self.draining = False
         self.last_number = 0
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self.sock = socket.socket(family)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, int(ACCEPT_S * 1e6)))
-        self.sock.bind(address)
-        self.sock.listen(128)
+        self.reuse = reuse
+        self.sock = bound(address, ACCEPT_S, reuse)
 
     def open(self) -> None:
-        """It listens from the start: its port is not shared with another process."""
+        """Listen, where the port is shared."""
+        if self.reuse:
+            self.sock.listen(BACKLOG)
 
     def apply(self, terms: StreamTerms) -> None:
         """Other bounds, for what comes from now on (SIGHUP)."""
@@ -423,7 +424,21 @@
         self.spawn(self.sweeps, "http2 sweep")
         waiting = select.poll()
         waiting.register(self.sock, select.POLLIN)
-        while self.accepting:
+        try:
+            self.accepts(waiting)
+        finally:
+            self.sock.close()
+
+    def accepts(self, waiting: select.poll) -> None:
+        """New connections; after the word to stop, what is queued still, as a close would reset it."""
+        until = 0
+        while True:
+            if not self.accepting:
+                if not until:
+                    until = now_us() + int(LAST_S * 1e6)
+                    self.sock.setblocking(False)
+                if now_us() >= until:
+                    return
             if len(self.conns) >= self.most:
                 # Guards the descriptors: room is made by the end of a connection on which nothing is open,
                 # once somebody waits for it.
@@ -434,6 +449,8 @@
             try:
                 sock, where = self.sock.accept()
             except BlockingIOError:
+                if until:
+                    return
                 continue
             except OSError as error:
                 if self.accepting:
@@ -531,14 +548,23 @@
         for conn in list(self.conns.values()):
             conn.begin_drain()
 
+    def close_answers(self, closing: bool) -> None:
+        """Whether connections are told to end: those there are, and those that still come; told ones do."""
+        if closing:
+            self.drain()
+        else:
+            self.draining = False
+
+    def held(self) -> int:
+        """Connections that clients hold."""
+        return len(self.conns)
+
+    def end_idle(self, idle_us: int) -> None:
+        """A connection that is told to end does so when all is answered: nothing idle is left behind."""
+
     def stop_accepting(self) -> None:
-        """No new connections."""
+        """No new connections, within ACCEPT_S; what the kernel has taken by then is served."""
         self.accepting = False
-        try:
-            self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
-        self.sock.close()
 
     def stop_reading(self) -> None:
         """No new streams; what is open is answered still."""
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import logging
-import socket
 import threading
 import time
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from lupintack import config, logs
 from lupintack.board import Board
@@ -25,7 +24,7 @@
 from lupintack.peers.actor import Peer, Room, Terms
 from lupintack.reload import reload
 from lupintack.settings import files
-from lupintack.upkeep import Fronts, Upkeep
+from lupintack.upkeep import Listener, Upkeep
 
 if TYPE_CHECKING:  # imported only where the feature is on
     from lupintack.fronts.cdni.conf import Cdni
@@ -58,24 +57,6 @@
         return None
 
 
-class Listener(Protocol):
-    """What the fronts' servers have in common."""
-
-    sock: socket.socket
-
-    def open(self) -> None: ...
-
-    def run(self) -> None: ...
-
-    def drain(self) -> None: ...
-
-    def stop_accepting(self) -> None: ...
-
-    def stop_reading(self) -> None: ...
-
-    def busy(self) -> bool: ...
-
-
 class Node:
     """One edge router: the core between its fronts and its peers."""
 
@@ -106,15 +87,11 @@
             conf.names.reports,
             Room(max(8, sockets - most - cdni_most - h2_most * h2_ports - admin_most - OWN)),
         )
-        self.http1 = Server(
-            conf.listen, platform.handle, spawn, count, most, BODY_MOST, reuse=conf.admin is not None
-        )
+        shared = conf.admin is not None  # with the other process of an upgrade
+        self.http1 = Server(conf.listen, platform.handle, spawn, count, most, BODY_MOST, reuse=shared)
         self.servers: list[Listener] = [self.http1]
-        held, close, idle = (lambda: len(self.http1.conns)), self.close_answers, self.http1.end_idle
         own = admin_most + OWN
-        self.upkeep = Upkeep(
-            self.core, self.roster, self.terms.room, Fronts(held, close, idle), limits.memory_mb, own
-        )
+        self.upkeep = Upkeep(self.core, self.roster, self.terms.room, self.servers, limits.memory_mb, own)
         self.admin: Server | None = None
         if conf.admin is not None:
             from lupintack.fronts.admin import BODY_MOST as CALL_MOST
@@ -126,7 +103,8 @@
             from lupintack.fronts.cdni.front import CdniFront
 
             front = CdniFront(cdni, self.core, self.roster, lambda: self.upkeep.life.ready, spawn)
-            self.servers.append(Server(cdni.listen, front.handle, spawn, count, cdni_most, CDNI_BODY_MOST))
+            terms = (count, cdni_most, CDNI_BODY_MOST, shared)
+            self.servers.append(Server(cdni.listen, front.handle, spawn, *terms))
         if http2 is not None:
             from lupintack.fronts.http2 import Http2Server
             from lupintack.settings.terms import stream_terms
@@ -148,6 +126,7 @@
                     blocking=cdn,
                     wait_ms=int(conf.settings.max_retry_after),
                     seed=conf.seed,
+                    reuse=shared,
                 )
 
             self.http2 = [http2_server(http2.listen, platform.handle, BODY_MOST, False)]
@@ -155,10 +134,6 @@
                 self.http2.append(http2_server(http2.cdni_listen, front.handle, CDNI_BODY_MOST, True))
             self.servers += self.http2
 
-    def close_answers(self, closing: bool) -> None:
-        """Whether each answer ends its connection, while the router is emptied."""
-        self.http1.closing = closing
-
     def connect(self, number: int, host: Host) -> Link:
         """The actor of a member that is sent to for the first time."""
         assert host.dial is not None
@@ -189,7 +164,8 @@
         for server in self.servers:
             server.open()
             spawn(server.run, "accept")
-        self.upkeep.steer(self.http1.sock)
+        for server in self.servers:
+            self.upkeep.steer(server.sock)
 
     def reload(self, environ: Mapping[str, str]) -> None:
         """SIGHUP."""
@@ -200,9 +176,9 @@
         plan = self.upkeep.term()
         longest = max((c.deadline for c in self.core.settings.classes), default=0.0) / 1000.0
         end = time.monotonic() + TAKE_S + min(longest, KILL_S) - SPARE_S
-        if plan.close_answers:
-            self.close_answers(True)
         for server in self.servers:
+            if plan.close_answers:
+                server.close_answers(True)
             server.drain()
         time.sleep(plan.accept_us / 1e6)
         for server in self.servers:
--- a/lupintack/upkeep.py
+++ b/lupintack/upkeep.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 import logging
+import socket
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
+from typing import Protocol
 
 from lupintack.clock import now_us
 from lupintack.core.actor import Core
@@ -33,25 +35,46 @@
 LOOK_S = 0.05
 
 
-@dataclass(frozen=True)
-class Fronts:
-    """What the clients' fronts do for it."""
+class Listener(Protocol):
+    """What the fronts' servers have in common."""
 
-    held: Callable[[], int]  # connections that clients hold
-    close_answers: Callable[[bool], None]  # whether each answer ends its connection
-    end_idle: Callable[[int], None]  # end what has been idle for so many microseconds
+    sock: socket.socket
+
+    def open(self) -> None: ...
+
+    def run(self) -> None: ...
+
+    def held(self) -> int: ...
+
+    def close_answers(self, closing: bool) -> None: ...
+
+    def end_idle(self, idle_us: int) -> None: ...
+
+    def drain(self) -> None: ...
+
+    def stop_accepting(self) -> None: ...
+
+    def stop_reading(self) -> None: ...
+
+    def busy(self) -> bool: ...
 
 
 class Upkeep:
     """The operators' desk, the folder shared with a partner, and the node's life."""
 
     def __init__(
-        self, core: Core, roster: Roster, sockets: Room, fronts: Fronts, memory_mb: int, own_sockets: int
+        self,
+        core: Core,
+        roster: Roster,
+        sockets: Room,
+        servers: list[Listener],
+        memory_mb: int,
+        own_sockets: int,
     ) -> None:
         self.core = core
         self.roster = roster
         self.sockets = sockets
-        self.fronts = fronts
+        self.servers = servers
         self.limits = (sockets.most, memory_mb, own_sockets)
         self.life = Life()
         self.folder: Folder | None = None
@@ -168,12 +191,9 @@
             self.life.started(now_us())
         self.tell()
 
-    def steer(self, sock: object) -> None:
+    def steer(self, sock: socket.socket) -> None:
         """New connections come here from now on, where an older process listens, too."""
         if self.partners:
-            import socket
-
-            assert isinstance(sock, socket.socket)
             done = steer(sock, len(self.partners))
             LOG.info("upgrade", extra=fields(older=self.partners[0].pid, steered=done))
 
@@ -207,14 +227,16 @@
     def look_at_life(self) -> None:
         """An evacuation goes on, or is over."""
         with self.lock:
-            limit = self.life.look(now_us(), self.fronts.held())
+            limit = self.life.look(now_us(), sum(server.held() for server in self.servers))
             closing = self.life.closing
             stopping = self.life.phase is Phase.STOPPING
         if closing != self.closing and not stopping:
             self.closing = closing
-            self.fronts.close_answers(closing)
+            for server in self.servers:
+                server.close_answers(closing)
         if limit >= 0:
-            self.fronts.end_idle(limit)
+            for server in self.servers:
+                server.end_idle(limit)
         self.tell()
 
     def tell(self) -> None:
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -640,3 +640,20 @@
         file.write_text("[http2]\nenabled = true\nopen_requests = 0")
         assert not reload_operator(play.node, {"LUPINTACK_OPERATOR": str(file)})
         assert play.front.book.terms.open_requests == 7
+
+
+def test_evacuate_tells_streams_connections_and_rejoin_takes_new_ones() -> None:
+    with site() as play:
+        app = play.app()
+        assert app.answer(app.ask("GET", TILE)).status == 200
+        assert play.node.upkeep.evacuate().status == 200
+        app.until(lambda: bool(app.goaways))
+        assert app.end()[-1][1] == NO_ERROR
+        late = play.app()  # the front still sends for a moment
+        assert late.answer(late.ask("GET", TILE)).status == 200
+        late.until(lambda: bool(late.goaways))
+        assert play.node.upkeep.rejoin().status == 200
+        back = play.app()
+        assert back.answer(back.ask("GET", TILE)).status == 200
+        time.sleep(0.3)  # longer than the grace after which a connection that ends would be told so
+        assert back.answer(back.ask("GET", TILE)).status == 200 and not back.goaways
