--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -2,10 +2,10 @@
 
     python benchmarks/service.py [--runs 10] [--clients 24] [--json FILE]
 
-start: `run` begun to the second address's yes. ban: call to its yes, and wants that the cache gets after that.
+start: `run` begun to the second address's yes. ban: call to its yes, and wants that the cache gets then.
 empty: evacuate to the last client connection's end, eight of them idle. call: each other answer of the second
 address while clients ask. upgrades: what becomes of each request, with new connections steered and without;
-memory and descriptors of both processes at their peak. Bounded: `--runs` of each, some seconds a run; loopback.
+memory and descriptors of both processes at their peak. Bounded: `--runs` of each, seconds a run; loopback.
 """
 
 from __future__ import annotations
