--- a/lupintack/cli/check.py
+++ b/lupintack/cli/check.py
@@ -23,14 +23,14 @@
     if kind == "platform":
         from lupintack import config
 
-        config.load({"EDGE_CONFIG": str(file)})
-        return ["platform"]
+        found = config.load({"EDGE_CONFIG": str(file)})
+        return ["platform"] + ["second address"] * (found.admin is not None)
     data = files.read(file)
     if data is None:
         raise ConfigError(f"{file}: no such file")
     if kind == "operator":
-        found = operator.parse(data, file.name)
-        return [name for name in found.__struct_fields__ if getattr(found, name).enabled]
+        told = operator.parse(data, file.name)
+        return [name for name in told.__struct_fields__ if getattr(told, name).enabled]
     return ["cdni"] if cdni.parse(data, file.name, named_classes(data)).enabled else []
 
 
--- a/lupintack/cli/demo.py
+++ b/lupintack/cli/demo.py
@@ -40,10 +40,12 @@
     def __init__(self, fleet: Fleet, operator: str = "", **configuration: Any) -> None:
         """`operator` is the text of its operator file, in which {http2} stands for the port."""
         self.folder = tempfile.TemporaryDirectory()
-        one, two = free_ports(2)
+        one, two, three = free_ports(3)
         self.http1, self.http2 = ("127.0.0.1", one), ("127.0.0.1", two)
+        self.admin = ("127.0.0.1", three)
         base = Path(self.folder.name)
         told = fleet.configuration(f"127.0.0.1:{one}", **configuration)
+        told["admin_addr"] = f"127.0.0.1:{three}"
         (base / "config.json").write_text(json.dumps(told))
         (base / "operator.toml").write_text(operator.replace("{http2}", f"127.0.0.1:{two}"))
         self.log = (base / "log").open("w+")
@@ -51,6 +53,7 @@
         environ |= {
             "EDGE_CONFIG": str(base / "config.json"),
             "LUPINTACK_OPERATOR": str(base / "operator.toml"),
+            "TMPDIR": str(base),  # where its bans are kept
         }
         environ["PYTHONPATH"] = str(Path(__file__).parents[2])
         words = [sys.executable, "-m", "lupintack"]
@@ -119,6 +122,7 @@
         return {
             "http1": "{}:{}".format(*self.router.http1),
             "http2": "{}:{}".format(*self.router.http2),
+            "admin": "{}:{}".format(*self.router.admin),
             "path": f"/ops/{CLS}/{1:016x}",
             "headers": {"Req-Id": "9b1f03aa5c7e2d41", "Req-Wait-Ms": str(WAIT_MS), "X-Batch": "17"},
         }
@@ -131,6 +135,9 @@
             "The router serves; two caches, two parents, an origin and a notice board stand in behind it.",
             f"HTTP/1.1  curl -sD- {words} http://{told['http1']}{told['path']}",
             f"HTTP/2    curl -sD- --http2-prior-knowledge {words} http://{told['http2']}{told['path']}",
+            f"staff     curl -s http://{told['admin']}/api/ready",
+            f"          curl -s -X POST 'http://{told['admin']}/api/exclude?name=s-1'    (include puts it back)",
+            f"          curl -s -X POST http://{told['admin']}/api/evacuate    (rejoin ends it)",
             "Ctrl-C ends it.",
         ])  # fmt: skip
 
--- a/lupintack/cli/main.py
+++ b/lupintack/cli/main.py
@@ -22,14 +22,14 @@
 
 @main.command()
 def run() -> None:
-    """One edge router, as EDGE_CONFIG, EDGE_LISTEN, EDGE_NAME, LUPINTACK_OPERATOR and LUPINTACK_CDNI say."""
+    """One edge router, as EDGE_CONFIG, EDGE_LISTEN, EDGE_ADMIN_ADDR, EDGE_NAME and LUPINTACK_* say."""
     from lupintack.__main__ import start
 
     start()
 
 
 @main.command()
-@click.option("--json", "as_json", is_flag=True, help="One line: http1, http2, path, headers.")
+@click.option("--json", "as_json", is_flag=True, help="One line: http1, http2, admin, path, headers.")
 @click.option(
     "--check", is_flag=True, help="Ask for 200 objects over both protocols, say what came, and end."
 )
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -237,6 +237,7 @@
             self.named[name] = (sock, parts[1])
             self.wanted_at = member
             self.vars[name] = parts[1]
+            self.wanted_from = resp.pairs(parts[2].encode()).get("miss", "")
             told = {"at": member, "body": parts[3]} | resp.pairs(parts[2].encode())
             for word in words:
                 field, _, pattern = word.partition("=")
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import json
+import resource
 import socket
 import time
+import unittest.mock
 from pathlib import Path
 
 import pytest
 
+from lupintack.core.messages import Order
 from lupintack.core.roster import member_id
+from lupintack.peers import resp
+from lupintack.standins.net import at, listen
 from tests.scenario import Lines, Scenario
 from tests.site import eventually
 
@@ -119,33 +125,6 @@
     play.close()
 
 
-def test_a_want_that_waits_when_the_ban_comes_is_not_written() -> None:
-    play = Scenario()
-    order_gone: list[object] = []
-    stale = play.node.roster.stale
-
-    def asked(order: object) -> bool:
-        if not order_gone:  # the ban comes between the decision and the write
-            order_gone.append(order)
-            told = play.node.upkeep.exclude(play.node.roster.hosts[order.member].name)  # type: ignore[attr-defined]
-            assert told.status == 200
-        return stale(order)  # type: ignore[arg-type]
-
-    play.node.roster.stale = asked  # type: ignore[method-assign]
-    play.run(
-        f"""
-        client a send GET {TILE}
-        cache expect w
-        cache send w ok - one
-        client a expect 200 body=one
-        """,
-        close=False,
-    )
-    served = play.wanted_at
-    assert play.node.roster.banned and member_id(served) not in play.node.roster.banned
-    play.close()
-
-
 def test_a_ban_holds_over_a_restart_and_foreign_state_does_not_stop_one(tmp_path: Path) -> None:
     play = Scenario(tmp=str(tmp_path))
     play.run("staff call POST /api/exclude?name=s-2 200")
@@ -254,3 +233,125 @@
         status, _, body = Lines(sock).message()
     assert " 400 " in status and body.count("\n") == 1
     play.close()
+
+
+def excluded_at_the_write(play: Scenario, whose: str) -> list[str]:
+    """Take out the member, or the source, of the next attempt between its decision and its write."""
+    out: list[str] = []
+    stale = play.node.roster.stale
+
+    def asked(order: Order) -> bool:
+        if not out:
+            number = order.member if whose == "member" else order.source
+            out.append(play.node.roster.hosts[number].name)
+            assert play.node.upkeep.exclude(out[0]).status == 200
+        return stale(order)
+
+    play.node.roster.stale = asked  # type: ignore[method-assign]
+    return out
+
+
+@pytest.mark.parametrize("whose", ["member", "source"])
+def test_a_ban_between_decision_and_write_withdraws_the_attempt(whose: str) -> None:
+    play = Scenario()
+    out = excluded_at_the_write(play, whose)
+    play.run(
+        f"""
+        client a send GET {TILE}
+        cache expect w miss=*
+        cache send w ok - one
+        client a expect 200 body=one
+        """,
+        close=False,
+    )
+    assert out and play.wanted_at != out[0] and play.wanted_from != out[0]
+    assert play.node.core.counters["attempts.withdrawn"] == 1
+    play.close()
+
+
+def test_a_ban_holds_for_second_attempts_and_a_new_address() -> None:
+    """A cache is out, and comes again on the list at another address: nothing reaches either until the call."""
+    play = Scenario()
+    play.run("board expect watch 1\nstaff call POST /api/exclude?name=s-1 200", close=False)
+    play.members["s-1 moved"] = listen(play.member("s-1 moved"))
+    moved = json.dumps(play.line("s-1", dial=at(play.members["s-1 moved"])))
+    play.run(f'board send {{"rev":2,"pool":{{"whole":false,"seq":2,"hosts":[{moved}]}}}}', close=False)
+    eventually(lambda: play.node.board.last == 2 and play.node.roster.mailbox.empty())
+    for n in range(12):
+        play.run(
+            f"""
+            client a send GET /ops/map-tiles/{n:016x}
+            cache expect w at=s-2
+            cache send w error tell=h
+            cache expect v at=[sp]-[12]
+            cache send v ok - one
+            client a expect 200
+            """,
+            close=False,
+        )
+        assert not play.wanted_at.startswith("s-1")
+    play.run("staff call POST /api/include?name=s-1 200", close=False)
+    eventually(lambda: member_id("s-1") in play.node.core.router.peers)
+    assert play.node.core.hosts[member_id("s-1")].dial == play.members["s-1 moved"].getsockname()
+    play.close()
+
+
+def test_a_location_without_caches_is_said_and_served_by_the_parents() -> None:
+    Scenario().run(f"""
+        staff call POST /api/exclude?name=s-1 200 body:out
+        staff call POST /api/exclude?name=s-2 200 body:*none*of*its*kind*
+        client a send GET {TILE}
+        cache expect w at=p-*
+        cache send w ok - one
+        client a expect 200 body=one
+        staff call POST /api/include?name=s-2 200 body:back*
+    """)
+
+
+def test_evacuate_with_a_thousand_kept_connections() -> None:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 8192), hard))
+    play = Scenario(sockets=4096)
+    try:
+        where = play.node.http1.sock.getsockname()
+        kept = [socket.create_connection(where) for _ in range(1000)]
+        for sock in kept:
+            sock.sendall(b"GET /alive HTTP/1.1\r\nHost: x\r\n\r\n")
+        for sock in kept:
+            sock.settimeout(5.0)
+            assert b" 200 " in sock.recv(4096)
+        began = time.monotonic()
+        play.run("staff call POST /api/evacuate 200", close=False)
+        for sock in kept:
+            assert not sock.recv(1)
+            sock.close()
+        assert time.monotonic() - began < 2.0
+        eventually(lambda: play.node.upkeep.life.phase.value == "evacuated")
+    finally:
+        play.close()
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_evacuate_with_pipelined_requests_and_a_slow_reader() -> None:
+    """The second of two requests sent at once is not taken: its connection has ended with the first answer.
+    A reader that takes its time gets all of its answer, long after idle connections were ended.
+    """
+    play = Scenario()
+    get = f"GET {TILE} HTTP/1.1\\r\\nHost: x\\r\\nReq-Id: %s\\r\\nReq-Wait-Ms: 3000\\r\\n\\r\\n"
+    with unittest.mock.patch.object(resp, "BODY_MOST", 9 << 20):
+        play.run(
+            f"""
+            client slow send GET {TILE}?nth=7 Req-Wait-Ms:3000
+            cache expect s
+            cache send s ok - 8000000
+            client two send raw '{get % ("0" * 15 + "1")}{get % ("0" * 15 + "2")}'
+            cache expect w
+            staff call POST /api/evacuate 200
+            cache send w ok - one
+            client two expect 200 Connection:close body=one
+            client two expect closed
+            cache expect nothing 50
+            wait 1700
+            client slow expect 200 body=xxx*
+            """
+        )
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -10,6 +10,7 @@
 from lupintack.cli.demo import Router
 from lupintack.client import Client, Served
 from lupintack.standins.fleet import Fleet
+from lupintack.standins.processes import call
 from tests.app import App
 
 
@@ -19,7 +20,10 @@
     try:
         assert process.stdout is not None
         told = json.loads(process.stdout.readline())
-        assert set(told) == {"http1", "http2", "path", "headers"}
+        assert set(told) == {"http1", "http2", "admin", "path", "headers"}
+        host, _, port = told["admin"].rpartition(":")
+        assert call((host, int(port)), "GET", "/api/ready") == (200, "ready")
+        assert call((host, int(port)), "POST", "/api/exclude?name=s-1") == (200, "out")
         cls, item = told["path"].split("/")[2:]
         for name in ("http1", "http2"):
             host, _, port = told[name].rpartition(":")
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -109,11 +109,14 @@
     )
 
 
-def test_an_alert_ack_under_way_never_runs_twice_when_its_class_loosens(tmp_path: Path) -> None:
+@pytest.mark.parametrize("effect", ["free", "guarded", "single_shot"])
+def test_an_alert_ack_under_way_never_runs_twice_whatever_its_class_becomes(
+    effect: str, tmp_path: Path
+) -> None:
     play = Scenario()
     ack = "/ops/alert-ack/00000000000000ac"
     play.run(f"client a send PUT {ack} body=x Req-Wait-Ms:1000\ncache expect w cls=alert-ack", close=False)
-    hup(play, tmp_path, lambda d: services(d)[2].update(repeat="free"))
+    hup(play, tmp_path, lambda d: services(d)[2].update(repeat=effect))
     play.run("cache close w\nclient a expect 502\ncache expect nothing 100")
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -19,7 +19,7 @@
     play.close()
 
 
-@pytest.mark.parametrize("upgrades", [3])
+@pytest.mark.parametrize("upgrades", [10])
 def test_upgrades_under_load_lose_nothing(site: Processes, upgrades: int) -> None:
     old, _ = site.start()
     load = Load(site.listen, 8)
@@ -79,3 +79,20 @@
     assert call(second, "GET", "/api/ready")[0] == 200
     old.send_signal(signal.SIGTERM)
     assert old.wait(10) == 0
+
+
+def test_a_second_upgrade_while_the_first_is_not_over(site: Processes) -> None:
+    """Three processes for a moment: each request is answered, and the last one is left."""
+    first, _ = site.start()
+    load = Load(site.listen, 6)
+    try:
+        second, _ = site.start()
+        third, admin = site.start()
+        first.send_signal(signal.SIGTERM)
+        second.send_signal(signal.SIGTERM)
+        assert (first.wait(10), second.wait(10)) == (0, 0)
+    finally:
+        fates = load.stop()
+    assert set(fates) <= {"200", "crossed"} and fates.get("crossed", 0) <= 4, fates
+    assert call(admin, "GET", "/api/ready") == (200, "ready")
+    assert sorted(path.name for path in site.tmp.glob("lupintack-*/*")) == ["lock", f"run.{third.pid}"]
