--- a/lupintack/cli/demo.py
+++ b/lupintack/cli/demo.py
@@ -136,8 +136,8 @@
             f"HTTP/1.1  curl -sD- {words} http://{told['http1']}{told['path']}",
             f"HTTP/2    curl -sD- --http2-prior-knowledge {words} http://{told['http2']}{told['path']}",
             f"staff     curl -s http://{told['admin']}/api/ready",
-            f"          curl -s -X POST 'http://{told['admin']}/api/exclude?name=s-1'    (include puts it back)",
-            f"          curl -s -X POST http://{told['admin']}/api/evacuate    (rejoin ends it)",
+            f"          curl -s -X POST 'http://{told['admin']}/api/exclude?name=s-1'  (include: back)",
+            f"          curl -s -X POST http://{told['admin']}/api/evacuate  (rejoin: back to work)",
             "Ctrl-C ends it.",
         ])  # fmt: skip
 
