--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
-import socket
 import threading
 import time
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
-from lupintack import config, logs, operator
+from lupintack import config, logs
 from lupintack.board import Board
 from lupintack.clock import module_ms, now_us
 from lupintack.core.actor import Close, Core, Stop
@@ -24,8 +22,9 @@
 from lupintack.interface import ListKind, MemberList
 from lupintack.lifecycle.folder import Folder
 from lupintack.peers.actor import Peer, Room, Terms
+from lupintack.reload import reload
 from lupintack.settings import files
-from lupintack.upkeep import Fronts, Upkeep
+from lupintack.upkeep import Listener, Upkeep
 
 if TYPE_CHECKING:  # imported only where the feature is on
     from lupintack.fronts.cdni.conf import Cdni
@@ -58,24 +57,6 @@
         return None
 
 
-class Listener(Protocol):
-    """What the fronts' servers have in common."""
-
-    sock: socket.socket
-
-    def open(self) -> None: ...
-
-    def run(self) -> None: ...
-
-    def drain(self) -> None: ...
-
-    def stop_accepting(self) -> None: ...
-
-    def stop_reading(self) -> None: ...
-
-    def busy(self) -> bool: ...
-
-
 class Node:
     """One edge router: the core between its fronts and its peers."""
 
@@ -89,7 +70,7 @@
             copies = Copies(room(conf.limits.memory_mb), conf.link_bytes_per_s)
         self.core = Core(conf.settings, conf.seed, self.roster, self.connect, copies)
         self.board = Board(conf.board, conf.names, self.roster, conf.seed)
-        platform = Platform(self.core, conf.names.classes, lambda: self.upkeep.life.ready)
+        platform = self.platform = Platform(self.core, conf.names.classes, lambda: self.upkeep.life.ready)
         count = self.core.counters.add
         sockets = conf.limits.sockets
         most = sockets // 3 + min(CLOSING, sockets // 8)
@@ -106,15 +87,11 @@
             conf.names.reports,
             Room(max(8, sockets - most - cdni_most - h2_most * h2_ports - admin_most - OWN)),
         )
-        self.http1 = Server(
-            conf.listen, platform.handle, spawn, count, most, BODY_MOST, reuse=conf.admin is not None
-        )
+        shared = conf.admin is not None  # with the other process of an upgrade
+        self.http1 = Server(conf.listen, platform.handle, spawn, count, most, BODY_MOST, reuse=shared)
         self.servers: list[Listener] = [self.http1]
-        held, close, idle = (lambda: len(self.http1.conns)), self.close_answers, self.http1.end_idle
         own = admin_most + OWN
-        self.upkeep = Upkeep(
-            self.core, self.roster, self.terms.room, Fronts(held, close, idle), limits.memory_mb, own
-        )
+        self.upkeep = Upkeep(self.core, self.roster, self.terms.room, self.servers, limits.memory_mb, own)
         self.admin: Server | None = None
         if conf.admin is not None:
             from lupintack.fronts.admin import BODY_MOST as CALL_MOST
@@ -126,7 +103,8 @@
             from lupintack.fronts.cdni.front import CdniFront
 
             front = CdniFront(cdni, self.core, self.roster, lambda: self.upkeep.life.ready, spawn)
-            self.servers.append(Server(cdni.listen, front.handle, spawn, count, cdni_most, CDNI_BODY_MOST))
+            terms = (count, cdni_most, CDNI_BODY_MOST, shared)
+            self.servers.append(Server(cdni.listen, front.handle, spawn, *terms))
         if http2 is not None:
             from lupintack.fronts.http2 import Http2Server
             from lupintack.settings.terms import stream_terms
@@ -148,6 +126,7 @@
                     blocking=cdn,
                     wait_ms=int(conf.settings.max_retry_after),
                     seed=conf.seed,
+                    reuse=shared,
                 )
 
             self.http2 = [http2_server(http2.listen, platform.handle, BODY_MOST, False)]
@@ -155,10 +134,6 @@
                 self.http2.append(http2_server(http2.cdni_listen, front.handle, CDNI_BODY_MOST, True))
             self.servers += self.http2
 
-    def close_answers(self, closing: bool) -> None:
-        """Whether each answer ends its connection, while the router is emptied."""
-        self.http1.closing = closing
-
     def connect(self, number: int, host: Host) -> Link:
         """The actor of a member that is sent to for the first time."""
         assert host.dial is not None
@@ -189,58 +164,21 @@
         for server in self.servers:
             server.open()
             spawn(server.run, "accept")
-        self.upkeep.steer(self.http1.sock)
+        for server in self.servers:
+            self.upkeep.steer(server.sock)
 
     def reload(self, environ: Mapping[str, str]) -> None:
-        """After SIGHUP: the board may have moved; what else has changed waits for the next start."""
-        try:
-            conf = config.load(environ)
-        except config.ConfigError as error:
-            LOG.error("new configuration can't be used, the old one is kept", extra=logs.fields(reason=error))
-            return
-        if not self.reload_operator(environ):
-            return
-        self.board.move(conf.board)
-        skip = ("board", "known")  # the numbers continue, so what is known now comes from the board
-        names = [f.name for f in dataclasses.fields(conf) if f.name not in skip]
-        ignored = [name for name in names if getattr(conf, name) != getattr(self.conf, name)]
-        if ignored:
-            LOG.warning("changes ignored until the next start", extra=logs.fields(names=",".join(ignored)))
-        LOG.info("configuration read", extra=logs.fields(board=conf.board))
-
-    def reload_operator(self, environ: Mapping[str, str]) -> bool:
-        """The operator's file again: what can change while running does so, whole or not at all."""
-        try:
-            wanted = operator.load(environ)
-        except config.ConfigError as error:
-            LOG.error("new operator file can't be used, the old one is kept", extra=logs.fields(reason=error))
-            return False
-        if self.wanted is None or wanted is None:
-            if wanted is not self.wanted:
-                LOG.warning("changes ignored until the next start", extra=logs.fields(names="operator file"))
-            return True
-        from lupintack.settings.operator import Http2, live_keys
-        from lupintack.settings.terms import stream_terms
-
-        live = live_keys(Http2)
-        names = Http2.__struct_fields__
-        changed = [n for n in names if getattr(wanted.http2, n) != getattr(self.wanted.http2, n)]
-        for server in self.http2:
-            server.apply(stream_terms(wanted.http2))
-        waiting = [f"http2.{name}" for name in changed if name not in live]
-        if waiting:
-            LOG.warning("changes ignored until the next start", extra=logs.fields(names=",".join(waiting)))
-        LOG.info("operator file read", extra=logs.fields(changed=",".join(n for n in changed if n in live)))
-        return True
+        """SIGHUP."""
+        reload(self, environ)
 
     def stop(self) -> None:
         """After SIGTERM: take what still comes, answer everything, and be done."""
         plan = self.upkeep.term()
-        longest = max((c.deadline for c in self.conf.settings.classes), default=0.0) / 1000.0
+        longest = max((c.deadline for c in self.core.settings.classes), default=0.0) / 1000.0
         end = time.monotonic() + TAKE_S + min(longest, KILL_S) - SPARE_S
-        if plan.close_answers:
-            self.close_answers(True)
         for server in self.servers:
+            if plan.close_answers:
+                server.close_answers(True)
             server.drain()
         time.sleep(plan.accept_us / 1e6)
         for server in self.servers:
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -627,14 +627,33 @@
 ) -> None:
     from pathlib import Path
 
+    from lupintack.reload import reload_operator
+
     file = Path(str(tmp_path)) / "operator.toml"
     with site() as play:
         listen = "listen = '127.0.0.1:0'\n"
         file.write_text(f"[http2]\nenabled = true\n{listen}open_requests = 7\nconnections = 9")
         with caplog.at_level("INFO"):
-            assert play.node.reload_operator({"LUPINTACK_OPERATOR": str(file)})
+            assert reload_operator(play.node, {"LUPINTACK_OPERATOR": str(file)})
         assert play.front.book.terms.open_requests == 7
         assert any("http2.connections" in str(getattr(r, "kv", "")) for r in caplog.records)
         file.write_text("[http2]\nenabled = true\nopen_requests = 0")
-        assert not play.node.reload_operator({"LUPINTACK_OPERATOR": str(file)})
+        assert not reload_operator(play.node, {"LUPINTACK_OPERATOR": str(file)})
         assert play.front.book.terms.open_requests == 7
+
+
+def test_evacuate_tells_streams_connections_and_rejoin_takes_new_ones() -> None:
+    with site() as play:
+        app = play.app()
+        assert app.answer(app.ask("GET", TILE)).status == 200
+        assert play.node.upkeep.evacuate().status == 200
+        app.until(lambda: bool(app.goaways))
+        assert app.end()[-1][1] == NO_ERROR
+        late = play.app()  # the front still sends for a moment
+        assert late.answer(late.ask("GET", TILE)).status == 200
+        late.until(lambda: bool(late.goaways))
+        assert play.node.upkeep.rejoin().status == 200
+        back = play.app()
+        assert back.answer(back.ask("GET", TILE)).status == 200
+        time.sleep(0.3)  # longer than the grace after which a connection that ends would be told so
+        assert back.answer(back.ask("GET", TILE)).status == 200 and not back.goaways
