Take the answer to 'there' in the form of every answer, and keep the connection it speaks for

Checked and ruled out: answers that stop short (none in the log), refused connections (none), caches down (no list event), loads (0.3). At fault: peers/actor.py took a yes of two strings only; the stand-ins answered so, and hid it. words.is_yes takes both forms.

The test with four strings fails without it.

--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -165,7 +165,7 @@
             while True:
                 parts = list(reader.array())
                 self.used_us, self.asked_us, self.quiet_us = now_us(), 0, 0
-                if len(parts) == 2 and bytes(parts[1]) == b"yes":
+                if words.is_yes(parts):
                     continue
                 if len(parts) != 4 or not words.WIRE_ID.fullmatch(parts[0]):
                     raise resp.FrameError(f"an answer of {len(parts)} strings, or to no id")
--- a/lupintack/peers/words.py
+++ b/lupintack/peers/words.py
@@ -29,6 +29,7 @@
 }
 NAMES = frozenset({"entity", "issued", "tell", "delay", "meter"})
 WIRE_ID = re.compile(rb"[0-9a-f]{16}")
+ASKED = re.compile(rb"\d{1,20}")  # of a `there`
 TAG = re.compile(r"[0-9A-Za-z_.-]{1,64}")
 ISSUED = re.compile(r"[0-9]{1,15}")
 AHEAD_MS = 60_000  # a copy given out so far in the future is none
@@ -107,3 +108,11 @@
     if any(name not in told for name in reports):
         return ()
     return tuple(figure(told[name]) for name in reports)
+
+
+def is_yes(parts: list[bytearray]) -> bool:
+    """Whether this answers a `there`: `TAG yes - ""`, like any answer, or with less behind the word.
+
+    Danger: read as a bad frame it ends a connection that has just shown that it works, with all that is out.
+    """
+    return len(parts) in (2, 4) and bytes(parts[1]) == b"yes" and bool(ASKED.fullmatch(parts[0]))
--- a/lupintack/standins/fleet.py
+++ b/lupintack/standins/fleet.py
@@ -102,7 +102,7 @@
                 word = bytes(parts[0])
                 if word == b"there":
                     with lock:
-                        sock.sendall(resp.command(bytes(parts[1]), b"yes"))
+                        sock.sendall(resp.command(bytes(parts[1]), b"yes", b"-", b""))
                 elif word == b"never_mind":
                     with lock:
                         dropped.add(bytes(parts[1]).decode())
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -605,6 +605,18 @@
             """)
         self.assertIsNot(play.named["w"][0], play.named["v"][0])
 
+    def test_a_yes_in_the_form_of_every_answer_keeps_the_connection(self) -> None:
+        """`TAG yes - ""`: read as a bad frame, it ended a connection just as that had shown to work."""
+        play = Scenario()
+        play.run("""
+            client a send GET /ops/river-video/00000000000000aa Req-Wait-Ms:5000
+            cache expect w
+            cache expect there yes - ''
+            cache send w ok - slow
+            client a expect 200 body=slow
+        """)
+        self.assertEqual(play.node.core.counters["ended.bad_frame"], 0)
+
     def test_one_that_answers_is_kept_and_an_ack_is_not_sent_again(self) -> None:
         Scenario().run(f"""
             client a send GET /ops/river-video/00000000000000aa Req-Wait-Ms:5000
