Leave what a process learned, and own copies, to the new one of an upgrade

Tests: round trip, purges, torn and foreign bytes, and two processes: 50 copies over, and not one want sent for them after the upgrade.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -21,6 +21,7 @@
 from lupintack.core.copies import NEWS_US, Copies
 from lupintack.core.counters import Counters
 from lupintack.core.ending import Ending
+from lupintack.core.legacy import Stock, take
 from lupintack.core.messages import Answer, Ask, Ended, Left, Link, Order
 from lupintack.core.retune import Retune, apply
 from lupintack.core.roster import Change, Host, Roster
@@ -77,7 +78,7 @@
     """The very end: what is still owed is failed now."""
 
 
-Message = Ask | Left | Ended | Change | Retune | Stop | Close
+Message = Ask | Left | Ended | Change | Retune | Stock | Stop | Close
 
 
 def same(one: Ask, other: Ask) -> bool:
@@ -216,6 +217,8 @@
                 self.on_change(message, events, held)
             elif isinstance(message, Retune):
                 apply(self, message)
+            elif isinstance(message, Stock):
+                message.done(take(self))
             elif isinstance(message, Close):
                 self.on_close(events)
             else:
--- a/lupintack/core/copies.py
+++ b/lupintack/core/copies.py
@@ -67,16 +67,20 @@
         return copy.answer, holds
 
     def keep(self, ask: Ask, answer: Answer) -> None:
+        """Keep a copy of what was just served."""
+        self.put((ask.object_id, ask.part), ask.group, answer)
+
+    def put(self, key: tuple[int, int], group: int, answer: Answer) -> None:
         """Keep a copy, unless a purge has overtaken it; the longest unused make room."""
         size = len(answer.body) + OVERHEAD
         purge = max(
-            self.purged.get((True, ask.object_id), 0.0),
-            self.purged.get((False, ask.group), 0.0),
+            self.purged.get((True, key[0]), 0.0),
+            self.purged.get((False, group), 0.0),
         )
         if not answer.issued_ms or answer.issued_ms <= purge or size > self.most // 16:
             return
-        self.drop((ask.object_id, ask.part))
-        self.held[ask.object_id, ask.part] = Copy(answer, ask.group)
+        self.drop(key)
+        self.held[key] = Copy(answer, group)
         self.bytes += size
         while self.bytes > self.most:
             self.drop(next(iter(self.held)))
--- a/lupintack/lifecycle/folder.py
+++ b/lupintack/lifecycle/folder.py
@@ -13,8 +13,9 @@
 import logging
 import os
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from pathlib import Path
+from typing import BinaryIO
 
 from lupintack.lifecycle.partner import Partner
 from lupintack.logs import fields
@@ -123,6 +124,7 @@
             try:
                 fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
                 os.unlink(self.path / name)
+                (self.path / name.replace("run.", "legacy.")).unlink(missing_ok=True)
             finally:
                 os.close(fd)
 
@@ -157,11 +159,35 @@
         os.replace(new, self.bans)
         self.seen = self.stamp()
 
+    # What an old process leaves to a new one
+
+    def leave(self, pid: int, records: Iterable[bytes]) -> None:
+        """For the process with that number, whole or not at all."""
+        new = self.path / f"legacy.{pid}.new"
+        try:
+            with open(new, "wb") as file:
+                file.writelines(records)
+            os.replace(new, self.path / f"legacy.{pid}")
+        except OSError:
+            new.unlink(missing_ok=True)
+            raise
+
+    def legacy(self) -> BinaryIO | None:
+        """What was left to this process; its name is gone once it is open."""
+        path = self.path / f"legacy.{self.pid}"
+        try:
+            file = open(path, "rb")
+        except FileNotFoundError:
+            return None
+        path.unlink(missing_ok=True)
+        return file
+
     def close(self) -> None:
         """Leave: nothing of this process is found any more. The bans stay."""
         try:
             with self.locked():
                 os.unlink(self.mine)
+                (self.path / f"legacy.{self.pid}").unlink(missing_ok=True)
         except OSError:
             pass
         os.close(self.fd)
--- a/lupintack/lifecycle/partner.py
+++ b/lupintack/lifecycle/partner.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+LEGACY_PART = 0.9  # of the memory that both processes and what is handed over may use together
 PROCESS_MB = 24  # what one process needs without any copies of its own
 
 
@@ -36,6 +37,7 @@
     member_sockets: int
     memory_mb: int  # from which the room for own copies is reckoned; 0: none
     processes: int  # that share each cold member's budget
+    legacy_bytes: int = 0  # of own copies, that the old side may leave to the new one
 
 
 def side(born_ns: int, pid: int, others: list[Partner]) -> Side:
@@ -55,4 +57,6 @@
     each = max(8, (sockets - own * others) // processes)
     # Own copies go where the clients are going: the old side's give way at once.
     left = 0 if which is Side.OLD else max(0, memory_mb - PROCESS_MB * others)
-    return Share(each, left, processes)
+    # What is left lies three times for a moment: in the old process, in the file, in the new one.
+    spare = max(0.0, memory_mb * LEGACY_PART - PROCESS_MB * processes) / 3
+    return Share(each, left, processes, int(spare * 1e6) if which is Side.OLD else 0)
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -152,13 +152,15 @@
         self.core.turn([*first])
         if not first:
             self.core.router.handle(module_ms(now_us()), [MemberList(ListKind.CACHED)])
+        if self.admin is not None:
+            self.admin.open()
+            spawn(self.admin.run, "admin")
+            self.upkeep.inherit()
         self.roster.tell = self.core.news
         spawn(self.roster.run, "roster")
         spawn(self.core.run, "core")
         spawn(self.board.run, "board")
         if self.admin is not None:
-            self.admin.open()
-            spawn(self.admin.run, "admin")
             spawn(self.upkeep.run, "upkeep")
         self.upkeep.started()
         for server in self.servers:
--- a/lupintack/upkeep.py
+++ b/lupintack/upkeep.py
@@ -13,11 +13,13 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from queue import Empty, SimpleQueue
 from typing import Protocol
 
 from lupintack.clock import now_us
 from lupintack.core.actor import Core
 from lupintack.core.copies import room
+from lupintack.core.legacy import Legacy, Stock, adopt, adopt_copy, read
 from lupintack.core.retune import Retune
 from lupintack.core.roster import Roster
 from lupintack.fronts.admin import Verdict
@@ -33,6 +35,9 @@
 
 LOG = logging.getLogger("upkeep")
 LOOK_S = 0.05
+LEGACY_S = 0.4  # of a start, for what the older process leaves
+LEGACY_AGAIN_S = 0.005
+STOCK_S = 1.0  # for the core's turn that takes it
 
 
 class Listener(Protocol):
@@ -82,6 +87,7 @@
         self.partners: list[Partner] = []
         self.share = Share(sockets.most, memory_mb, 1)
         self.told: Phase | None = None
+        self.left_to: set[int] = set()  # processes for which a legacy was taken
         self.closing = False
 
     # The operators' calls
@@ -257,10 +263,14 @@
         others = folder.others()
         which = side(folder.born_ns, folder.pid, others)
         self.partners = others
+        if others and self.told is not None and (late := folder.legacy()) is not None:
+            late.close()  # it was left after the start had gone on without
         wanted = share(which, len(others), *self.limits)
         if wanted == self.share:
             return
         self.share = wanted
+        if which is Side.OLD:
+            self.bequeath(folder, max(others, key=lambda o: (o.born_ns, o.pid)))
         told = fields(side=which.value, processes=wanted.processes, member_sockets=wanted.member_sockets)
         LOG.info("limits shared", extra=told)
         self.sockets.most = wanted.member_sockets
@@ -268,6 +278,50 @@
         memory = room(self.limits[1]) if alone else room(wanted.memory_mb)
         self.core.post(Retune(processes=wanted.processes, copies=memory))
 
+    def bequeath(self, folder: Folder, heir: Partner) -> None:
+        """Leave what was learned, and own copies, to a process that starts; taken before these give way."""
+        if heir.pid in self.left_to or not self.life.ready or heir.phase != Phase.STARTING.value:
+            return
+        mine, ready = (folder.born_ns, folder.pid), Phase.READY.value
+        if any(o.phase == ready and (o.born_ns, o.pid) > mine for o in self.partners):
+            return  # one between the two has more to leave
+        self.left_to.add(heir.pid)
+        taken: SimpleQueue[Legacy] = SimpleQueue()
+        most = self.share.legacy_bytes
+
+        def write() -> None:
+            try:
+                folder.leave(heir.pid, taken.get(timeout=STOCK_S).records(most))
+            except (OSError, Empty) as error:
+                LOG.warning("nothing left to the new process", extra=fields(reason=repr(error)))
+
+        self.core.post(Stock(taken.put))
+        threading.Thread(target=write, name="legacy", daemon=True).start()
+
+    def inherit(self) -> None:
+        """Before the first request: what an older process has left, waited for in vain for LEGACY_S."""
+        folder = self.folder
+        if folder is None or not any(o.phase == Phase.READY.value for o in self.partners):
+            return
+        until = time.monotonic() + LEGACY_S
+        while (file := folder.legacy()) is None:
+            if time.monotonic() >= until:
+                LOG.info("nothing was left by the older process")
+                return
+            time.sleep(LEGACY_AGAIN_S)
+        adopted, count, fault, copies = False, 0, "", self.core.copies
+        try:
+            with file:
+                records = read(file.read)
+                adopted = adopt(self.core.router, next(records, (None, b""))[0])
+                for told, body in records if adopted else ():
+                    if copies is not None:
+                        adopt_copy(copies, told, body)
+                        count += 1
+        except Exception as error:  # whatever it is: a start must not fail for what another process left
+            fault = repr(error)
+        LOG.info("legacy", extra=fields(learned=adopted, copies=count, fault=fault or "none"))
+
     def look_at_bans(self) -> None:
         """What was said to the partner binds here as well."""
         folder = self.folder
--- /dev/null
+++ b/tests/test_legacy.py
@@ -0,0 +1,137 @@
+"""What an old process leaves to the new one, read back whole or not at all."""
+
+from __future__ import annotations
+
+import io
+import json
+import math
+import threading
+from pathlib import Path
+
+import pytest
+
+from lupintack.core.copies import Copies
+from lupintack.core.legacy import HEAD, Legacy, adopt, adopt_copy, learned, read
+from lupintack.core.messages import Answer
+from lupintack.policy import Router
+from lupintack.standins.processes import Load, Processes, call
+from tests import helpers as h
+
+
+def router() -> Router:
+    made = h.router()
+    made.learn_work(0, 40.0, True)
+    made.last_seen[5, 0] = 10.0
+    made.split = 3.5
+    lost = made.peers[h.CACHES[0]]
+    lost.lost_at, lost.weight, lost.load = 900.0, 1.2, 0.7
+    made.eject(made.peers[h.PARENTS[0]], "fails")
+    return made
+
+
+def test_what_was_learned_goes_over_by_class_name_and_member() -> None:
+    old, new = router(), h.router()
+    assert adopt(new, json.loads(json.dumps(learned(old))))
+    assert (new.work, new.sending, new.measured) == (old.work, old.sending, old.measured)
+    assert new.last_seen == old.last_seen and new.split == 3.5
+    for id_ in (h.CACHES[0], h.PARENTS[0]):
+        was, now = old.peers[id_], new.peers[id_]
+        assert (now.lost_at, now.ejections, now.ejected_until) == (
+            was.lost_at,
+            was.ejections,
+            was.ejected_until,
+        )
+    lost = new.peers[h.CACHES[0]]
+    assert lost.warmth(901.0) < 1.0, "it is held to be cold by the new process, too"
+    assert (lost.weight, lost.load) == (1.2, 0.7)
+    assert new.peers[h.CACHES[1]].lost_at == -math.inf
+
+
+def test_a_member_started_since_is_another_process() -> None:
+    old, new = router(), h.router()
+    new.peers[h.CACHES[0]].started = 5_000.0
+    assert adopt(new, learned(old))
+    assert new.peers[h.CACHES[0]].lost_at == -math.inf
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": 2}, {"classes": []}, {"classes": {"a": ["x"]}}, {"classes": {"a": [math.nan]}},
+        {"seen": 3}, {"seen": [[1]]}, {"seen": [["a", 0, 1.0]]}, {"peers": {"x": []}},
+        {"peers": None}, {"split": None},
+        {"split": True},
+    ],
+)  # fmt: skip
+def test_what_can_t_be_read_changes_nothing(change: dict[str, object]) -> None:
+    new, untouched = h.router(), h.router()
+    assert not adopt(new, learned(router()) | change)
+    assert learned(new) == learned(untouched)
+    assert not adopt(new, None) and not adopt(new, [])
+
+
+def copies(*held: tuple[int, int, bytes]) -> Copies:
+    made = Copies(1 << 22, 1e6)
+    for object_id, issued, body in held:
+        made.put((object_id, 0), 17, Answer(body, "t", issued))
+    return made
+
+
+def test_the_most_recent_copies_that_fit_go_over_and_purges_hold() -> None:
+    old = copies((1, 1000, b"a" * 600), (2, 3000, b"b" * 600), (3, 3000, b"c" * 600))
+    data = b"".join(Legacy({"version": 1}, list(old.held.items())).records(1300))
+    new = copies()
+    new.purge(3, 0, 4000.0)  # heard by the new process alone
+    records = read(io.BytesIO(data).read)
+    assert next(records) == ({"version": 1}, b"")
+    for told, body in records:
+        adopt_copy(new, told, body)
+    assert {key: bytes(copy.answer.body) for key, copy in new.held.items()} == {(2, 0): b"b" * 600}
+
+
+@pytest.mark.parametrize("cut", [1, 9, 300])
+def test_a_torn_legacy_is_read_as_far_as_it_is_whole(cut: int) -> None:
+    data = b"".join(
+        Legacy({}, list(copies((1, 1, b"a" * 400), (2, 1, b"b" * 400)).held.items())).records(9999)
+    )
+    found = []
+    with pytest.raises(ValueError, match="cut short"):
+        for one in read(io.BytesIO(data[:-cut]).read):
+            found.append(one)
+    assert [body[:1] for _, body in found] == [b"", b"a"]
+
+
+@pytest.mark.parametrize("data", [HEAD.pack(1 << 31, 0), HEAD.pack(2, 1 << 20), HEAD.pack(3, 0) + b"{x}"])
+def test_foreign_bytes_are_refused(data: bytes) -> None:
+    with pytest.raises(ValueError):
+        list(read(io.BytesIO(data).read))
+    for told in (None, [], [1, 0, 17, "t"], [1, 0, 17, 5, 1], ["1", 0, 17, "t", 1], [1, -1, 17, "t", 1]):
+        with pytest.raises((ValueError, TypeError)):
+            adopt_copy(copies(), told, b"x")
+
+
+def test_the_new_process_answers_from_the_old_one_s_copies(tmp_path: Path) -> None:
+    play = Processes(tmp_path, link_bytes_per_s=1e8)
+    try:
+        old, _ = play.start()
+        load = Load(play.listen, 2)
+        while len(load.fates) < 300:
+            threading.Event().wait(0.01)
+        load.stop()
+        _, admin = play.start()
+        play.says(1, "event=legacy")
+        line = next(one for one in play.log(1).splitlines() if "event=legacy" in one)
+        assert "learned=true" in line and "fault=none" in line and "copies=50" in line, line
+        old.terminate()
+        assert old.wait(10) == 0
+        asked = sum(member.asked.total() for member in play.fleet.members.values())
+        load = Load(play.listen, 2)
+        while len(load.fates) < 100:
+            threading.Event().wait(0.01)
+        assert load.stop() == {"200": len(load.fates)}
+        assert sum(member.asked.total() for member in play.fleet.members.values()) == asked
+        assert call(admin, "GET", "/api/ready")[0] == 200
+        left = {path.name.partition(".")[0] for path in tmp_path.glob("lupintack-*/*")}
+        assert left == {"lock", "run"}
+    finally:
+        play.close()
