--- a/tests/test_slow.py
+++ b/tests/test_slow.py
@@ -1,4 +1,4 @@
-"""Less room: clients that read slowly, requests cut at any byte, connections that fall quiet, clients that leave."""
+"""Less room: clients that read slowly, requests cut at any byte, quiet connections, clients that leave."""
 
 from __future__ import annotations
 
