Keep a ban in force that could not be kept when a later one can be

Found on reading again: after a 500 ('out in this process, but not kept') the next call that was kept replaced the bans by the file's, and the first one was lifted. What was said and not kept is said again with each write and each reading of the file, the last word on each member. tests/test_admin.py fails without it.

--- a/lupintack/upkeep.py
+++ b/lupintack/upkeep.py
@@ -34,6 +34,7 @@
 from lupintack.peers.actor import Room
 
 LOG = logging.getLogger("upkeep")
+Word = Callable[[Bans, str, float], bool]
 LOOK_S = 0.05
 LEGACY_S = 0.4  # of a start, for what the older process leaves
 LEGACY_AGAIN_S = 0.005
@@ -84,6 +85,7 @@
         self.life = Life()
         self.folder: Folder | None = None
         self.lock = threading.Lock()  # of the life, and of what is said of members
+        self.unkept: dict[str, tuple[Word, float]] = {}  # said here, and not in the folder yet
         self.partners: list[Partner] = []
         self.share = Share(sockets.most, memory_mb, 1)
         self.told: Phase | None = None
@@ -107,7 +109,7 @@
             if len(self.roster.bans.out) >= OUT_MOST:
                 return Verdict(507, f"{OUT_MOST} are out already; put some back first")
             was = name in self.roster.bans.out
-            kept = self.change(lambda bans, now: bans.exclude(name, now))
+            kept = self.change(name, Bans.exclude)
         LOG.info("cache taken out", extra=fields(cache=name, again=was, kept=kept or "yes"))
         if kept:
             return Verdict(500, f"out in this process, but not kept for the next one: {kept}")
@@ -119,7 +121,7 @@
             return Verdict(404, "no such cache is listed or out")
         with self.lock:
             was = name in self.roster.bans.out
-            kept = self.change(lambda bans, now: bans.include(name, now))
+            kept = self.change(name, Bans.include)
         LOG.info("cache put back", extra=fields(cache=name, was_out=was, kept=kept or "yes"))
         if kept:
             return Verdict(500, f"back in this process, but not kept for the next one: {kept}")
@@ -148,25 +150,35 @@
         some = any(h.state is State.READY and h.name not in out for h in mates)
         return "" if some else "; none of its kind is left in its location"
 
-    def change(self, call: Callable[[Bans, float], bool]) -> str:
+    def change(self, name: str, call: Word) -> str:
         """Bring the operators' word into force, and keep it; why it could not be kept. Under the lock."""
         now = time.time() * 1000
         bans = copied(self.roster.bans)
-        call(bans, now)
+        call(bans, name, now)
         self.roster.ban(bans)  # binding first: whatever the disk says, nothing more goes there
         if self.folder is None:
             return ""
+        self.unkept[name] = (call, now)
         try:
             with self.folder.locked():
-                bans = self.kept() or bans
-                call(bans, now)
+                bans = self.said(self.kept() or bans)
                 self.folder.write(bans.dump())
         except OSError as error:
             LOG.error("bans can't be kept", extra=fields(reason=error))
             return str(error)
+        self.unkept.clear()
         self.roster.ban(bans)
         return ""
 
+    def said(self, bans: Bans) -> Bans:
+        """With what was said here and could not be kept so far: the last word on each member.
+
+        Guards against a ban that is in force here alone being lifted by the next one that can be kept.
+        """
+        for name, (call, at) in self.unkept.items():
+            call(bans, name, at)
+        return bans
+
     def kept(self) -> Bans | None:
         """What the folder holds; None where it holds nothing that can be used, which the log says."""
         if self.folder is None:
@@ -329,6 +341,8 @@
             return
         with self.lock:
             found = self.kept()
+            if found is not None:
+                found = self.said(found)
             if found is not None and found != self.roster.bans:
                 self.roster.ban(found)
                 LOG.info("bans heard from the other process", extra=fields(out=",".join(sorted(found.out))))
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -13,6 +13,7 @@
 
 from lupintack.core.messages import Order
 from lupintack.core.roster import member_id
+from lupintack.lifecycle.bans import parse
 from lupintack.peers import resp
 from lupintack.standins.net import at, listen
 from tests.scenario import Lines, Scenario
@@ -153,7 +154,13 @@
     with folder.locked():
         play.run("staff call POST /api/exclude?name=s-1 500 body:*not*kept*", close=False)
     assert play.node.roster.banned == {member_id("s-1")}
-    play.run("staff call POST /api/exclude?name=s-1 200")
+    play.run("staff call POST /api/exclude?name=s-2 200", close=False)
+    assert play.node.roster.banned == {member_id("s-1"), member_id("s-2")}, "the first one still holds"
+    assert set(parse(folder.bans.read_bytes()).out) == {"s-1", "s-2"}
+    with folder.locked():
+        play.run("staff call POST /api/include?name=s-1 500", close=False)
+    play.run("staff call POST /api/exclude?name=s-2 200")
+    assert set(parse(folder.bans.read_bytes()).out) == {"s-2"}
 
 
 def test_evacuate_ends_kept_connections_and_answers_what_is_open() -> None:
