--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -1,6 +1,6 @@
-"""CPU time of a request and of a list event with 60 members, this module against another copy, paired.
+"""CPU time of a request and of a list event with 60 members or more, this module against another, paired.
 
-    python benchmarks/decisions.py [--other FOLDER] [--rounds 7]
+    python benchmarks/decisions.py [--other FOLDER] [--rounds 7] [--members 60]
 
 FOLDER holds another version's `lupintack` package (for example a worktree of an earlier commit). Each round
 runs both in processes of their own, in turn; figures are microseconds of CPU time, median with the least and
@@ -28,7 +28,7 @@
     second_copies=True, can_cancel=True, max_retry_after=1000.0, cold_from=0.3, warm_after=15000.0,
     cold_multiple=2.0, parent_kind=1, origin_kind=2, parent_cold_from=0.07, parent_ramp=20000.0,
     parent_multiple=2.0, direct=True, tells="all", weights="rough", report_fields=("cpu_share",))
-members = [i.Member(100 + n, n % 5, 0, 0, i.State.READY, 4.0 + n % 2 * 3) for n in range(55)]
+members = [i.Member(100 + n, n % 5, 0, 0, i.State.READY, 4.0 + n % 2 * 3) for n in range(CACHES)]
 members += [i.Member(10 + n, 9, 1, 0, i.State.READY, 20.0) for n in range(4)] + [i.Member(1, 9, 2)]
 made = Router(known, 7)
 made.handle(0.0, [i.MemberList(i.ListKind.FULL, tuple(members))])
@@ -49,14 +49,14 @@
 request = (time.process_time() - began) / 5000
 began = time.process_time()
 for n in range(400):
-    changed = members[n % 55]
-    state = i.State.GONE if n // 55 % 2 == 0 else i.State.READY
+    changed = members[n % CACHES]
+    state = i.State.GONE if n // CACHES % 2 == 0 else i.State.READY
     told = (i.Member(changed.id, changed.zone, 0, 0, state, 4.0),)
     made.handle(now, [i.MemberList(i.ListKind.DELTA, told)])
 event = (time.process_time() - began) / 400
 after = 0.0
 for n in range(100):
-    made.handle(now, [i.MemberList(i.ListKind.DELTA, (members[n % 55],))])
+    made.handle(now, [i.MemberList(i.ListKind.DELTA, (members[n % CACHES],))])
     began = time.process_time()
     requests(20)
     after += (time.process_time() - began) / 2000
@@ -64,9 +64,9 @@
 """
 
 
-def once(folder: Path) -> list[float]:
+def once(folder: Path, members: int) -> list[float]:
     out = subprocess.run(
-        [sys.executable, "-c", CODE],
+        [sys.executable, "-c", f"CACHES = {members - 5}\n{CODE}"],
         env={**os.environ, "PYTHONPATH": str(folder)},
         cwd=folder,
         capture_output=True,
@@ -80,12 +80,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--other", type=Path, help="folder with another version of the package")
     parser.add_argument("--rounds", type=int, default=7)
+    parser.add_argument("--members", type=int, default=60)
     wanted = parser.parse_args()
     folders = {"this": HERE} | ({"other": wanted.other.resolve()} if wanted.other else {})
     seen: dict[str, list[list[float]]] = {name: [] for name in folders}
     for _ in range(wanted.rounds):
         for name, folder in folders.items():
-            seen[name].append(once(folder))
+            seen[name].append(once(folder, wanted.members))
     for name, rows in seen.items():
         for what, values in zip(WHAT, zip(*rows, strict=True), strict=True):
             middle, least, most = statistics.median(values), min(values), max(values)
