Mend what a second reading found: a lost folder, warnings, words not kept, heirs, reading too long

Its own lock waits now (folder.py). - the warning of a location without caches looked at one kind; large boxes beside small ones were passed over. - with 4,096 out, one of them said again was a 507 instead of yes. - what could not be kept was laid over a later word to the partner for good; it is tried again twice a second. - a legacy was left only where the shares changed, and remembered every heir's number; now the last heir alone. - beside a partner, reading went on for 1.2 s also where the kill comes sooner than that after SIGTERM. - one of two looks at once could answer twice; a closed folder's descriptor could be written to.

--- a/lupintack/cli/demo.py
+++ b/lupintack/cli/demo.py
@@ -18,6 +18,7 @@
 
 from lupintack.client import Client, Failed, Refused, Served
 from lupintack.standins.fleet import SIZES, Fleet, content
+from lupintack.standins.net import free_ports
 
 ASKED = 200
 CLS = "map-tiles"
@@ -25,15 +26,6 @@
 WAIT_MS = 2500
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports that nobody listens on, on loopback."""
-    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
 class Router:
     """A router process before a fleet of stand-ins; RuntimeError where it does not come up."""
 
--- a/lupintack/core/legacy.py
+++ b/lupintack/core/legacy.py
@@ -28,17 +28,8 @@
 JSON_MOST = 4 << 20
 BODY_MOST = 240_000
 PEER = (
-    "started",
-    "lost_at",
-    "ejected_until",
-    "ejections",
-    "trials",
-    "strikes",
-    "good",
-    "bad",
-    "weight",
-    "load",
-)
+    "started", "lost_at", "ejected_until", "ejections", "trials", "strikes", "good", "bad", "weight", "load",
+)  # fmt: skip
 
 
 @dataclass(slots=True)
--- a/lupintack/lifecycle/folder.py
+++ b/lupintack/lifecycle/folder.py
@@ -30,6 +30,18 @@
     """The folder can't be used; the text says how."""
 
 
+def flock(fd: int, patience_s: float) -> None:
+    """An exclusive lock; FolderError where another process keeps one for so long."""
+    until = time.monotonic() + patience_s
+    while True:
+        try:
+            return fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            if time.monotonic() >= until:
+                raise FolderError("another process keeps the lock") from None
+            time.sleep(LOCK_AGAIN_S)
+
+
 class Folder:
     """One router's files: `lock`, `bans.json`, and `run.PID` of each living process."""
 
@@ -44,7 +56,8 @@
             self.path.mkdir(mode=0o700, exist_ok=True)
             with self.locked():
                 self.fd = os.open(self.mine, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
-                fcntl.flock(self.fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                # A partner's look may hold it for the blink of an eye, between its making and this.
+                flock(self.fd, LOCK_S)
         except OSError as error:
             if self.fd >= 0:
                 os.close(self.fd)
@@ -60,19 +73,11 @@
         return self.path / "bans.json"
 
     @contextlib.contextmanager
-    def locked(self) -> Iterator[None]:
+    def locked(self, patience_s: float = LOCK_S) -> Iterator[None]:
         """The folder's lock, for a moment; FolderError where another process keeps it."""
         fd = os.open(self.path / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
-            until = time.monotonic() + LOCK_S
-            while True:
-                try:
-                    fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                    break
-                except BlockingIOError:
-                    if time.monotonic() >= until:
-                        raise FolderError("another process keeps the lock") from None
-                    time.sleep(LOCK_AGAIN_S)
+            flock(fd, patience_s)
             yield
         finally:
             os.close(fd)  # and the lock with it
@@ -190,4 +195,5 @@
                 (self.path / f"legacy.{self.pid}").unlink(missing_ok=True)
         except OSError:
             pass
-        os.close(self.fd)
+        fd, self.fd = self.fd, -1  # a look that is under way must not write to a number given anew
+        os.close(fd)
--- a/lupintack/lifecycle/state.py
+++ b/lupintack/lifecycle/state.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 
@@ -68,14 +68,13 @@
             self.phase = Phase.EVACUATING if self.asked_empty else Phase.READY
             self.since_us = now
 
-    def evacuate(self, now: int) -> bool:
-        """Take no more work; True always: a process that starts remembers it, one that stops is doing it."""
+    def evacuate(self, now: int) -> None:
+        """Take no more work: a process that starts remembers it, one that stops is doing it."""
         if self.phase is Phase.STARTING:
             self.asked_empty = True
         elif self.phase is Phase.READY:
             self.phase = Phase.EVACUATING
             self.since_us = now
-        return True
 
     def rejoin(self) -> bool:
         """Back to work, also in the middle of an evacuation; False where the process is stopping."""
@@ -102,6 +101,11 @@
         return self.pace.calm_us if gone < self.pace.last_us else self.pace.young_us
 
 
-def leave(partner_ready: bool) -> Leave:
-    """How to end: beside a ready partner, which takes what is new, or alone, while the front finds out."""
-    return BESIDE if partner_ready else ALONE
+def leave(partner_ready: bool, longest_us: int) -> Leave:
+    """How to end: beside a ready partner, which takes what is new, or alone, while the front finds out.
+
+    The kill comes the longest deadline after ALONE's reading: half of that is left for what is read last.
+    """
+    if not partner_ready:
+        return ALONE
+    return replace(BESIDE, read_us=min(BESIDE.read_us, ALONE.read_us + longest_us // 2))
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -175,8 +175,8 @@
 
     def stop(self) -> None:
         """After SIGTERM: take what still comes, answer everything, and be done."""
-        plan = self.upkeep.term()
         longest = max((c.deadline for c in self.core.settings.classes), default=0.0) / 1000.0
+        plan = self.upkeep.term(int(min(longest, KILL_S) * 1e6))
         end = time.monotonic() + TAKE_S + min(longest, KILL_S) - SPARE_S
         for server in self.servers:
             if plan.close_answers:
--- a/lupintack/standins/net.py
+++ b/lupintack/standins/net.py
@@ -40,3 +40,12 @@
     except OSError:
         pass
     sock.close()
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that nobody listens on, on loopback."""
+    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
--- a/lupintack/upkeep.py
+++ b/lupintack/upkeep.py
@@ -27,7 +27,7 @@
 from lupintack.interface import State
 from lupintack.lifecycle import bans as state_of_bans
 from lupintack.lifecycle.bans import NAME_MOST, OUT_MOST, Bans
-from lupintack.lifecycle.folder import Folder
+from lupintack.lifecycle.folder import LOCK_S, Folder
 from lupintack.lifecycle.partner import Partner, Share, Side, share, side
 from lupintack.lifecycle.state import Leave, Life, Phase, leave
 from lupintack.logs import fields
@@ -38,6 +38,7 @@
 LOOK_S = 0.05
 LEGACY_S = 0.4  # of a start, for what the older process leaves
 LEGACY_AGAIN_S = 0.005
+RETRY_S = 0.5  # between two tries to keep what staff said
 STOCK_S = 1.0  # for the core's turn that takes it
 
 
@@ -89,7 +90,9 @@
         self.partners: list[Partner] = []
         self.share = Share(sockets.most, memory_mb, 1)
         self.told: Phase | None = None
-        self.left_to: set[int] = set()  # processes for which a legacy was taken
+        self.heir: tuple[int, int] | None = None  # for whom a legacy was taken last
+        self.looking = threading.Lock()  # SIGTERM looks at the partners, too
+        self.retried_us = 0
         self.closing = False
 
     # The operators' calls
@@ -106,9 +109,9 @@
         if host is not None and host.kind == self.core.settings.origin_kind:
             return Verdict(409, "the origin can't be taken out: nothing stands in for it")
         with self.lock:
-            if len(self.roster.bans.out) >= OUT_MOST:
-                return Verdict(507, f"{OUT_MOST} are out already; put some back first")
             was = name in self.roster.bans.out
+            if len(self.roster.bans.out) >= OUT_MOST and not was:
+                return Verdict(507, f"{OUT_MOST} are out already; put some back first")
             kept = self.change(name, Bans.exclude)
         LOG.info("cache taken out", extra=fields(cache=name, again=was, kept=kept or "yes"))
         if kept:
@@ -140,15 +143,17 @@
         return Verdict(200 if done else 409, self.life.phase.value)
 
     def left(self, name: str) -> str:
-        """A warning where a location has no cache left that may be sent to."""
+        """A warning where a location has no cache left that may be sent to, or the router no parent."""
         host = self.roster.find(name)
         if host is None:
             return ""
-        hosts = list(self.roster.listed.values())
-        mates = [h for h in hosts if (h.zone, h.kind == host.kind) == (host.zone, True)]
-        out = self.roster.bans.out
-        some = any(h.state is State.READY and h.name not in out for h in mates)
-        return "" if some else "; none of its kind is left in its location"
+        settings, out = self.core.settings, self.roster.bans.out
+        ready = [h for h in list(self.roster.listed.values()) if h.state is State.READY and h.name not in out]
+        if host.kind == settings.parent_kind:
+            return "" if any(h.kind == host.kind for h in ready) else "; no parent is left"
+        upper = (settings.parent_kind, settings.origin_kind)
+        some = any(h.zone == host.zone and h.kind not in upper for h in ready)
+        return "" if some else "; no cache of its location is left"
 
     def change(self, name: str, call: Word) -> str:
         """Bring the operators' word into force, and keep it; why it could not be kept. Under the lock."""
@@ -159,10 +164,15 @@
         if self.folder is None:
             return ""
         self.unkept[name] = (call, now)
+        return self.keep(self.folder, LOCK_S)
+
+    def keep(self, folder: Folder, patience_s: float) -> str:
+        """What was said since it could last be kept, laid over what the folder holds. Under the lock."""
+        self.retried_us = now_us()
         try:
-            with self.folder.locked():
-                bans = self.said(self.kept() or bans)
-                self.folder.write(bans.dump())
+            with folder.locked(patience_s):
+                bans = self.said(self.kept() or copied(self.roster.bans))
+                folder.write(bans.dump())
         except OSError as error:
             LOG.error("bans can't be kept", extra=fields(reason=error))
             return str(error)
@@ -215,15 +225,15 @@
             done = steer(sock, len(self.partners))
             LOG.info("upgrade", extra=fields(older=self.partners[0].pid, steered=done))
 
-    def term(self) -> Leave:
-        """SIGTERM: how to leave."""
+    def term(self, longest_us: int) -> Leave:
+        """SIGTERM: how to leave, where a request has so long at most."""
         with self.lock:
             self.life.term()
         self.tell()
         self.look_at_partners()
         mine = (self.folder.born_ns, self.folder.pid) if self.folder is not None else (0, 0)
         ready = any(o.phase == Phase.READY.value and (o.born_ns, o.pid) > mine for o in self.partners)
-        return leave(ready)
+        return leave(ready, longest_us)
 
     def close(self) -> None:
         """The very end."""
@@ -270,19 +280,21 @@
     def look_at_partners(self) -> None:
         """Share the limits with whoever else lives."""
         folder = self.folder
-        if folder is None:
-            return
-        others = folder.others()
+        if folder is not None:
+            with self.looking:
+                self.look_at(folder, folder.others())
+
+    def look_at(self, folder: Folder, others: list[Partner]) -> None:
         which = side(folder.born_ns, folder.pid, others)
         self.partners = others
         if others and self.told is not None and (late := folder.legacy()) is not None:
             late.close()  # it was left after the start had gone on without
         wanted = share(which, len(others), *self.limits)
+        if which is Side.OLD:
+            self.bequeath(folder, max(others, key=lambda o: (o.born_ns, o.pid)), wanted.legacy_bytes)
         if wanted == self.share:
             return
         self.share = wanted
-        if which is Side.OLD:
-            self.bequeath(folder, max(others, key=lambda o: (o.born_ns, o.pid)))
         told = fields(side=which.value, processes=wanted.processes, member_sockets=wanted.member_sockets)
         LOG.info("limits shared", extra=told)
         self.sockets.most = wanted.member_sockets
@@ -290,16 +302,16 @@
         memory = room(self.limits[1]) if alone else room(wanted.memory_mb)
         self.core.post(Retune(processes=wanted.processes, copies=memory))
 
-    def bequeath(self, folder: Folder, heir: Partner) -> None:
+    def bequeath(self, folder: Folder, heir: Partner, most: int) -> None:
         """Leave what was learned, and own copies, to a process that starts; taken before these give way."""
-        if heir.pid in self.left_to or not self.life.ready or heir.phase != Phase.STARTING.value:
+        key = (heir.born_ns, heir.pid)
+        if key == self.heir or not self.life.ready or heir.phase != Phase.STARTING.value:
             return
         mine, ready = (folder.born_ns, folder.pid), Phase.READY.value
         if any(o.phase == ready and (o.born_ns, o.pid) > mine for o in self.partners):
             return  # one between the two has more to leave
-        self.left_to.add(heir.pid)
+        self.heir = key
         taken: SimpleQueue[Legacy] = SimpleQueue()
-        most = self.share.legacy_bytes
 
         def write() -> None:
             try:
@@ -321,7 +333,7 @@
                 LOG.info("nothing was left by the older process")
                 return
             time.sleep(LEGACY_AGAIN_S)
-        adopted, count, fault, copies = False, 0, "", self.core.copies
+        adopted, fault, copies = False, "", self.core.copies
         try:
             with file:
                 records = read(file.read)
@@ -329,17 +341,21 @@
                 for told, body in records if adopted else ():
                     if copies is not None:
                         adopt_copy(copies, told, body)
-                        count += 1
         except Exception as error:  # whatever it is: a start must not fail for what another process left
             fault = repr(error)
-        LOG.info("legacy", extra=fields(learned=adopted, copies=count, fault=fault or "none"))
+        held = len(copies.held) if copies is not None else 0
+        LOG.info("legacy", extra=fields(learned=adopted, copies=held, fault=fault or "none"))
 
     def look_at_bans(self) -> None:
-        """What was said to the partner binds here as well."""
+        """What was said to the partner binds here as well; and what could not be kept is tried again."""
         folder = self.folder
-        if folder is None or not folder.changed():
+        if folder is None:
             return
         with self.lock:
+            if self.unkept and now_us() - self.retried_us >= RETRY_S * 1e6:
+                self.keep(folder, 0.0)
+            if not folder.changed():
+                return
             found = self.kept()
             if found is not None:
                 found = self.said(found)
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -30,6 +30,7 @@
 DECISIONS = (
     "limits", "policy.py", "http2/schedule.py", "settings/changes.py",
     "lifecycle/state.py", "lifecycle/bans.py", "lifecycle/partner.py",
+    "core/legacy.py",
 )  # fmt: skip
 MACHINE = {"time", "random", "socket", "threading", "select", "os", "queue", "logging"}
 
