Send nothing for a client that has gone, and close without resetting what it has not read

Changed: an Ask knows that its client has gone from the front's thread on, and each write asks; where bytes can't be waited for, the connection's TCP state is looked at each 30 ms (fronts/presence.py); after an end of ours what crosses it is read for 0.1 s, until the client's own end, or until what was written has arrived, at most 1.5 s; a process waits for its accepting threads.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -148,7 +148,8 @@
         return self.settings.max_open - len(self.owed) - len(self.mailbox)
 
     def left(self, ask: Ask) -> None:
-        """The client of a request has left."""
+        """The client of a request has left: nothing of it is written from here on."""
+        ask.gone = True
         self.post(Left(ask))
 
     def ended(self, ended: Ended) -> None:
@@ -271,9 +272,14 @@
             self.counters["answered.rejected"] += 1
             ask.sink.rejected()
             return
+        cls = self.settings.classes[ask.cls]
+        if ask.gone:
+            # Guards against a client that left before the turn came: its Left finds nothing owed.
+            self.counters["taken." + cls.name] += 1
+            self.counters["left"] += 1
+            return
         self.last_number = self.last_number % 0xFFFFFFF0 + 1
         number = ask.number = self.last_number
-        cls = self.settings.classes[ask.cls]
         self.owed[number] = Owed(ask, cls.repeat is Repeat.SAFE)
         self.ids[ask.wire_id] = number
         self.counters["taken." + cls.name] += 1
@@ -514,7 +520,8 @@
             # The check at the write: what waited for a connect past the lease is not written under it.
             ends = self.leases.until_us
             order.until_us = min(order.until_us, ends) if order.until_us else ends
-        if one.over or host is None or host.dial is None or self.now >= one.ask.deadline_us:
+        late = self.now >= one.ask.deadline_us
+        if one.over or one.ask.gone or host is None or host.dial is None or late:
             self.again.append(self.verdict(one, order, Ending.NOT_OWED, None))
             return
         one.live[order.number] = order
--- a/lupintack/core/messages.py
+++ b/lupintack/core/messages.py
@@ -42,6 +42,7 @@
     size_kb: float = 0.0  # of the part, as the settings count; 0: not told
     number: int = 0  # given by the core
     cls_name: str = ""  # the class as the front knew it: its number may have gone to another since
+    gone: bool = False  # its client has left; set before the core's turn hears of it, and read at each write
 
 
 @dataclass(slots=True)
@@ -86,8 +87,10 @@
     until_us: int = 0  # the last moment at which it may be written, by the archive's window; 0: any
 
     def forbidden(self, now: int) -> bool:
-        """Whether it may not be written any more: the news since its decision, or the archive's window."""
-        return 0 < self.until_us <= now or self.stale(self)
+        """Whether it may not be written any more: its client has left, the news since its decision forbid it,
+        or the archive's window has passed.
+        """
+        return self.ask.gone or 0 < self.until_us <= now or self.stale(self)
 
 
 @dataclass(slots=True)
--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -148,6 +148,12 @@
             have=request.headers.get("if-none-match", "").strip().strip('"') if not cls.write else "",
         )
         exchange.on_left = lambda: self.core.left(ask)
+        if exchange.gone():
+            # Guards against a client that left while the metadata was fetched: on_left was nobody's then.
+            self.core.counters.add("cdni.left")
+            if unsafe:
+                self.once.forget(wire_id)  # nothing has run
+            return
         self.core.take(ask)
 
     def fetch(self, content: Content, group: int) -> bool:
--- a/lupintack/fronts/exchange.py
+++ b/lupintack/fronts/exchange.py
@@ -57,3 +57,6 @@
         close: bool = False,
     ) -> bool:
         """The one answer; False where the client has left or an answer was given before."""
+
+    def gone(self) -> bool:
+        """Whether the client has left, asked where a while has passed since its request came."""
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterable
 
 from lupintack.clock import now_us
+from lupintack.fronts import presence
 from lupintack.fronts.exchange import REASONS, Bad, Exchange, HttpRequest, nothing
 from lupintack.fronts.listener import BACKLOG, bound
 from lupintack.logs import fields
@@ -35,6 +36,9 @@
 FULL_S = 0.002  # between two looks for room
 LINGER_READ = 65536
 LINGER_S = 1.5  # after a 4xx the rest of what the client sends is read so long, or it might lose the answer
+CROSS_S = 0.1  # after any other end of ours: by the protocol a request may cross it for 50 ms
+CROSS_LOOK_S = 0.01  # between two looks at a connection whose reading we have ended
+LOOK_S = 0.03  # between two looks whether a client has left, where its end can't be waited for
 TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 REQUEST_LINE = re.compile(rf"({TOKEN}) ([!-~]+) HTTP/(\d\.\d)")
 BARE = re.compile(rb"(?<!\r)\n|\r[^\n]")  # a line end that others may read as one, and we don't
@@ -125,6 +129,11 @@
         return self.conn.reply(self, data, close)
 
 
+    def gone(self) -> bool:
+        """Whether the client has left."""
+        return self.conn.closed or presence.left(self.conn.sock)
+
+
 class Connection:
     """One client's connection."""
 
@@ -143,6 +152,8 @@
         self.lingers = False  # it had its last answer, and is read on for a moment
         self.expired = False
         self.deaf = False  # we have ended the reading
+        self.leaving = False  # our end is said, and the client's is waited for
+        self.over = False  # its socket is closed, or about to be
         self.since_us = now_us()  # of what is waited for: its first request, the rest of one, the next
 
     def run(self) -> None:
@@ -205,33 +216,29 @@
         return self.await_answer(exchange)
 
     def await_answer(self, exchange: Http1Exchange) -> bool:
-        """Until it is answered; the client's leaving shows as the end of what it sends."""
+        """Until it is answered, or the client has left: the end of what it sends shows that, or, where that
+        can't be waited for, the connection's state.
+
+        Guards against a read that waits for more while the next request lies in the buffer: its answer would
+        never come. It can't be waited for, either, behind bytes that we don't take while a request is open,
+        nor where a request crossed our own end of the reading.
+        """
         while True:
             with self.lock:
                 if self.open is not exchange and not self.writing:
                     return not (self.closed or self.last)
-                if self.deaf:
-                    # Guards a request that crossed our own end of the reading: no client has left.
-                    self.answered.wait()
-                    continue
-            if len(self.buffer) > HEAD_MOST:
-                # Guards against a client that sends on and on while its request is open.
-                with self.lock:
-                    while self.open is exchange or self.writing:
-                        self.answered.wait()
+                looks = self.deaf or len(self.buffer) > 0
+                if looks:
+                    self.answered.wait(LOOK_S)
+            if not (exchange.gone() if looks else not self.more()):
                 continue
-            if not self.more():
-                with self.lock:
-                    gone = self.open is exchange
-                    self.open = None
-                    self.closed = True
-                if gone:
-                    exchange.on_left()
-                return False
-            if len(self.buffer):
-                with self.lock:
-                    if self.open is exchange or self.writing:
-                        self.answered.wait(0.05)
+            with self.lock:
+                owed = self.open is exchange
+                self.open = None
+                self.closed = owed or not self.deaf  # else the end is ours: it is said, and seen off
+            if owed:
+                exchange.on_left()
+            return False
 
     def more(self) -> bool:
         """Wait for bytes."""
@@ -252,7 +259,7 @@
 
     def idle_us(self, now: int) -> int:
         """How long nothing has been owed on it; negative while something is."""
-        if self.open is not None or self.writing or self.expired:
+        if self.open is not None or self.writing or self.expired or self.closed:
             return -1
         return now - self.since_us
 
@@ -263,11 +270,11 @@
         the first, the request is open no more, and the rest is not known yet. Both change under the lock.
         """
         with self.lock:
-            return self.open is not None or self.writing or self.unread()
+            return self.open is not None or self.writing or self.unread() or self.leaving
 
     def unread(self) -> bool:
-        """Whether its reading was ended, and its thread has not come to that end."""
-        return self.deaf and not self.lingers and not self.closed
+        """Whether its reading was ended, and its thread has not come to that end, or to our own."""
+        return self.deaf and not self.over
 
     def overdue(self, now: int) -> bool:
         """Guards against clients that hold a connection and say nothing, or half."""
@@ -365,15 +372,41 @@
         except OSError:
             pass
 
+    def see_off(self) -> None:
+        """After an end of ours: say so, and read what crosses it, until the client has closed, too.
+
+        Guards against a close over unread bytes: it resets the connection, and what the client has not read
+        of the last answer goes with it. What comes now is nobody's any more: it is not handed on.
+        """
+        begun = now_us()
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            self.sock.setblocking(False)
+            while (gone := now_us() - begun) < LINGER_S * 1e6 and not presence.left(self.sock):
+                try:
+                    if self.sock.recv(LINGER_READ):
+                        continue
+                except BlockingIOError:
+                    pass
+                if gone >= CROSS_S * 1e6 and not presence.undelivered(self.sock):
+                    return
+                time.sleep(CROSS_LOOK_S)
+        except OSError:
+            pass
+
     def end(self) -> None:
         """The connection is over."""
         with self.lock:
             exchange, self.open = self.open, None
+            self.leaving = not self.closed and not self.lingers and (self.last or self.deaf)
             self.closed = True
             while self.writing:
                 self.answered.wait()
         if exchange is not None:
             exchange.on_left()
+        if self.leaving:
+            self.see_off()
+        self.over, self.leaving = True, False
         self.sock.close()
         self.server.forget(self)
 
@@ -401,6 +434,8 @@
         self.bodyless = bodyless
         self.closing = False
         self.accepting = True
+        self.accepted = False  # all that will ever come
+        self.reading = True
         self.reuse = reuse
         self.conns: set[Connection] = set()
         self.lock = threading.Lock()
@@ -419,6 +454,7 @@
         try:
             self.accepts()
         finally:
+            self.accepted = True
             self.sock.close()
 
     def accepts(self) -> None:
@@ -461,6 +497,11 @@
             conn = Connection(self, sock, str(where[0]))
             with self.lock:
                 self.conns.add(conn)
+                late = not self.reading
+            if late:
+                # Guards against a request that lay in the kernel while this thread was held up: it is read.
+                with conn.lock:
+                    conn.end_reading()
             try:
                 self.spawn(conn.run, "client")
             except RuntimeError as error:
@@ -484,7 +525,7 @@
         """
         with self.lock:
             conns = list(self.conns)
-        ending = sum(conn.expired for conn in conns)
+        ending = sum(conn.expired or conn.closed for conn in conns)
         idle = [(conn.asked and not conn.lingers, -conn.idle_us(now), conn) for conn in conns]
         idle = [one for one in idle if -one[1] >= YOUNG_S * 1e6]
         idle.sort(key=lambda one: one[:2])
@@ -525,6 +566,7 @@
         """No new requests on open connections; what is open is answered still."""
         self.closing = True
         with self.lock:
+            self.reading = False
             conns = list(self.conns)
         for conn in conns:
             with conn.lock:
@@ -535,9 +577,11 @@
     def busy(self) -> bool:
         """Whether any answer is still owed or on its way, or may be: what was ended is read to its end.
 
-        Guards against a request that was taken in the last moment: its thread has read it, or has yet to, and
-        has not opened it when all that is open has been answered.
+        Guards against a request that was taken in the last moment: its connection has yet to be accepted, or
+        its thread has read it, or has yet to, and has not opened it when all that is open has been answered.
         """
+        if not self.accepting and not self.accepted:
+            return True
         with self.lock:
             conns = list(self.conns)
         return any(conn.owes() for conn in conns)
--- a/lupintack/fronts/http2.py
+++ b/lupintack/fronts/http2.py
@@ -47,7 +47,8 @@
     """One request on a stream; answered once."""
 
     __slots__ = (
-        "conn", "stream", "request", "peer_ip", "on_left", "want", "chunks", "had", "priority", "whole",
+        "conn", "stream", "request", "peer_ip", "on_left", "left", "want", "chunks", "had", "priority",
+        "whole",
     )  # fmt: skip
 
     def __init__(self, conn: Conn, stream: int, request: HttpRequest, want: int) -> None:
@@ -61,6 +62,7 @@
         self.had = 0
         self.priority = PLAIN
         self.whole = False  # all of the request has come
+        self.left = False  # the client has given it up, or its connection is gone
 
     def answer(
         self,
@@ -75,6 +77,10 @@
         with self.conn.wire.lock:
             return self.conn.reply(self, status, list(headers), body)
 
+    def gone(self) -> bool:
+        """Whether the client has left."""
+        return self.left
+
 
 class Conn(Role):
     """One client's connection."""
@@ -278,6 +284,7 @@
             exchange = self.open.pop(stream, None)
         self.closed(stream)
         if exchange is not None:
+            exchange.left = True  # first: where the handler runs beside, it looks once on_left stands
             exchange.on_left()
 
     def closed(self, stream: int) -> None:
@@ -294,6 +301,7 @@
         if not why.startswith("closed"):
             self.server.count("http2.ended." + why.partition(":")[0].replace(" ", "_"))
         for exchange in left:
+            exchange.left = True
             exchange.on_left()
 
     # Budgets, bytes and windows: under the wire's lock
@@ -355,11 +363,13 @@
         self.wire.go_away(last=True)
 
     def owes(self) -> bool:
-        """Whether an answer is owed or on its way; not while one is being begun, which the lock excludes."""
+        """Whether an answer is owed or on its way, or may be, as the client was not told that this ends; not
+        while one is being begun, which the lock excludes.
+        """
         with self.wire.lock:
-            return bool(
-                self.wire.calling or self.open or self.wire.unwritten() or self.wire.lingers()
-            )
+            wire = self.wire
+            owed = wire.calling or self.open or wire.unwritten() or wire.lingers()
+            return bool(owed or (self.drain.takes() and not wire.ended))
 
     def look(self, now: int) -> None:
         """What time brings to the end of a connection."""
@@ -411,6 +421,7 @@
         self.conns: dict[int, Conn] = {}
         self.calls: list[Callable[[], None]] = []
         self.accepting = True
+        self.accepted = False  # all that will ever come
         self.draining = False
         self.last_number = 0
         self.reuse = reuse
@@ -434,6 +445,7 @@
         try:
             self.accepts(waiting)
         finally:
+            self.accepted = True
             self.sock.close()
 
     def accepts(self, waiting: select.poll) -> None:
@@ -580,5 +592,6 @@
             conn.begin_drain(at_once=True)
 
     def busy(self) -> bool:
-        """Whether any answer is still owed or on its way."""
-        return any(conn.owes() for conn in list(self.conns.values()))
+        """Whether any answer is still owed or on its way, or may be: some have yet to be accepted."""
+        more = not self.accepting and not self.accepted
+        return more or any(conn.owes() for conn in list(self.conns.values()))
