Keep members' first connections within the descriptors; close what rests longest for them

Seen (tests/test_descriptors.py, a real process with 72 descriptors, 216 idle clients, the board down, 60 caches): 4 to 7 attempts ended as connect_failed and 3 to 5 lines `accept failed reason="[Errno 24] Too many open files"`; with room for 8 connections to members it had 40 and more. At fault: peers/actor.py Room.take(), which never refused a member's first connection. Ruled out: clients (Server.most held), the board and the second address (inside OWN).

Changed: firsts may use 8 descriptors by name beside the members' own (node.py FIRSTS); beyond these the connection that has rested longest at another member is closed, and the member that waits is told when it is.

The test fails without the change (3 of 3: many members) and holds with it (4 of 4; at most 49 to 60 descriptors open).

--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -151,6 +151,7 @@
         self.asked = False  # a whole request has come
         self.lingers = False  # it had its last answer, and is read on for a moment
         self.expired = False
+        self.at_once = False
         self.deaf = False  # we have ended the reading
         self.leaving = False  # our end is said, and the client's is waited for
         self.over = False  # its socket is closed, or about to be
@@ -281,11 +282,13 @@
         limit = IDLE_S if self.asked and not self.buffer else FIRST_S
         return self.idle_us(now) >= limit * 1e6
 
-    def expire(self) -> None:
-        """End it by the end of its reading: what has come but is not read yet is answered still."""
+    def expire(self, at_once: bool = False) -> None:
+        """End it by the end of its reading: what has come but is not read yet is answered still; at_once: its
+        descriptor is wanted, and what crosses the end is not waited for.
+        """
         with self.lock:
             if self.open is None and not self.writing and not self.expired:
-                self.expired = True
+                self.expired, self.at_once = True, at_once
                 self.end_reading()
 
     def end_reading(self) -> None:
@@ -388,7 +391,7 @@
                         continue
                 except BlockingIOError:
                     pass
-                if gone >= CROSS_S * 1e6 and not presence.undelivered(self.sock):
+                if self.at_once or (gone >= CROSS_S * 1e6 and not presence.undelivered(self.sock)):
                     return
                 time.sleep(CROSS_LOOK_S)
         except OSError:
@@ -531,7 +534,7 @@
         idle.sort(key=lambda one: one[:2])
         for _, _, conn in idle[: max(0, self.spare - ending)]:
             self.count("closed.for_room")
-            conn.expire()
+            conn.expire(at_once=True)
 
     def close_answers(self, closing: bool) -> None:
         """Whether each answer ends its connection."""
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -36,6 +36,7 @@
 CLOSING = 64  # clients' connections beside their third: closed by them, not yet by us; an eighth at most
 CDNI_MOST = 48  # connections of the CDNI front; a sixteenth at most
 OWN = 24  # descriptors for all else: listeners, the board, files, what is just being closed
+FIRSTS = 8  # of these: for members' first connections, where the others' have all that there is for members
 CDNI_BODY_MOST = 65536
 ADMIN_MOST = 32  # connections of the second address; a sixteenth at most, eight at least
 TAKE_S = 0.7  # what comes for so long after SIGTERM is owed its answer
@@ -86,7 +87,7 @@
             limits.connect_timeout_us,
             limits.idle_us,
             conf.names.reports,
-            Room(max(8, sockets - most - cdni_most - h2_most * h2_ports - admin_most - OWN)),
+            Room(max(8, sockets - most - cdni_most - h2_most * h2_ports - admin_most - OWN), FIRSTS),
             conf.settings.can_cancel,
         )
         shared = conf.admin is not None  # with the other process of an upgrade
--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -68,28 +68,56 @@
     """Send nothing new; end when nothing is out."""
 
 
+@dataclass(slots=True)
+class Yield:
+    """Close a connection on which nothing is out: another member needs its descriptor."""
+
+    conn: Conn
+
+
 class Room:
     """The descriptors that all members' connections share.
 
-    Guards against running out of them: a connect that fails for want of one would be held against the member.
+    Guards against running out of them: a connect that fails for want of one would be held against the member,
+    and neither clients nor the list's connection would get any. A member's first connection may come out of a
+    small reserve; beyond that it waits until the connection that has rested longest has been closed for it.
     """
 
-    def __init__(self, most: int) -> None:
+    def __init__(self, most: int, reserve: int = 0) -> None:
         self.most = most
+        self.reserve = reserve
         self.used = 0
+        self.conns: set[Conn] = set()
+        self.waiting: deque[Peer] = deque()
         self.lock = threading.Lock()
 
-    def take(self, first: bool) -> bool:
-        """Room for one more; a member's first is not held up by what the others have."""
+    def take(self, conn: Conn, first: bool) -> bool:
+        """Room for one more; a member's first gets some as soon as any connection rests."""
         with self.lock:
-            if self.used >= self.most and not first:
+            if self.used < self.most + self.reserve * first:
+                self.used += 1
+                self.conns.add(conn)
+                return True
+            if not first:
                 return False
-            self.used += 1
-            return True
-
-    def give(self) -> None:
+            if conn.peer not in self.waiting:
+                self.waiting.append(conn.peer)
+            resting = [one for one in self.conns if one.rests() and one.peer is not conn.peer]
+            oldest = min(resting, key=lambda one: one.used_us, default=None)
+            if oldest is not None:
+                oldest.yielding = True
+        if oldest is not None:
+            oldest.peer.post(Yield(oldest))
+        return False
+
+    def give(self, conn: Conn) -> None:
+        """One is closed; whoever waits for it is told."""
         with self.lock:
             self.used -= 1
+            self.conns.discard(conn)
+            peer = self.waiting.popleft() if self.waiting else None
+        if peer is not None:
+            peer.post(Freed())
 
 
 @dataclass(frozen=True)
@@ -120,6 +148,11 @@
         self.quiet_us = 0  # when the first write went out since something was heard; 0: none has
         self.asked_us = 0  # when `there` was sent, until something is heard
         self.silent = False
+        self.yielding = False  # to be closed for another member's first
+
+    def rests(self) -> bool:
+        """Whether it could be closed for another's sake: nothing is out on it, and it is not ending."""
+        return self.up and self.down is None and not self.open and not self.yielding
 
     def run(self) -> None:
         """Connect, read until it ends, and tell how."""
@@ -235,6 +268,9 @@
             pass
 
 
+Message = Send | GiveUp | Up | Down | Freed | Tick | Retire | Yield
+
+
 class Peer:
     """One member of the list, at one address."""
 
@@ -251,7 +287,7 @@
         self.terms = terms
         self.tell = tell
         self.spawn = spawn
-        self.mailbox: deque[Send | GiveUp | Up | Down | Freed | Tick | Retire] = deque()
+        self.mailbox: deque[Message] = deque()
         self.running = threading.Lock()
         self.conns: list[Conn] = []
         self.waiting: deque[Order] = deque()
@@ -270,7 +306,7 @@
     def tick(self) -> None:
         self.post(Tick())
 
-    def post(self, message: Send | GiveUp | Up | Down | Freed | Tick | Retire) -> None:
+    def post(self, message: Message) -> None:
         """Into the mailbox; and its turn, unless another thread is in it and will see the message."""
         self.mailbox.append(message)
         while self.mailbox and self.running.acquire(blocking=False):
@@ -282,7 +318,7 @@
             finally:
                 self.running.release()
 
-    def heed(self, message: Send | GiveUp | Up | Down | Freed | Tick | Retire) -> None:
+    def heed(self, message: Message) -> None:
         if isinstance(message, Send):
             self.waiting.append(message.order)
         elif isinstance(message, GiveUp):
@@ -294,6 +330,11 @@
         elif isinstance(message, Retire):
             self.retired = True
             self.close_idle()
+        elif isinstance(message, Yield):
+            if message.conn.open:
+                message.conn.yielding = False  # used again meanwhile
+            else:
+                message.conn.close()
         elif isinstance(message, Tick):
             self.close_idle()
             self.ask_silent()
@@ -322,7 +363,7 @@
         """A connection has ended. When it never came up, what waits for one hears why."""
         if message.conn in self.conns:
             self.conns.remove(message.conn)
-            self.terms.room.give()
+            self.terms.room.give(message.conn)
         if not message.conn.up and not any(c.up and c.down is None for c in self.conns):
             while self.waiting:
                 self.tell(Ended(self.waiting.popleft(), message.ending))
@@ -345,9 +386,10 @@
             if opening < 0:
                 opening = sum(not c.up for c in self.conns)
             if not full and opening <= len(kept):
-                if self.terms.room.take(not self.conns):
+                conn = Conn(self)
+                if self.terms.room.take(conn, not self.conns):
                     opening += 1
-                    self.open_one()
+                    self.open_one(conn)
                 elif best := best or self.best(order.ask.wire_id, doubted=True):
                     self.put(best, order)
                     continue
@@ -365,7 +407,7 @@
             if not doubted and 0 < conn.quiet_us < since:
                 continue
             out = len(conn.open)
-            if out < least and conn.up and conn.down is None and not conn.backlog:
+            if out < least and conn.up and conn.down is None and not conn.backlog and not conn.yielding:
                 # Guards against a late answer to a given-up attempt being read as this one's: same id.
                 if wire_id in conn.open or wire_id in conn.spent:
                     continue
@@ -374,8 +416,7 @@
                     break
         return best
 
-    def open_one(self) -> None:
-        conn = Conn(self)
+    def open_one(self, conn: Conn) -> None:
         self.conns.append(conn)
         try:
             self.spawn(conn.run, f"{self.name} reader")
--- a/lupintack/standins/board.py
+++ b/lupintack/standins/board.py
@@ -68,6 +68,23 @@
             except OSError:
                 pass
 
+    def down(self) -> None:
+        """Connections are refused, and those there are end."""
+        host, _, port = self.address.partition(":")
+        close(self.sock)
+        self.sock = socket.socket()  # keeps the port
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind((host, int(port)))
+        with self.lock:
+            for sock in self.watchers:
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def back(self) -> None:
+        """It is there again, with all that was told meanwhile."""
+        address = self.sock.getsockname()
+        self.sock.close()
+        self.sock = listen(self.serve, address)
+
     def close(self) -> None:
         self.closed.set()
         close(self.sock)
--- a/lupintack/standins/deployment.py
+++ b/lupintack/standins/deployment.py
@@ -46,7 +46,7 @@
 
 def line(name: str, dial: str, health: str = "Ready", kind: str = "") -> dict[str, object]:
     """A host's line on the notice board."""
-    kind = kind or HOSTS[name]
+    kind = kind or HOSTS.get(name, "box")
     told = {"host": name, "dial": dial, "site": "edge" if kind == "box" else "hub", "class": kind}
     return told | {"block": 0, "health": health, "share": 8, "born_ms": 0}
 
--- a/lupintack/standins/processes.py
+++ b/lupintack/standins/processes.py
@@ -35,10 +35,12 @@
 class Processes:
     """A fleet, a port, and the processes started on it one after another."""
 
-    def __init__(self, tmp: Path, words: tuple[str, ...] = RUN, **limits: object) -> None:
+    def __init__(
+        self, tmp: Path, words: tuple[str, ...] = RUN, fleet: Fleet | None = None, **limits: object
+    ) -> None:
         self.tmp = tmp
         self.words = words
-        self.fleet = Fleet()
+        self.fleet = fleet or Fleet()
         self.listen = ("127.0.0.1", free_ports(1)[0])
         self.file = tmp / "config.json"
         self.file.write_text(json.dumps(self.fleet.configuration(f"127.0.0.1:{self.listen[1]}", **limits)))
