Let routers whose part of a cold member is under one call take turns at it

At fault: limits/shared.py part() gave caches equal parts that nobody may spend below one call, and parents' whole budget to the first by rank.

Changed: equal parts for both; where a part is under one call a router has one on credit, once in the span, by a draw that succeeds for its part of a call, from its own number and the member's (Turns), and pays before the next. Ranks and COLD_UNIT are gone. Options weighed: two draws in the span (31 calls where 26.6 are allowed, if all ask each 20 ms), draws from the seeds (130 in one moment where seeds are alike), a whole call saved up by each (all spend it at once).

--- a/lupintack/limits/shared.py
+++ b/lupintack/limits/shared.py
@@ -9,23 +9,56 @@
 from __future__ import annotations
 
 import math
+from hashlib import blake2b
 
 WANT_MS = 2000.0  # span over which what was wanted is counted: two of the slowest fills
 
 
-def part(whole: float, routers: int, rank: int | None, processes: int, unit: float, lease: float) -> float:
+def part(whole: float, routers: int, processes: int, lease: float) -> float:
     """This process's part of a cold member's rate; the sum over all that go by one count, or by leases, is at
     most `whole`.
 
-    `lease`: the share that a lease gives, 0 to 1; negative: there is none, and the numbers decide. With a
-    `rank` (0 is first) only as many routers as get `unit` have a part.
+    `lease`: the share that a lease gives, 0 to 1; negative: there is none, and the numbers decide.
     """
     if lease >= 0.0:
         return whole * min(1.0, lease)  # each process has its own lease, also the two of an upgrade
-    rate = whole / routers
-    if rank is not None and rate < unit:
-        rate = min(whole, unit) if rank < max(1, int(whole / unit)) else 0.0
-    return rate / processes
+    return whole / routers / processes
+
+
+class Turns:
+    """One call at a time for a router whose part of a cold member's budget is less than one.
+
+    Danger: parts under one call that nobody may spend leave the member unused until it is half warm, and saved
+    up for a whole call by each, they are all spent in one moment. So a call is had on credit, once in the
+    budget's span, by a draw that succeeds for as large a part of the routers as their part of a call is; the
+    debt is paid before the next one. The draws follow from `key`, the router's own number and the member's:
+    routers that are alike in all else, also in their seeds, must not draw alike.
+    """
+
+    __slots__ = ("draw", "key", "most", "until")
+
+    def __init__(self, key: int) -> None:
+        """`key`: 64 bits, another for each router and member."""
+        self.key = key
+        self.most = 0.0  # what the router may have saved up, ms of sending
+        self.draw = 1.0
+        self.until = -math.inf
+
+    def may(self, have: float, need: float, now: float, span: float) -> bool:
+        """Whether a call of `need` may be sent with `have` saved up; the draw stands for a span."""
+        if self.most >= need or have <= 0.0:
+            return False
+        if now >= self.until:
+            first = self.until == -math.inf
+            # The first turn is shorter, or all that heard of the member in one moment would draw in one.
+            self.until = now + span * (self.random() if first else 1.0)
+            self.draw = self.random()
+        return have >= self.draw * need
+
+    def random(self) -> float:
+        """The next number from 0 to 1; 0 is none of them."""
+        self.key = int.from_bytes(blake2b(self.key.to_bytes(8, "big"), digest_size=8).digest(), "big")
+        return (self.key + 1) / 2.0**64
 
 
 class Wanted:
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -20,7 +20,7 @@
     Log, Member, MemberList, Note, Outcome, Purged, Refuse, Repeat, Request, ServeOwn, ServiceClass, SetTimer,
     Settings, State, Subscribe, TimerFired,
 )
-from lupintack.limits.shared import Store, Wanted, part
+from lupintack.limits.shared import Store, Turns, Wanted, part
 from lupintack.limits.sizes import Sizes, Terms as Sending
 from lupintack.limits.strain import Strain, Terms
 
@@ -80,7 +80,6 @@
 # Cold members
 COLD_PART = 0.8  # part of the stated multiple that all routers together may use; sizes are rough
 COLD_MOST = 2.0  # and at most this multiple of the present capacity, or answers come late
-COLD_UNIT = 1.0  # transfers at a time that make a share of a cold parent's budget worth having
 RAMP_MARGIN = 1.1  # a member counts as cold this much longer than stated
 
 # Purges
@@ -120,7 +119,7 @@
     ramp: float
     multiple: float
     routers: int
-    rank: int | None = None
+    turns: Turns
     ready: bool = False
     started: float = 0.0
     good: float = 0.0
@@ -168,15 +167,15 @@
     def allow(self, now: float, span: float, processes: int = 1, lease: float = -1.0) -> float:
         """Work (ms of sending) that this router may still send a cold member; bounded in every span.
 
-        Danger: a cold parent's budget, shared among a hundred, is less than one request for each. So only as
-        many as get COLD_UNIT share it. Who holds it to be colder takes no more: the sum stays bounded.
+        Danger: a cold member's budget, shared among a hundred, is less than one request for each: then they
+        take turns (`Turns`). Who holds it to be colder takes no more: the sum stays bounded.
         """
         top = min(self.multiple * COLD_PART, COLD_MOST)
         whole = self.warmth(now) * self.info.size * top
-        rate = part(whole, self.routers, self.rank, processes, COLD_UNIT, lease)
+        rate = part(whole, self.routers, processes, lease)
         # A full bucket and its refill meet in the worst span, so each gets half of what the span may hold.
-        most = rate * min(self.multiple * COLD_PART / top, 2.0) * span / 2
-        self.tokens = min(most, self.tokens + rate / 2 * max(0.0, now - self.token_at))
+        self.turns.most = rate * min(self.multiple * COLD_PART / top, 2.0) * span / 2
+        self.tokens = min(self.turns.most, self.tokens + rate / 2 * max(0.0, now - self.token_at))
         self.token_at = now
         return self.tokens
 
@@ -233,7 +232,7 @@
         self.logs: dict[int, dict[int, float]] = {}
         self.cache_boards: dict[int, list[Peer]] = {}
         self.parent_boards: dict[int, list[Peer]] = {}
-        self.split = 0.0
+        self.split = self.weighed_at = 0.0
         self.holds: OrderedDict[int, tuple[int, float]] = OrderedDict()
         self.purged: OrderedDict[tuple[int, int], float] = OrderedDict()
         self.purge_floor = -math.inf
@@ -254,7 +253,6 @@
         }
         fields = settings.report_fields
         self.util_at = fields.index("cpu_share") if "cpu_share" in fields else None
-        self.weighed_at = 0.0
 
     def retune(self, settings: Settings) -> None:
         """Other settings from now on; a class that keeps its name and number keeps what was learned of it."""
@@ -262,7 +260,7 @@
         self.sizes.retune(settings.classes, settings.client_kb_per_s)
         for peer in self.peers.values():
             shared = self.new_peer(peer.info)
-            peer.routers, peer.rank = shared.routers, shared.rank
+            peer.routers, peer.turns = shared.routers, shared.turns
 
     def handle(self, now: float, events: Iterable[Event]) -> Sequence[Action]:
         """Turn what happened at one moment into what is done about it."""
@@ -294,9 +292,8 @@
                 # A restarted member is a cold one: its past health and budget are another process's.
                 peer.tokens, peer.good, peer.bad, peer.ejections, peer.strikes = 0.0, 0.0, 0.0, 0, 0
                 peer.ejected_until, peer.lost_at, peer.load, peer.weight = -math.inf, -math.inf, None, 1.0
-            peer.info, peer.started = info, started
+            peer.info, peer.started, peer.ready = info, started, info.state == State.READY
             peer.share = peer.weight * info.size**SIZE_POWER
-            peer.ready = info.state == State.READY
         self.peers = {id_: peer for id_, peer in sorted(self.peers.items()) if peer.ready}
         known = list(self.peers.values())
         upper = (self.settings.parent_kind, self.settings.origin_kind)
@@ -312,14 +309,13 @@
         known, now = self.settings, self.now
         if info.kind == known.parent_kind:
             figures = (known.parent_cold_from, known.parent_ramp, known.parent_multiple)
-            own, count = score(max(0, known.me), info.id), max(1, known.siblings)
-            # A number outside the count has no rank of its own: it takes no part of a shared budget.
-            rank = sum(score(n, info.id) > own for n in range(count)) if 0 <= known.me < count else count
-            return Peer(info.id, info, self.fills, now, now, *figures, count, rank)
-        local = known.routers_by_zone
-        routers = local[info.zone] if info.zone < len(local) else known.siblings
-        figures = (known.cold_from, known.warm_after, known.cold_multiple)
-        return Peer(info.id, info, self.fills, now, now, *figures, max(1, routers))
+            routers = known.siblings
+        else:
+            local = known.routers_by_zone
+            figures = (known.cold_from, known.warm_after, known.cold_multiple)
+            routers = local[info.zone] if info.zone < len(local) else known.siblings
+        turns = Turns(score(max(0, known.me), info.id))
+        return Peer(info.id, info, self.fills, now, now, *figures, max(1, routers), turns)
 
     def on_purged(self, event: Purged) -> None:
         """Remember when the purge was, so that no older copy will do until all have settled."""
@@ -563,7 +559,8 @@
             return True
         peer.wanted.add(need, now)
         lease = known.cold_parents if peer.info.kind == known.parent_kind else known.cold_caches
-        return peer.allow(now, known.cold_span, known.processes, lease) >= need
+        have = peer.allow(now, known.cold_span, known.processes, lease)
+        return have >= need or peer.turns.may(have, need, now, known.cold_span)
 
     def may_repeat(self, req: Pending, peer: Peer) -> bool:
         """Whether an attempt there is harmless, given those that may have run."""
