--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -48,6 +48,7 @@
     State,
     TimerFired,
 )
+from lupintack.limits.bands import Bands
 from lupintack.limits.keys import Keys, Risk
 from lupintack.logs import fields
 from lupintack.policy import Router
@@ -69,6 +70,7 @@
     safe: bool
     sent: int = 0
     over: bool = False
+    band: str = ""  # of its told size, for the counters; "": none was told
     live: dict[int, Order] = field(default_factory=dict)
 
 
@@ -125,6 +127,7 @@
         self.last_number = 0
         self.timer_number = 0
         self.keys = Keys()
+        self.bands = Bands()
         self.heard = 0  # the number of the last purge that the module has heard of
         self.told = 0  # and of the last news of any kind (Roster.news)
         self.early: list[Ended] = []  # attempts held back by news that the module has yet to hear
@@ -280,7 +283,9 @@
             return
         self.last_number = self.last_number % 0xFFFFFFF0 + 1
         number = ask.number = self.last_number
-        self.owed[number] = Owed(ask, cls.repeat is Repeat.SAFE)
+        one = self.owed[number] = Owed(ask, cls.repeat is Repeat.SAFE)
+        if ask.size_kb > 0.0:
+            one.band = f"size.{self.bands.take(cls.name, ask.size_kb).value}"
         self.ids[ask.wire_id] = number
         self.counters["taken." + cls.name] += 1
         self.set_timer(ask.deadline_us, DUE_LIMIT, number)
@@ -302,8 +307,7 @@
         """Nothing more is owed."""
         one = self.owed.get(message.ask.number)
         if one is not None and not one.over:
-            one.over = True
-            self.counters["left"] += 1
+            self.end_with(one, "left")
             events.append(ClientGone(message.ask.number))
             self.sweep(message.ask.number, one)
 
@@ -322,8 +326,7 @@
         self.counters[ending.label] += 1
         answer = message.answer
         if ending in (Ending.SERVED, Ending.HOLDS) and answer is not None and not one.over:
-            one.over = True
-            self.counters["answered.served"] += 1
+            self.end_with(one, "answered.served")
             one.ask.sink.served(answer, ending is Ending.HOLDS)
             if ending is Ending.SERVED and self.copies is not None:
                 self.fresh[order.ask.number] = (order.ask, answer)
@@ -457,22 +460,27 @@
         if answer is None:
             self.finish(number, one, Refuse(number))  # purged in this very turn, or since; nothing ran
             return
-        one.over = True
-        self.counters["answered.own"] += 1
+        self.end_with(one, "answered.own")
         one.ask.sink.served(answer, holds)
         self.sweep(number, one)
 
     def finish(self, number: int, one: Owed, action: Refuse | Fail) -> None:
         """The final answer of a request that is not served."""
-        one.over = True
         if isinstance(action, Refuse):
-            self.counters["answered.refused"] += 1
+            self.end_with(one, "answered.refused")
             one.ask.sink.refused(int(action.retry_after))
         else:
-            self.counters["answered.failed"] += 1
+            self.end_with(one, "answered.failed")
             one.ask.sink.failed()
         self.sweep(number, one)
 
+    def end_with(self, one: Owed, how: str) -> None:
+        """Nothing more is owed; counted by how it ended, and beside the others of its class by its size."""
+        one.over = True
+        self.counters[how] += 1
+        if one.band:
+            self.counters[f"{one.band}.{how}"] += 1
+
     def sweep(self, number: int, one: Owed) -> None:
         """Forget a request that is over and has nothing out, once the turn has ended.
 
