--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -848,7 +848,7 @@
         with tempfile.TemporaryDirectory() as folder, socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             file = Path(folder) / "config.json"
-            # A board that is there: a try that is refused may be logged, by its thread, before the start's line.
+            # A board that is there: a refused try may be logged, by its thread, before the start's line.
             board = socket.create_server(("127.0.0.1", 0))
             self.addCleanup(board.close)
             data = deployment.configuration({name: "127.0.0.1:1" for name in deployment.HOSTS}, at(board))
