Ask whether a member has closed also a connection on which another request is out

Read once more: the connection's state was asked only where nothing was out on it, as idle closes were meant; a crash or a reset under requests that have begun closes it as well, and a want written between that and its thread's seeing it counts as run. peers/actor.py Conn.left() asks always now, one call a want. The test holds the thread as before with another request out: an alert-ack got 502 without the change, and is served over a new connection with it; the one that was out fails.

--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -158,8 +158,8 @@
         return not (self.yielding or self.leaving)
 
     def left(self) -> bool:
-        """Whether the member has closed it, seen or not; asked of those on which nothing is out."""
-        return not self.open and self.sock is not None and presence.left(self.sock)
+        """Whether the member has closed or reset it, seen by its thread or not."""
+        return self.sock is not None and presence.left(self.sock)
 
     def rests(self) -> bool:
         """Whether it could be closed for another's sake: nothing is out on it, and it is not ending."""
@@ -420,8 +420,8 @@
     def best(self, wire_id: str, doubted: bool = False) -> Conn | None:
         """The connection with the least out, of those that may have this want; doubted ones in need only.
 
-        One that the member has closed, as idle, is passed over though its thread has yet to see that: what is
-        written there has to count as run, and a request of an unsafe class would be lost to it.
+        One that the member has closed, as idle or in a crash, is passed over though its thread has yet to see
+        that: what is written there has to count as run, and a request of an unsafe class would be lost to it.
         """
         while (found := self.least(wire_id, doubted)) is not None and found.left():
             found.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,9 +17,16 @@
 ACK = "/ops/alert-ack/00000000000000ac"
 
 
-class IdleCloses(unittest.TestCase):
+class MembersCloses(unittest.TestCase):
+    """Written there it would count as run: failed for good where the class may not be repeated."""
+
     def test_a_write_that_crosses_the_members_own_close_of_an_idle_connection(self) -> None:
-        """Written there it would count as run: failed for good where the class may not be repeated."""
+        self.cross(busy=False)
+
+    def test_a_write_that_crosses_the_end_of_a_connection_on_which_another_is_out(self) -> None:
+        self.cross(busy=True)
+
+    def cross(self, busy: bool) -> None:
         play = Scenario()
         play.run(
             f"""
@@ -44,6 +51,8 @@
         with unittest.mock.patch.object(resp.Reader, "more", seen_late):
             # The thread waits in the method as it was: one answer that nobody asked for takes it round.
             play.run("cache send w ok entity=e,issued={now} twice", close=False)
+            if busy:
+                play.run(f"client b send PUT {ACK} body=out\ncache expect u body=out", close=False)
             play.run("cache close w", close=False)
             assert conn.sock is not None
             sock = conn.sock
@@ -58,6 +67,8 @@
                 close=False,
             )
             gate.set()
+        if busy:
+            play.run("client b expect 502", close=False)
         play.close()
         self.assertEqual(play.node.core.counters["ended.served"], 2)
 
