Take brackets in brackets by the thousand as a bad line, not as the reader's end

Read for bad input, and made to happen: a line of the notice board with 200,000 brackets raised RecursionError, which is no ValueError, and ended the board's thread for good, with a traceback: no list any more. The same in a configuration: a traceback at the start, and at SIGHUP the end of the process; so did `known` with a rev that is no number, or notices that are no list. At fault: board.py line(), config.py load() and parse(). Tests: four cases of two fail without the change.

--- a/lupintack/board.py
+++ b/lupintack/board.py
@@ -153,7 +153,7 @@
             return False
         try:
             notice = json.loads(raw)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             LOG.warning("bad line", extra=fields(reason=error, line=raw[:100]))
             return False
         event = isinstance(notice, dict)
--- a/lupintack/config.py
+++ b/lupintack/config.py
@@ -63,7 +63,7 @@
         data = json.loads(Path(path).read_bytes())
     except OSError as error:
         raise ConfigError(f"EDGE_CONFIG: {path!r} can't be read: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:  # the latter: brackets in brackets by the thousand
         raise ConfigError(f"EDGE_CONFIG: {path!r} is not JSON: {error}") from None
     if not isinstance(data, dict):
         raise ConfigError("EDGE_CONFIG: an object is wanted")
@@ -71,7 +71,9 @@
         return parse(data, environ)
     except ConfigError:
         raise
-    except (SettingsError, ValueError, TypeError, AttributeError, KeyError, OverflowError) as error:
+    except (
+        SettingsError, ValueError, TypeError, AttributeError, KeyError, OverflowError, RecursionError
+    ) as error:  # fmt: skip
         raise ConfigError(f"EDGE_CONFIG: {error}".replace("\n", " ")) from None
 
 
@@ -90,8 +92,10 @@
         raise ConfigError(f"seed: hex digits are wanted, not {seed!r}") from None
     admin = environ.get("EDGE_ADMIN_ADDR") or data.get("admin_addr")
     known = data.get("known", {})
-    if not isinstance(known, dict):
-        raise ConfigError("known: an object is wanted")
+    if not isinstance(known, dict) or not isinstance(known.get("notices", []), list):
+        raise ConfigError("known: an object with a list of notices is wanted")
+    if not isinstance(known.get("rev", 0), int):
+        raise ConfigError("known: rev: a whole number is wanted")
     return Config(
         name=environ.get("EDGE_NAME") or str(data.get("name", "edge")),
         listen=address(environ.get("EDGE_LISTEN") or data.get("listen", ""), "listen"),
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -494,9 +494,13 @@
                     self.make_room(now)
                     time.sleep(0.02)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", WRITE_LIMIT_S, 0))
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, 0))  # inherited
+            try:
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", WRITE_LIMIT_S, 0))
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, 0))  # inherited
+            except OSError:  # gone again; the thread that accepts must not end with it
+                sock.close()
+                continue
             conn = Connection(self, sock, str(where[0]))
             with self.lock:
                 self.conns.add(conn)
--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -237,6 +237,9 @@
             return Ending.CLOSED
         except OSError:
             return Ending.RESET
+        except Exception:  # a fault of ours: what is out on it must end all the same
+            LOG.exception("answer can't be taken")
+            return Ending.BAD_FRAME
 
     def write(self, data: bytes) -> bool:
         """Write it, what the kernel does not take now by a thread of its own; False where nothing went."""
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -494,6 +494,7 @@
         with self.assertLogs("board", "WARNING") as logs:
             Scenario().run(f"""
                 board expect watch 1
+                board send {"[" * 200_000}
                 board send {pool % (2, strange)}
                 board send {pool % (2, bare)}
                 board send {pool % (2, "{line s-2 Terminating}")}
@@ -505,7 +506,8 @@
                 cache send w ok - x
                 client a expect 200
             """)
-        self.assertEqual([r.getMessage() for r in logs.records], ["notice can't be used"] * 2)
+        told = ["bad line", *["notice can't be used"] * 2]
+        self.assertEqual([r.getMessage() for r in logs.records], told)
 
     def test_a_silent_board_undoes_no_drain_and_no_purge(self) -> None:
         with unittest.mock.patch.object(board, "SILENT_S", 0.2):
@@ -761,7 +763,9 @@
 
     def test_a_bad_configuration_is_one_line_and_a_code(self) -> None:
         wrong = '{"settings": {"services": 3}}'
-        for config in ("{", "[]", wrong, '{"known": 3}', '{"seed": "x"}', '{"board": "x"}'):
+        deep = '{"settings": ' + "[" * 200_000
+        knowns = ('{"known": 3}', '{"known": {"rev": "x"}}', '{"known": {"notices": {}}}')
+        for config in ("{", "[]", wrong, *knowns, '{"seed": "x"}', '{"board": "x"}', deep):
             with self.subTest(config=config):
                 process = self.start(config)
                 text = process.communicate(timeout=10)[1]
