--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -25,6 +25,7 @@
 from lupintack.peers import actor, resp
 from lupintack.standins import deployment
 from lupintack.standins.deployment import SETTINGS
+from lupintack.standins.net import at
 from tests.scenario import Lines, Scenario
 from tests.site import eventually
 
@@ -234,7 +235,7 @@
         Scenario().run(f"""
             board expect watch 1
             board send {{"rev":2,"pool":{{"seq":2,"hosts":[{{line s-1 Terminating}},{{line p-1 Gone}}]}}}}
-            wait 250
+            board heard 2
             client a send GET {TILE}
             cache expect w at=s-2 miss=p-2
             cache send w ok - x
@@ -279,7 +280,7 @@
             board send not json
             board send {{"rev":2,"flush":{{"collection":17,"ms":{{now-500}}}}}}
             board send 2
-            wait 250
+            board heard 2
             client a send GET {TILE} X-Batch:17
             cache expect w within=???
             cache send w ok - x
@@ -455,11 +456,11 @@
         play.run(f"""
             board expect watch 1
             board send {{"rev":2,"pool":{{"whole":false,"hosts":[{{line s-1 Gone}}]}}}}
-            wait 100
+            board heard 2
             client a send GET {TILE}
             cache expect w at=s-2
             board send {{"rev":3,"pool":{{"whole":true,"hosts":[{{line p-1 Ready}}, {{line o-1 Ready}}]}}}}
-            wait 100
+            board heard 3
             client b send GET {TILE}?nth=1
             cache expect v at=p-1
         """)
@@ -470,14 +471,14 @@
         play.run(f"""
             board expect watch 1
             board send {{"rev":2,"pool":{{"whole":false,"hosts":[{{line s-2 Gone}}]}}}}
-            wait 100
+            board heard 2
             client a send GET {TILE}
             cache expect old at=s-1
         """, close=False)  # fmt: skip
         new = json.dumps(play.line("s-1", host="s-9"))
         play.run(f"""
             board send {{"rev":3,"pool":{{"whole":false,"hosts":[{{line s-1 Gone}}, {new}]}}}}
-            wait 100
+            board heard 3
             client b send GET {TILE}?nth=1
             cache expect fresh at=s-1
             cache send old ok - x
@@ -493,18 +494,20 @@
         with self.assertLogs("board", "WARNING") as logs:
             Scenario().run(f"""
                 board expect watch 1
+                board send {"[" * 200_000}
                 board send {pool % (2, strange)}
                 board send {pool % (2, bare)}
                 board send {pool % (2, "{line s-2 Terminating}")}
                 board send {pool % (2, "{line s-2 Ready}")}
                 board send 2
-                wait 100
+                board heard 2
                 client a send GET {TILE}
                 cache expect w at=s-1
                 cache send w ok - x
                 client a expect 200
             """)
-        self.assertEqual([r.getMessage() for r in logs.records], ["notice can't be used"] * 2)
+        told = ["bad line", *["notice can't be used"] * 2]
+        self.assertEqual([r.getMessage() for r in logs.records], told)
 
     def test_a_silent_board_undoes_no_drain_and_no_purge(self) -> None:
         with unittest.mock.patch.object(board, "SILENT_S", 0.2):
@@ -637,7 +640,7 @@
             client a expect 304 ETag:"t"
             cache expect nothing 50
             board send {{"rev":2,"flush":{{"collection":17,"ms":{{now+1}}}}}}
-            wait 250
+            board heard 2
             {ask}
             {fill}
         """)
@@ -760,7 +763,9 @@
 
     def test_a_bad_configuration_is_one_line_and_a_code(self) -> None:
         wrong = '{"settings": {"services": 3}}'
-        for config in ("{", "[]", wrong, '{"known": 3}', '{"seed": "x"}', '{"board": "x"}'):
+        deep = '{"settings": ' + "[" * 200_000
+        knowns = ('{"known": 3}', '{"known": {"rev": "x"}}', '{"known": {"notices": {}}}')
+        for config in ("{", "[]", wrong, *knowns, '{"seed": "x"}', '{"board": "x"}', deep):
             with self.subTest(config=config):
                 process = self.start(config)
                 text = process.communicate(timeout=10)[1]
@@ -847,7 +852,10 @@
         with tempfile.TemporaryDirectory() as folder, socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             file = Path(folder) / "config.json"
-            data = deployment.configuration({name: "127.0.0.1:1" for name in deployment.HOSTS}, "127.0.0.1:1")
+            # A board that is there: a refused try may be logged, by its thread, before the start's line.
+            board = socket.create_server(("127.0.0.1", 0))
+            self.addCleanup(board.close)
+            data = deployment.configuration({name: "127.0.0.1:1" for name in deployment.HOSTS}, at(board))
             file.write_text(json.dumps(data))
             listen = f"127.0.0.1:{probe.getsockname()[1]}"
             probe.close()
