Take a router's members and whether they are told from one look in the stand-ins

Traced in the kept logs: no router told of the paused one's going or coming. At fault: standins/routers.py agree(), which took `view` and `settled` from one call of each router and its members from a second one: where all removed the paused one between the two, it was taken as told, woken at once, and back before the quiet time had passed, so that nothing was told. One look each now.

--- a/lupintack/standins/routers.py
+++ b/lupintack/standins/routers.py
@@ -37,6 +37,12 @@
     return "\n".join(f"{key} = {worded(value)}" for key, value in values.items())
 
 
+def counted(status: dict[str, Any]) -> set[str]:
+    """Whom a router counts, by what it tells of the others."""
+    states = ("alive", "suspect", "unheard")
+    return {one["name"] for one in status.get("routers", []) if one["state"] in states}
+
+
 class Routers:
     """Router processes by name. Only those that were started here are ever signalled, by their pids."""
 
@@ -156,18 +162,17 @@
 
     def members(self, name: str) -> set[str]:
         """Whom a router counts."""
-        counted = ("alive", "suspect", "unheard")
-        return {one["name"] for one in self.status(name).get("routers", []) if one["state"] in counted}
+        return counted(self.status(name))
 
     def agree(self, wanted: Iterable[str], patience: float = 15.0) -> float:
         """Wait until all that run count just these, with one view, and have told so; the seconds it took."""
         goal, began = set(wanted), time.monotonic()
 
         def done() -> bool:
-            names = [name for name in self.running if name not in self.paused]
-            told = [self.status(name) for name in names]
+            # One look at each: what a later one tells of its members might not have been told to anybody yet.
+            told = [self.status(name) for name in self.running if name not in self.paused]
             one = len({status.get("view") for status in told}) == 1 and all(s.get("settled") for s in told)
-            return one and all(self.members(name) == goal for name in names)
+            return one and all(counted(status) == goal for status in told)
 
         self.until(done, patience, f"all count {sorted(goal)}")
         return time.monotonic() - began
