Read the members' descriptors in their test before the node's end gives them back

Seen on a fresh clone on a quiet machine, 1 of 3 runs of the suite: tests/test_serving.py, 0 descriptors in use where 1 is wanted. The test ended the node first, whose threads then give the descriptor back, and read the count after: the order of two threads.

--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -386,8 +386,9 @@
         play = Scenario()
         play.node.terms.room.most = 1
         sends = "\n".join(f"client c{n} send GET {TILE}?nth={n}\ncache expect w" for n in range(8))
-        play.run(sends)
-        self.assertEqual(play.node.terms.room.used, 1)
+        play.run(sends, close=False)
+        self.assertEqual(play.node.terms.room.used, 1)  # before the end, which gives it back
+        play.close()
 
 
 class Board(unittest.TestCase):
