--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -546,4 +546,3 @@
             pair = self.links[action.member] = (host.dial, self.connect(action.member, host))
         order.link = pair[1]
         order.link.send(order)
-
--- a/lupintack/core/copies.py
+++ b/lupintack/core/copies.py
@@ -73,10 +73,7 @@
     def put(self, key: tuple[int, int], group: int, answer: Answer) -> None:
         """Keep a copy, unless a purge has overtaken it; the longest unused make room."""
         size = len(answer.body) + OVERHEAD
-        purge = max(
-            self.purged.get((True, key[0]), 0.0),
-            self.purged.get((False, group), 0.0),
-        )
+        purge = max(self.purged.get((True, key[0]), 0.0), self.purged.get((False, group), 0.0))
         if not answer.issued_ms or answer.issued_ms <= purge or size > self.most // 16:
             return
         self.drop(key)
--- a/lupintack/fleet/leases.py
+++ b/lupintack/fleet/leases.py
@@ -32,9 +32,7 @@
     return Leases(part(CACHES + site), part(PARENTS), store, until_us)
 
 
-def needs(
-    budgets: Sequence[Budget], wished: Wishes, before: Sequence[int], site: str
-) -> tuple[int, ...]:
+def needs(budgets: Sequence[Budget], wished: Wishes, before: Sequence[int], site: str) -> tuple[int, ...]:
     """What to ask for: what was wanted and some spare, up at once, down by and by; nothing of other sites."""
     shares = {CACHES + site: wished.cold_caches, PARENTS: wished.cold_parents}
     found = []
--- a/lupintack/fronts/cdni/redirection.py
+++ b/lupintack/fronts/cdni/redirection.py
@@ -110,9 +110,7 @@
             "Accept": wording.media(wording.RI_RESPONSE),
         }
         try:
-            reply = client.call(
-                "POST", downstream.redirect, ASK_LIMIT_US, json.dumps(body).encode(), headers
-            )
+            reply = client.call("POST", downstream.redirect, ASK_LIMIT_US, json.dumps(body).encode(), headers)
             if wording.ptype_of(reply.headers.get("content-type", "")) != wording.RI_RESPONSE:
                 raise client.CallError("not a redirection-response")
             data = wording.parse(reply.body)
--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -106,9 +106,7 @@
         now = int(time.time())
         with self.lock:
             for number, old in list(self.resources.items()):
-                if old.status in FINAL and (
-                    old.changed < now - STALE_S or len(self.resources) >= RESOURCES
-                ):
+                if old.status in FINAL and (old.changed < now - STALE_S or len(self.resources) >= RESOURCES):
                     del self.resources[number]
             if len(self.resources) >= RESOURCES:
                 raise Bad(503, "too many triggers are under way")
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -128,7 +128,6 @@
             data.append(bytes(body) if len(body) < READ else body)  # type: ignore[arg-type]
         return self.conn.reply(self, data, close)
 
-
     def gone(self) -> bool:
         """Whether the client has left."""
         return self.conn.closed or presence.left(self.conn.sock)
--- a/lupintack/http2/wire.py
+++ b/lupintack/http2/wire.py
@@ -339,8 +339,7 @@
                 pass
 
     def lingers(self) -> bool:
-        """Whether our end is said and the peer's is still waited for: a close now could reset what it reads.
-        """
+        """Whether our end is sent and the peer's still awaited: a close now could reset what it reads."""
         return self.ended and not self.dead
 
     def unwritten(self) -> int:
--- a/lupintack/lab/members.py
+++ b/lupintack/lab/members.py
@@ -327,6 +327,7 @@
                     if healed is not None:
                         healed()
                     self.ease(spans)
+
         if done is not None:
             self.clock.call(fault.until(), lambda: done())
 
--- a/lupintack/peers/resp.py
+++ b/lupintack/peers/resp.py
@@ -121,4 +121,3 @@
             raise FrameError(f"a field without {within}: {part[:32]!r}")
         out[name] = value
     return out
-
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -19,7 +19,7 @@
     NEVER_RAN, Action, AttemptEnded, AttemptStarted, Cancel, ClientGone, Event, Fail, Fetch, Keep, ListKind,
     Log, Member, MemberList, Note, Outcome, Purged, Refuse, Repeat, Request, ServeOwn, ServiceClass, SetTimer,
     Settings, State, Subscribe, TimerFired,
-)
+)  # fmt: skip
 from lupintack.limits.shared import Store, Turns, Wanted, part
 from lupintack.limits.sizes import Sizes, Terms as Sending
 from lupintack.limits.strain import Strain, Terms
--- a/lupintack/upkeep.py
+++ b/lupintack/upkeep.py
@@ -28,16 +28,7 @@
 from lupintack.lifecycle import bans as state_of_bans
 from lupintack.lifecycle.bans import NAME_MOST, OUT_MOST, Bans
 from lupintack.lifecycle.folder import LOCK_S, Folder
-from lupintack.lifecycle.partner import (
-    CLOSED,
-    Listeners,
-    Partner,
-    Share,
-    Side,
-    ends_first,
-    share,
-    side,
-)
+from lupintack.lifecycle.partner import CLOSED, Listeners, Partner, Share, Side, ends_first, share, side
 from lupintack.lifecycle.state import Leave, Life, Phase, leave
 from lupintack.logs import fields
 from lupintack.peers.actor import Room
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -34,6 +34,8 @@
 from lupintack.standins.net import at, close, listen
 
 PATIENCE = 5.0
+
+
 def match(what: str, have: str, pattern: str) -> None:
     assert fnmatchcase(have, pattern.replace("[", "[[]")), f"{what}: {have!r} is not {pattern!r}"
 
