Add the empty room of the scale tests, and its command group

Change: lupintack/scale, cli/scale*.py, the room's place in the test of imports (above the stand-ins and the lab).

--- a/lupintack/cli/main.py
+++ b/lupintack/cli/main.py
@@ -11,6 +11,7 @@
 
 import click
 
+from lupintack.cli.scale import scale
 from lupintack.settings.errors import ConfigError
 
 
@@ -20,6 +21,9 @@
     """An edge router for devices on poor links."""
 
 
+main.add_command(scale)
+
+
 @main.command()
 def run() -> None:
     """One edge router, as EDGE_CONFIG, EDGE_LISTEN, EDGE_ADMIN_ADDR, EDGE_NAME and LUPINTACK_* say."""
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -28,6 +28,7 @@
     ("__main__",),
     ("standins",),
     ("lab",),
+    ("scale",),
     ("cli",),
 ]
 LEVEL = {room: level for level, rooms in enumerate(FLOORS) for room in rooms}
