--- /dev/null
+++ b/lupintack/budgets/allocator.py
@@ -0,0 +1,145 @@
+"""The allocator of one epoch: what each holder may still have, and what can be granted.
+
+The ledger's sum never exceeds what is allocatable. An epoch knows nothing of what older ones granted; until
+all of that has expired it grants a holder no more than the holder says it has, so no sum grows.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lupintack.budgets.messages import Epoch, LeaseGrant, LeaseRequest
+from lupintack.budgets.shares import Demand, max_min_fair
+from lupintack.budgets.terms import Terms
+
+
+def equal_weight(name: str) -> int:
+    """Every holder has the same weight."""
+    return 1
+
+
+@dataclass(slots=True)
+class LedgerEntry:
+    """One holder: what it may have, and until when by the giver's clock."""
+
+    sequence: int
+    demand: tuple[int, ...]
+    amounts: tuple[int, ...]  # the most that it may have of any grant
+    until_us: int
+    granted: tuple[int, ...]  # by the last grant
+    granted_until_us: int = 0
+    weight: int = 1
+
+
+@dataclass(slots=True)
+class Allocator:
+    """A tenure from the moment at which a majority was known."""
+
+    epoch: Epoch
+    allocatable: tuple[int, ...]  # of each budget: the whole without its floors
+    terms: Terms
+    elected_us: int
+    weight_of: Callable[[str], int] = equal_weight
+    ledger: dict[tuple[str, int], LedgerEntry] = field(default_factory=dict)
+    targets: dict[tuple[str, int], tuple[int, ...]] = field(default_factory=dict)
+    shares_computed_us: int = -1
+
+    @property
+    def ready_us(self) -> int:
+        """From here on nothing that an older tenure gave can be alive.
+
+        It gave before its term ended, which was before this one's majority; a holder counts
+        drift_safe(lease_us), which is over everywhere after lease_us of this clock.
+        """
+        return self.elected_us + self.terms.lease_us
+
+    def handle_request(self, request: LeaseRequest, now: int) -> LeaseGrant | None:
+        """What this holder is given. The term must hold at `now`; None: the request says nothing to it."""
+        if (
+            request.epoch != self.epoch
+            or len(request.demand) != len(self.allocatable)
+            or len(request.held) != len(self.allocatable)
+        ):
+            return None
+        key = (request.name, request.start)
+        self.expire(now)
+        old = self.ledger.get(key)
+        if old is not None and request.sequence <= old.sequence:
+            same = request.sequence == old.sequence and now < old.granted_until_us
+            return LeaseGrant(self.epoch, *key, request.sequence, old.granted) if same else None
+        if old is None and len(self.ledger) >= self.terms.max_holders:
+            return None
+        # What it says it holds is the most it can have of earlier grants, for it takes none of them any more.
+        # Of this tenure's own it never holds more than is booked.
+        if now < self.ready_us:
+            keep = request.held
+        else:
+            keep = tuple(map(min, request.held, old.amounts)) if old is not None else self.zero
+        left = self.zero
+        if len(request.in_use) == len(self.allocatable):
+            # What runs on past its lease is given to nobody. It makes no sum of leases grow: it is not given
+            # to this holder either.
+            left = request.in_use
+            keep = tuple(map(max, keep, left))
+        if request.leaving:
+            self.ledger[key] = LedgerEntry(
+                request.sequence, self.zero, left, now + self.terms.lease_us, self.zero
+            )
+            self.shares_computed_us = -1
+            return None
+        mine = self.ledger[key] = LedgerEntry(
+            request.sequence,
+            request.demand,
+            keep,
+            now + self.terms.lease_us,
+            self.zero,
+            weight=max(1, self.weight_of(request.name)),
+        )
+        if (
+            old is None
+            or now >= self.shares_computed_us + self.terms.share_interval_us
+            or self.shares_computed_us < 0
+        ):
+            self.compute_shares(now)
+        target = self.targets.get(key, self.zero)
+        if now < self.ready_us:
+            given = tuple(map(min, target, request.held))
+        else:
+            given = tuple(max(0, min(t, f)) for t, f in zip(target, self.available_to(key), strict=True))
+        mine.amounts = tuple(map(max, keep, given))
+        mine.granted, mine.granted_until_us = given, now + self.terms.lease_us
+        return LeaseGrant(self.epoch, *key, request.sequence, given)
+
+    @property
+    def zero(self) -> tuple[int, ...]:
+        return (0,) * len(self.allocatable)
+
+    def expire(self, now: int) -> None:
+        """Forget what can't be alive any more."""
+        gone = [key for key, one in self.ledger.items() if now >= one.until_us]
+        for key in gone:
+            del self.ledger[key]
+        if gone:
+            self.shares_computed_us = -1
+
+    def available_to(self, key: tuple[str, int]) -> tuple[int, ...]:
+        """What nobody but this holder may have."""
+        others = [one.amounts for other, one in self.ledger.items() if other != key]
+        sums = map(sum, zip(*others, strict=True)) if others else self.zero
+        return tuple(whole - spent for whole, spent in zip(self.allocatable, sums, strict=True))
+
+    def allocated(self) -> tuple[int, ...]:
+        """The ledger's sum, for the staff and for tests."""
+        return tuple(map(sum, zip(self.zero, *(one.amounts for one in self.ledger.values()), strict=True)))
+
+    def compute_shares(self, now: int) -> None:
+        """What each should have, by what all have asked for."""
+        self.shares_computed_us = now
+        parts = []
+        for n, whole in enumerate(self.allocatable):
+            # Units rotate only where some holder has none: each move leaves them idle for a request or two.
+            turn = now // self.terms.lease_us if whole < len(self.ledger) else 0
+            demands = [Demand(key, one.demand[n], one.weight) for key, one in self.ledger.items()]
+            parts.append(max_min_fair(whole, demands, turn))
+        self.targets = {key: tuple(part[key] for part in parts) for key in self.ledger}
--- a/lupintack/budgets/wire.py
+++ b/lupintack/budgets/codec.py
@@ -10,16 +10,25 @@
 
 import msgspec
 
-from lupintack.budgets.messages import Ask, Elsewhere, Epoch, Grant, Message, Release, Vote, Voted
+from lupintack.budgets.messages import (
+    Epoch,
+    LeaseGrant,
+    LeaseRequest,
+    Message,
+    Redirect,
+    VoteRelease,
+    VoteReply,
+    VoteRequest,
+)
 from lupintack.membership.messages import CODE, HEAD, NAME_MOST, Bad, Codec, Drop
 
 MAGIC, VERSION = b"B", 1
-KINDS: tuple[type, ...] = (Vote, Voted, Release, Ask, Grant, Elsewhere)
-BUDGETS = 16
-MOST = 1 << 60
+KINDS: tuple[type, ...] = (VoteRequest, VoteReply, VoteRelease, LeaseRequest, LeaseGrant, Redirect)
+MAX_BUDGETS = 16
+MAX_AMOUNT = 1 << 60
 
 
-class Parcel(msgspec.Struct, array_like=True):
+class Envelope(msgspec.Struct, array_like=True):
     """One datagram's: who speaks, where it is answered, and a message by its kind."""
 
     sender: str
@@ -28,22 +37,22 @@
     body: msgspec.Raw
 
 
-class Parcels:
+class BudgetCodec:
     """Words and reads the messages of one fleet."""
 
     def __init__(self, codec: Codec, budgets: int) -> None:
         self.codec, self.budgets = codec, budgets
         self.encoder = msgspec.msgpack.Encoder()
-        self.parcels = msgspec.msgpack.Decoder(Parcel)
+        self.envelopes = msgspec.msgpack.Decoder(Envelope)
         self.decoders: list[Any] = [msgspec.msgpack.Decoder(kind) for kind in KINDS]
 
-    def word(self, sender: str, address: str, message: Message) -> bytes:
+    def encode(self, sender: str, address: str, message: Message) -> bytes:
         """As it goes out."""
         raw = msgspec.Raw(self.encoder.encode(message))
-        body = self.encoder.encode(Parcel(sender, address, KINDS.index(type(message)), raw))
+        body = self.encoder.encode(Envelope(sender, address, KINDS.index(type(message)), raw))
         return b"%b%c%b%b" % (MAGIC, VERSION, self.codec.code(MAGIC + body), body)
 
-    def read(self, raw: bytes) -> tuple[str, str, Message]:
+    def decode(self, raw: bytes) -> tuple[str, str, Message]:
         """Sender, its address, and what it says; Bad for anything else."""
         if len(raw) < HEAD or raw[:1] != MAGIC:
             raise Bad(Drop.CUT if raw[:1] == MAGIC else Drop.FOREIGN)
@@ -53,20 +62,24 @@
         if not hmac.compare_digest(raw[2 : 2 + CODE], self.codec.code(MAGIC + raw[HEAD:])):
             raise Bad(Drop.FOREIGN)
         try:
-            parcel = self.parcels.decode(raw[HEAD:])
-            if not 0 <= parcel.kind < len(KINDS):
+            envelope = self.envelopes.decode(raw[HEAD:])
+            if not 0 <= envelope.kind < len(KINDS):
                 raise ValueError
-            message: Message = self.decoders[parcel.kind].decode(parcel.body)
+            message: Message = self.decoders[envelope.kind].decode(envelope.body)
         except (msgspec.MsgspecError, ValueError, RecursionError):
             raise Bad(Drop.UNREADABLE) from None
-        texts = [parcel.sender, parcel.address, *(field for field in flat(message) if isinstance(field, str))]
+        texts = [
+            envelope.sender,
+            envelope.address,
+            *(field for field in flat(message) if isinstance(field, str)),
+        ]
         numbers = [field for field in flat(message) if isinstance(field, int)]
         rows = [field for field in message if isinstance(field, tuple) and not isinstance(field, Epoch)]
-        if any(len(text) > NAME_MOST for text in texts) or any(not 0 <= n <= MOST for n in numbers):
+        if any(len(text) > NAME_MOST for text in texts) or any(not 0 <= n <= MAX_AMOUNT for n in numbers):
             raise Bad(Drop.UNREADABLE)
         if any(row and len(row) != self.budgets for row in rows):  # who takes it looks after empty ones
             raise Bad(Drop.UNREADABLE)
-        return parcel.sender, parcel.address, message
+        return envelope.sender, envelope.address, message
 
 
 def flat(message: Any) -> list[Any]:
--- a/lupintack/budgets/messages.py
+++ b/lupintack/budgets/messages.py
@@ -13,61 +13,62 @@
     start: int
 
 
-class Vote(NamedTuple):
+class VoteRequest(NamedTuple):
     """One that wants to divide, or to go on dividing, asks a voter."""
 
     epoch: Epoch
     round: int
 
 
-class Voted(NamedTuple):
+class VoteReply(NamedTuple):
     """A voter's answer to a round."""
 
     voter: str
     epoch: Epoch
     round: int
-    yes: bool
-    top: int  # the highest counter that this voter has seen
+    granted: bool
+    highest_counter: int  # the highest counter that this voter has seen
 
 
-class Release(NamedTuple):
+class VoteRelease(NamedTuple):
     """The epoch's process will never again count on what it was promised."""
 
     epoch: Epoch
 
 
-class Ask(NamedTuple):
+class LeaseRequest(NamedTuple):
     """A holder asks for its parts.
 
-    Once it has left, no grant to an earlier number is taken any more: so `holds` is the most that this holder
-    has of earlier grants, from now on. `out`: things at once that it began and that have not ended, also such
-    as its lease would not let it begin any more: they are kept for it, and not given to others.
+    Once it has left, no grant to an earlier number is taken any more: so `held` is the most that this holder
+    has of earlier grants, from now on. `in_use`: things at once that it began and that have not
+    ended, also such as its lease would not let it begin any more: they are kept for it, and not granted
+    to others.
     """
 
     name: str
     start: int
-    number: int
+    sequence: int
     epoch: Epoch | None  # of the tenure that it asks; None: it does not know it yet
-    needs: tuple[int, ...]
-    holds: tuple[int, ...]
+    demand: tuple[int, ...]
+    held: tuple[int, ...]
     leaving: bool = False
-    out: tuple[int, ...] = ()
+    in_use: tuple[int, ...] = ()
 
 
-class Grant(NamedTuple):
+class LeaseGrant(NamedTuple):
     """What a holder may spend, from its ask on."""
 
     epoch: Epoch
     name: str
     start: int
-    number: int
+    sequence: int
     amounts: tuple[int, ...]
 
 
-class Elsewhere(NamedTuple):
+class Redirect(NamedTuple):
     """Who divides, as far as the one that was asked knows; epoch None: nobody that it knows of."""
 
     epoch: Epoch | None
 
 
-Message = Vote | Voted | Release | Ask | Grant | Elsewhere
+Message = VoteRequest | VoteReply | VoteRelease | LeaseRequest | LeaseGrant | Redirect
--- a/lupintack/budgets/floor.py
+++ b/lupintack/budgets/reservation.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 
-def floors(whole: int, per_mille: int, names: Sequence[str]) -> dict[str, int]:
+def reservations(whole: int, per_mille: int, names: Sequence[str]) -> dict[str, int]:
     """The same for each name, rounded down; what is left of the whole is divided by leases.
 
     One process of a name spends it at a time: the one that holds the name's lock. See docs/budgets.md.
@@ -15,6 +15,6 @@
     return dict.fromkeys(distinct, each)
 
 
-def divided(whole: int, per_mille: int, names: Sequence[str]) -> int:
+def allocatable(whole: int, per_mille: int, names: Sequence[str]) -> int:
     """The whole without its floors."""
-    return whole - sum(floors(whole, per_mille, names).values())
+    return whole - sum(reservations(whole, per_mille, names).values())
--- a/lupintack/budgets/spend.py
+++ b/lupintack/budgets/spending.py
@@ -9,11 +9,11 @@
 SECOND = 1_000_000
 
 
-class Per(Enum):
+class BudgetKind(Enum):
     """What a unit is of."""
 
-    SECOND = "second"  # a rate
-    ONCE = "at once"  # things out at the same time
+    RATE = "second"  # a rate
+    CONCURRENT = "at once"  # things out at the same time
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,14 +22,14 @@
 
     name: str
     whole: int
-    per: Per
+    per: BudgetKind
     unit: str = "requests"
-    floor_per_mille: int = 100
+    reserved_per_mille: int = 100
     burst_us: int = 250_000  # of a rate: what may have gathered
 
 
 @dataclass(slots=True)
-class Box:
+class Balance:
     """What one holder has of one budget."""
 
     budget: Budget
@@ -42,7 +42,7 @@
 
     def hold(self, lease: int, until_us: int, floor: int, now: int) -> None:
         """Gather up to now by what was held, and only for as long as it was held; then this is held."""
-        if self.budget.per is Per.SECOND:
+        if self.budget.per is BudgetKind.RATE:
             length = min(max(0, now - self.at_us), self.budget.burst_us)
             leased = min(length, max(0, min(now, self.until_us) - self.at_us))
             gained = min(self.floor, floor) * length + min(self.lease, lease) * leased
@@ -58,28 +58,28 @@
 
     def room(self, now: int) -> int:
         """Whole units that could be taken now."""
-        if self.budget.per is Per.ONCE:
+        if self.budget.per is BudgetKind.CONCURRENT:
             return max(0, self.amount(now) - self.out)
         return min(self.level, self.most(self.amount(now) - self.floor, self.floor)) // SECOND
 
     def wait_us(self, units: int, now: int) -> int:
         """When there may be as much, by what is held now; -1: not by waiting alone."""
         amount = self.amount(now)
-        if self.budget.per is Per.ONCE or amount * self.budget.burst_us < units * SECOND:
+        if self.budget.per is BudgetKind.CONCURRENT or amount * self.budget.burst_us < units * SECOND:
             return -1
         return max(0, -(-(units * SECOND - self.level) // amount))
 
 
-class Purse:
+class SpendLimiter:
     """All of one holder's boxes."""
 
     def __init__(self, budgets: Sequence[Budget], now: int) -> None:
-        self.boxes = {budget.name: Box(budget, at_us=now) for budget in budgets}
+        self.balances = {budget.name: Balance(budget, at_us=now) for budget in budgets}
 
     def hold(self, leases: Sequence[int], until_us: int, floors: Sequence[int], now: int) -> None:
         """What is held, in the order of the budgets: a lease until then, and floors for good."""
-        for box, lease, floor in zip(self.boxes.values(), leases, floors, strict=True):
-            box.hold(lease, until_us, floor, now)
+        for balance, lease, floor in zip(self.balances.values(), leases, floors, strict=True):
+            balance.hold(lease, until_us, floor, now)
 
     def take(self, wants: Mapping[str, int], now: int) -> str:
         """Take all of it, or nothing; the name of the first budget that lacks, "" where it was taken.
@@ -87,20 +87,20 @@
         `now` is read at the spend itself: a lease that has run out since it was heard of gives nothing.
         """
         for name, units in wants.items():
-            box = self.boxes[name]
-            box.hold(box.lease, box.until_us, box.floor, now)
-            if box.room(now) < units:
+            balance = self.balances[name]
+            balance.hold(balance.lease, balance.until_us, balance.floor, now)
+            if balance.room(now) < units:
                 return name
         for name, units in wants.items():
-            box = self.boxes[name]
-            if box.budget.per is Per.SECOND:
-                box.level -= units * SECOND
+            balance = self.balances[name]
+            if balance.budget.per is BudgetKind.RATE:
+                balance.level -= units * SECOND
             else:
-                box.out += units
+                balance.out += units
         return ""
 
     def give_back(self, name: str, units: int = 1) -> None:
         """A thing that was out has ended."""
-        box = self.boxes[name]
-        if box.budget.per is Per.ONCE:
-            box.out = max(0, box.out - units)
+        balance = self.balances[name]
+        if balance.budget.per is BudgetKind.CONCURRENT:
+            balance.out = max(0, balance.out - units)
--- a/lupintack/budgets/terms.py
+++ b/lupintack/budgets/terms.py
@@ -14,15 +14,15 @@
     promise_us: int = 3_000_000  # a voter's word for one epoch, from its answer
     lease_us: int = 8_000_000  # a part that a divider gives, from its giving
     drift_ppm: int = 2_000  # a clock's rate differs from true by at most so much, either way
-    renew_us: int = 1_000_000  # between two rounds of the one that divides
-    ask_us: int = 1_500_000  # between two asks of a holder that is answered
-    again_us: int = 400_000  # and of one that isn't; grows fourfold
-    round_us: int = 700_000  # a round that has no majority by then is given up
-    stand_us: int = 500_000  # a voter that knows of nobody who divides stands after this, up to thrice it
-    share_us: int = 200_000  # shares are worked out at most so often
-    holders: int = 4_096
-
-    def own(self, us: int) -> int:
+    renew_interval_us: int = 1_000_000  # between two rounds of the one that divides
+    request_interval_us: int = 1_500_000  # between two asks of a holder that is answered
+    retry_us: int = 400_000  # and of one that isn't; grows fourfold
+    round_timeout_us: int = 700_000  # a round that has no majority by then is given up
+    candidacy_delay_us: int = 500_000  # a voter that knows of no allocator stands after this, up to thrice it
+    share_interval_us: int = 200_000  # shares are worked out at most so often
+    max_holders: int = 4_096
+
+    def drift_safe(self, us: int) -> int:
         """How long one may count on what another clock keeps for `us`, from before it was asked for.
 
         With both clocks within `drift_ppm`, r = drift: own(us) lasts at most us (1-r)/(1+r)/(1-r) = us/(1+r)
--- a/lupintack/budgets/kept.py
+++ b/lupintack/budgets/vote_file.py
@@ -14,21 +14,21 @@
 from lupintack.budgets.terms import Terms
 from lupintack.budgets.voter import Promise
 
-MOST = 2_000
+MAX_BYTES = 2_000
 
 
-def word(promise: Promise, voter: str, fleet: str, boot: str) -> bytes:
+def encode(promise: Promise, voter: str, fleet: str, boot: str) -> bytes:
     """The file's bytes: a sum over the rest, and the rest."""
     rest = json.dumps(
         {"voter": voter, "fleet": fleet, "boot": boot, "epoch": promise.epoch, "until_us": promise.until_us,
-         "top": promise.top}
+         "top": promise.highest_counter}
     ).encode()  # fmt: skip
     return b"%08x %b\n" % (zlib.crc32(rest), rest)
 
 
-def read(raw: bytes, voter: str, fleet: str, boot: str, terms: Terms, now: int) -> Promise | None:
+def decode(raw: bytes, voter: str, fleet: str, boot: str, terms: Terms, now: int) -> Promise | None:
     """What it says; None where it can't be believed."""
-    if not boot or len(raw) > MOST or raw[8:9] != b" " or not raw.endswith(b"\n"):
+    if not boot or len(raw) > MAX_BYTES or raw[8:9] != b" " or not raw.endswith(b"\n"):
         return None
     rest = raw[9:-1]
     try:
@@ -38,10 +38,13 @@
         if (told["voter"], told["fleet"], told["boot"]) != (voter, fleet, boot):
             return None
         counter, name, start = told["epoch"]
-        until, top = told["until_us"], told["top"]
-        whole = all(type(n) is int and n >= 0 for n in (counter, start, until, top)) and type(name) is str
+        until, highest_counter = told["until_us"], told["top"]
+        whole = (
+            all(type(n) is int and n >= 0 for n in (counter, start, until, highest_counter))
+            and type(name) is str
+        )
     except (ValueError, TypeError, KeyError, RecursionError):
         return None
-    if not whole or until > now + terms.promise_us or top < counter:
+    if not whole or until > now + terms.promise_us or highest_counter < counter:
         return None
-    return Promise(Epoch(counter, name, start), until, top)
+    return Promise(Epoch(counter, name, start), until, highest_counter)
--- a/lupintack/cli/lab.py
+++ b/lupintack/cli/lab.py
@@ -12,11 +12,11 @@
 from statistics import median
 from typing import Any, TypeVar
 
+from lupintack.lab import budget_check as searches
 from lupintack.lab import budgets as budget_worlds
-from lupintack.lab import check as searches
 from lupintack.lab.baselines import heartbeats, swim
+from lupintack.lab.budget_bugs import FLAWS, by_search, by_seeds
 from lupintack.lab.faults import KINDS, Fault, ScriptError, read
-from lupintack.lab.flaws import FLAWS, by_search, by_seeds
 from lupintack.lab.members import Maker, Result, World, membership
 from lupintack.lab.plant import PLANTS, catch
 from lupintack.membership.terms import Terms
--- a/lupintack/core/leases.py
+++ b/lupintack/core/leases.py
@@ -31,7 +31,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Wishes:
+class MeasuredDemand:
     """What was wanted of late, had or not: shares of a cold member's budget (they may pass 1), and fills."""
 
     cold_caches: float
@@ -45,14 +45,14 @@
     return Leases().over(one) == Leases().over(other)
 
 
-def wishes(router: Router, now: float) -> Wishes:
+def measure_demand(router: Router, now: float) -> MeasuredDemand:
     """By what the module asked of each member that is cold."""
     found = {True: 0.0, False: 0.0}
     for peer in router.peers.values():
         if peer.warmth(now) < 1.0 and peer is not router.origin:
             parent = peer.info.kind == router.settings.parent_kind
             found[parent] = max(found[parent], peer.wanted.share(whole(peer, now), now))
-    return Wishes(found[False], found[True], router.store.wanted(now), router.store.out)
+    return MeasuredDemand(found[False], found[True], router.store.wanted(now), router.store.out)
 
 
 def whole(peer: Peer, now: float) -> float:
--- a/lupintack/core/retune.py
+++ b/lupintack/core/retune.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, replace
 
 from lupintack.core.hosted import Fleet, Hosted
-from lupintack.core.leases import Leases, Wishes, alike, wishes
+from lupintack.core.leases import Leases, MeasuredDemand, alike, measure_demand
 from lupintack.core.messages import ClientRequest
 from lupintack.interface import ServiceClass, Settings
 from lupintack.settings.changes import numbered
@@ -24,7 +24,9 @@
     copies: int | None = None  # bytes of own copies
     fleet: Fleet | None = None  # how many routers there are, as they see one another
     leases: Leases | None = None  # of the fleet's budgets
-    wished: Callable[[Wishes], None] | None = None  # hears what was wanted of them of late; must not block
+    report_demand: Callable[[MeasuredDemand], None] | None = (
+        None  # hears what was wanted of them of late; must not block
+    )
 
 
 def apply(core: Hosted, new: Retune) -> None:
@@ -55,8 +57,8 @@
         else:
             core.router.retune(settings)
         core.settings = settings
-    if new.wished is not None:
-        new.wished(wishes(core.router, core.router.now))
+    if new.report_demand is not None:
+        new.report_demand(measure_demand(core.router, core.router.now))
     if new.done is not None:
         new.done({name: (n, settings.classes[n]) for name, n in core.numbers.items()})
     if new.copies is not None and core.copies is not None:
--- a/lupintack/fleet/leases.py
+++ b/lupintack/fleet/budget_leases.py
@@ -10,15 +10,15 @@
 import math
 from collections.abc import Sequence
 
-from lupintack.budgets.shares import need
-from lupintack.budgets.spend import Budget
-from lupintack.core.leases import Leases, Wishes
+from lupintack.budgets.shares import smooth_demand
+from lupintack.budgets.spending import Budget
+from lupintack.core.leases import Leases, MeasuredDemand
 
 STORE, PARENTS, CACHES = "store-fills", "cold-parents", "cold-caches."
 SPARE = 1.25  # asked for over what was wanted: a share that just fits refuses at the first swing
 
 
-def leases(budgets: Sequence[Budget], amounts: Sequence[int], until_us: int, site: str) -> Leases:
+def core_leases(budgets: Sequence[Budget], amounts: Sequence[int], until_us: int, site: str) -> Leases:
     """What is held, floors and leases together, in the module's words."""
     held = {one.name: (amount, one.whole) for one, amount in zip(budgets, amounts, strict=True)}
 
@@ -32,21 +32,23 @@
     return Leases(part(CACHES + site), part(PARENTS), store, until_us)
 
 
-def needs(budgets: Sequence[Budget], wished: Wishes, before: Sequence[int], site: str) -> tuple[int, ...]:
+def demand(
+    budgets: Sequence[Budget], report_demand: MeasuredDemand, before: Sequence[int], site: str
+) -> tuple[int, ...]:
     """What to ask for: what was wanted and some spare, up at once, down by and by; nothing of other sites."""
-    shares = {CACHES + site: wished.cold_caches, PARENTS: wished.cold_parents}
+    shares = {CACHES + site: report_demand.cold_caches, PARENTS: report_demand.cold_parents}
     found = []
     for one, last in zip(budgets, before, strict=True):
         if one.name == STORE:
-            asked = math.ceil(wished.store_fills * SPARE)
+            asked = math.ceil(report_demand.store_fills * SPARE)
         elif one.name in shares:
             asked = math.ceil(shares[one.name] * one.whole * SPARE)
         else:
             asked = 0 if one.name.startswith(CACHES) else one.whole
-        found.append(need(last, min(one.whole, asked)))
+        found.append(smooth_demand(last, min(one.whole, asked)))
     return tuple(found)
 
 
-def using(budgets: Sequence[Budget], wished: Wishes) -> tuple[int, ...]:
+def in_use(budgets: Sequence[Budget], report_demand: MeasuredDemand) -> tuple[int, ...]:
     """Of things at once those that are out, also past a lease."""
-    return tuple(wished.store_out if one.name == STORE else 0 for one in budgets)
+    return tuple(report_demand.store_out if one.name == STORE else 0 for one in budgets)
--- a/lupintack/fleet/budgets.py
+++ b/lupintack/fleet/budgets.py
@@ -19,13 +19,13 @@
 from random import Random
 from typing import Any
 
-from lupintack.budgets import kept
-from lupintack.budgets.floor import divided, floors
-from lupintack.budgets.part import Out, Part
-from lupintack.budgets.spend import Budget, Per, Purse
+from lupintack.budgets import vote_file
+from lupintack.budgets.codec import BudgetCodec
+from lupintack.budgets.node import Actions, BudgetNode
+from lupintack.budgets.reservation import allocatable, reservations
+from lupintack.budgets.spending import Budget, BudgetKind, SpendLimiter
 from lupintack.budgets.terms import Terms
 from lupintack.budgets.voter import Promise
-from lupintack.budgets.wire import Parcels
 from lupintack.clock import now_us
 from lupintack.logs import fields
 from lupintack.membership.messages import Bad, Codec
@@ -39,7 +39,7 @@
 LOOK_MOST_US = 500_000  # between two questions of what was wanted, and what is out
 
 
-class Budgets:
+class BudgetService:
     """The budgets' part of a router."""
 
     def __init__(
@@ -64,31 +64,33 @@
         """
         self.told, self.asked = told, asked
         self.last: tuple[tuple[int, ...], int] = ((), 0)
-        self.look_us = min(LOOK_MOST_US, terms.ask_us // 3)  # twice at least between two asks
-        self.wished: tuple[int, ...] = ()
-        self.using: tuple[int, ...] = ()
+        self.look_us = min(LOOK_MOST_US, terms.request_interval_us // 3)  # twice at least between two asks
+        self.demand: tuple[int, ...] = ()
+        self.in_use: tuple[int, ...] = ()
         self.asked_us = 0
         self.name, self.fleet, self.terms, self.send, self.address = name, fleet, terms, send, address
         self.budgets = tuple(budgets)
-        self.parcels = Parcels(codec, len(self.budgets))
+        self.codec = BudgetCodec(codec, len(self.budgets))
         self.boot = boot()
         key = hashlib.blake2b(f"{fleet}\0{name}".encode(), digest_size=8).hexdigest()
         self.file = Path(tmp) / f"lupintack-vote-{key}" if tmp else None
         self.lock_file = Path(tmp) / f"lupintack-name-{key}" if tmp else None
         self.lock_fd = -1
         self.lock_us = 0
-        self.floors = tuple(floors(b.whole, b.floor_per_mille, names).get(name, 0) for b in self.budgets)
-        rest = [divided(b.whole, b.floor_per_mille, names) for b in self.budgets]
+        self.floors = tuple(
+            reservations(b.whole, b.reserved_per_mille, names).get(name, 0) for b in self.budgets
+        )
+        rest = [allocatable(b.whole, b.reserved_per_mille, names) for b in self.budgets]
         now = now_us()
-        self.part = Part(name, start, voters, rest, terms, Random(start), now, votes=False)
-        self.purse = Purse(self.budgets, now)
+        self.node = BudgetNode(name, start, voters, rest, terms, Random(start), now, votes=False)
+        self.limiter = SpendLimiter(self.budgets, now)
         self.lock = threading.Lock()
         self.wake = threading.Event()
         self.stopped = threading.Event()
         self.addresses: dict[str, str] = {}
         self.leases: deque[tuple[int, int, tuple[int, ...]]] = deque(maxlen=LEASES)  # taken, ends, amounts
         self.counts: Counter[str] = Counter()
-        self.part.want([b.whole for b in self.budgets])
+        self.node.set_demand([b.whole for b in self.budgets])
 
     # The files
 
@@ -97,7 +99,7 @@
         if self.file is None:
             return None
         try:
-            return kept.read(self.file.read_bytes(), self.name, self.fleet, self.boot, self.terms, now)
+            return vote_file.decode(self.file.read_bytes(), self.name, self.fleet, self.boot, self.terms, now)
         except OSError:
             return None
 
@@ -107,7 +109,7 @@
             return False
         fresh = self.file.with_suffix(".new")
         try:
-            fresh.write_bytes(kept.word(promise, self.name, self.fleet, self.boot))
+            fresh.write_bytes(vote_file.encode(promise, self.name, self.fleet, self.boot))
             os.replace(fresh, self.file)
         except OSError as error:
             LOG.error("a promise can't be kept, and isn't given", extra=fields(reason=error))
@@ -117,7 +119,7 @@
 
     def floor(self, now: int) -> tuple[int, ...]:
         """This name's floors, for the one of its processes that stands for the name."""
-        return self.floors if self.stands(now) else self.part.holder.none
+        return self.floors if self.stands(now) else self.node.holder.zero
 
     def stands(self, now: int) -> bool:
         """Whether this process has the name's lock, until its end; with it it votes.
@@ -137,7 +139,7 @@
                 os.close(fd)
                 return False
             self.lock_fd = fd
-            self.part.sit(self.kept(now), now)
+            self.node.become_voter(self.kept(now), now)
         return self.lock_fd >= 0
 
     # What drives it
@@ -147,25 +149,25 @@
         while not self.stopped.is_set():
             now = now_us()
             try:
-                if now >= self.part.wake_us:
-                    self.call(self.part.tick)
+                if now >= self.node.wake_us:
+                    self.call(self.node.tick)
                 elif 0 < self.last[1] <= now:
-                    self.call(lambda now: Out())  # the lease has run out, and that is news
+                    self.call(lambda now: Actions())  # the lease has run out, and that is news
                 if now >= self.asked_us + self.look_us:
                     self.asked_us = now
                     self.asked()
             except Exception:  # one tick's fault must not end the others
                 self.counts["faults"] += 1
                 LOG.exception("budgets")
-            ends = self.last[1] or self.part.wake_us
-            wait = min(self.part.wake_us, ends, self.asked_us + self.look_us) - now_us()
+            ends = self.last[1] or self.node.wake_us
+            wait = min(self.node.wake_us, ends, self.asked_us + self.look_us) - now_us()
             if self.wake.wait(min(WAIT_MOST_S, max(0.0005, wait / 1e6))):
                 self.wake.clear()
 
     def take(self, raw: bytes) -> None:
         """A datagram."""
         try:
-            sender, address, message = self.parcels.read(raw)
+            sender, address, message = self.codec.decode(raw)
         except Bad as bad:
             self.counts[f"dropped.{bad.why.value}"] += 1
             return
@@ -173,28 +175,30 @@
         if len(self.addresses) >= ADDRESSES:  # whoever was silent for longest goes
             del self.addresses[next(iter(self.addresses))]
         self.addresses[sender] = address
-        self.call(partial(self.part.receive, sender, message))
+        self.call(partial(self.node.receive, sender, message))
         self.wake.set()
 
-    def call(self, what: Callable[[int], Out]) -> None:
+    def call(self, what: Callable[[int], Actions]) -> None:
         """Into the pure part; what it asks for is carried out in its order, still under the lock."""
         with self.lock:
             now = now_us()
             floor = self.floor(now)
-            if self.wished:
+            if self.demand:
                 # Danger: what the floor covers is out under no lease. Booked as if it were, it is given to
                 # nobody for as long as demand lasts: with three floors of one, three of nine units.
-                using = tuple(max(0, out - own) for out, own in zip(self.using, floor, strict=True))
-                self.part.want(self.wished, using)
+                in_use = tuple(max(0, out - own) for out, own in zip(self.in_use, floor, strict=True))
+                self.node.set_demand(self.demand, in_use)
             out = what(now)
-            if out.keep is not None and not self.keep(out.keep):
-                out.sends = [one for one in out.sends if type(one[1]).__name__ not in ("Vote", "Voted")]
-            holder = self.part.holder
+            if out.promise is not None and not self.keep(out.promise):
+                out.sends = [
+                    one for one in out.sends if type(one[1]).__name__ not in ("VoteRequest", "VoteReply")
+                ]
+            holder = self.node.holder
             lease = (holder.until_us, holder.amounts)
-            if self.part.leased and (not self.leases or lease != self.leases[-1][1:]):
+            if self.node.leased and (not self.leases or lease != self.leases[-1][1:]):
                 self.leases.append((now, *lease))
-            self.purse.hold(holder.amounts, holder.until_us, floor, now)
-            leased = self.part.held(now)
+            self.limiter.hold(holder.amounts, holder.until_us, floor, now)
+            leased = self.node.held(now)
             held = tuple(map(sum, zip(leased, floor, strict=True))), holder.until_us if any(leased) else 0
             if held != self.last:
                 # Under the lock: what is held now must not be told before what was held earlier.
@@ -202,45 +206,45 @@
                 self.told(*held)
         for to, message in out.sends:
             self.counts[f"sent.{type(message).__name__.lower()}"] += 1
-            self.send(to, self.addresses.get(to, ""), self.parcels.word(self.name, self.address, message))
+            self.send(to, self.addresses.get(to, ""), self.codec.encode(self.name, self.address, message))
         for event, why in out.events:
             LOG.info(event, extra=fields(budgets=len(self.budgets), epoch=why))
 
-    def want(self, needs: tuple[int, ...], using: tuple[int, ...]) -> None:
+    def set_demand(self, demand: tuple[int, ...], in_use: tuple[int, ...]) -> None:
         """What the next asks say; from any thread, and at once."""
-        self.using, self.wished = using, needs
+        self.in_use, self.demand = in_use, demand
 
     def leave(self) -> None:
         """The lease is given back, and the voters' words."""
-        self.call(self.part.leave)
+        self.call(self.node.leave)
 
     def rejoin(self) -> None:
         """Back at work: it asks for leases again."""
         with self.lock:
-            self.part.rejoin(now_us())
+            self.node.rejoin(now_us())
         self.wake.set()
 
     def spend(self, wants: dict[str, int]) -> str:
         """Take units of several budgets, or nothing; the name of the one that lacks."""
         with self.lock:
-            lacking = self.purse.take(wants, now_us())
+            lacking = self.limiter.take(wants, now_us())
         self.counts["refused" if lacking else "spent"] += 1
         return lacking
 
     def status(self) -> dict[str, Any]:
         """For the staff: whole, given, mine and until when, who divides, and the leases of late."""
         with self.lock:
-            now, part = now_us(), self.part
-            holder, divides = part.holder, part.divides(now)
-            given = part.divider.given() if divides and part.divider is not None else None
-            target = part.target
+            now, node = now_us(), self.node
+            holder, divides = node.holder, node.is_allocator(now)
+            given = node.allocator.allocated() if divides and node.allocator is not None else None
+            target = node.leader
             return {
                 "now_us": now,
-                "start": part.start,
+                "start": node.start,
                 "epoch": list(target) if target is not None else None,
                 "divides": divides,
-                "ready": divides and part.divider is not None and now >= part.divider.ready_us,
-                "votes_for": list(part.voter.to(now) or ()) if part.voter is not None else None,
+                "ready": divides and node.allocator is not None and now >= node.allocator.ready_us,
+                "votes_for": list(node.voter.promised_to(now) or ()) if node.voter is not None else None,
                 "lease_ends_ms": max(0, holder.until_us - now) // 1000,
                 "budgets": [
                     {
@@ -248,8 +252,8 @@
                         "whole": budget.whole,
                         "per": budget.per.value,
                         "floor": self.floor(now)[n],
-                        "lease": part.held(now)[n],
-                        "need": part.needs[n],
+                        "lease": node.held(now)[n],
+                        "need": node.demand[n],
                         "given": given[n] if given is not None else None,
                     }
                     for n, budget in enumerate(self.budgets)
@@ -276,6 +280,8 @@
         return ""
 
 
-def budget(name: str, whole: int, once: bool, floor_per_mille: int) -> Budget:
+def budget(name: str, whole: int, once: bool, reserved_per_mille: int) -> Budget:
     """A budget as the operator file words it."""
-    return Budget(name, whole, Per.ONCE if once else Per.SECOND, floor_per_mille=floor_per_mille)
+    return Budget(
+        name, whole, BudgetKind.CONCURRENT if once else BudgetKind.RATE, reserved_per_mille=reserved_per_mille
+    )
--- a/lupintack/fleet/start.py
+++ b/lupintack/fleet/start.py
@@ -8,7 +8,7 @@
 from lupintack.clock import now_us
 from lupintack.core.actor import Core
 from lupintack.core.hosted import Fleet as Routers
-from lupintack.core.leases import Wishes
+from lupintack.core.leases import MeasuredDemand
 from lupintack.core.retune import Retune
 from lupintack.fleet.talk import Fleet, Place
 from lupintack.lifecycle.state import Phase
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from lupintack.config import Config
-    from lupintack.fleet.budgets import Budgets
+    from lupintack.fleet.budgets import BudgetService
     from lupintack.settings.operator import Budgets as Shares
     from lupintack.settings.operator import Membership, Operator
     from lupintack.upkeep import Upkeep
@@ -72,10 +72,10 @@
 
 def budgets(
     conf: Config, told: Shares, fleet: Fleet, membership: Membership, core: Core, site: str
-) -> Budgets:
+) -> BudgetService:
     """The fleet's budgets at this router, not yet started."""
-    from lupintack.fleet.budgets import Budgets, budget
-    from lupintack.fleet.leases import leases, needs, using
+    from lupintack.fleet.budget_leases import core_leases, demand, in_use
+    from lupintack.fleet.budgets import BudgetService, budget
     from lupintack.settings.terms import budget_terms
 
     floor = told.floor_percent * 10
@@ -85,17 +85,17 @@
     ]
 
     def hold(amounts: tuple[int, ...], until_us: int) -> None:
-        core.post(Retune(leases=leases(found, amounts, until_us, site)))
+        core.post(Retune(leases=core_leases(found, amounts, until_us, site)))
 
-    def wished(wishes: Wishes) -> None:
-        before = made.wished or tuple(one.whole for one in found)
-        made.want(needs(found, wishes, before, site), using(found, wishes))
+    def report_demand(measured: MeasuredDemand) -> None:
+        before = made.demand or tuple(one.whole for one in found)
+        made.set_demand(demand(found, measured, before, site), in_use(found, measured))
 
-    made = Budgets(
+    made = BudgetService(
         conf.name, fleet.part.me.start, membership.fleet, conf.tmp, found, told.voters,
         told.names or told.voters, budget_terms(told), fleet.codec, fleet.parcel, fleet.address,
-        hold, lambda: core.post(Retune(wished=wished)),
+        hold, lambda: core.post(Retune(report_demand=report_demand)),
     )  # fmt: skip
-    core.leases = leases(found, made.part.holder.none, 0, site)  # nothing is held before it is told
+    core.leases = core_leases(found, made.node.holder.zero, 0, site)  # nothing is held before it is told
     core.settings = core.router.settings = core.leases.over(core.settings)
     return made
--- a/lupintack/fleet/talk.py
+++ b/lupintack/fleet/talk.py
@@ -31,7 +31,7 @@
 from lupintack.settings.files import address
 
 if TYPE_CHECKING:  # loaded only where budgets are divided
-    from lupintack.fleet.budgets import Budgets
+    from lupintack.fleet.budgets import BudgetService
 
 LOG = logging.getLogger("fleet")
 RECEIVE = 2048
@@ -99,7 +99,7 @@
         self.counts: Counter[str] = Counter()
         self.stopped = threading.Event()
         self.away = False
-        self.budgets: Budgets | None = None
+        self.budgets: BudgetService | None = None
 
     def start(self, spawn: Callable[[Callable[[], None], str], None]) -> None:
         """Both threads."""
--- a/lupintack/lab/flaws.py
+++ b/lupintack/lab/budget_bugs.py
@@ -8,13 +8,13 @@
 from typing import Any
 from unittest.mock import patch
 
-from lupintack.budgets.candidacy import Candidacy
-from lupintack.budgets.divider import Divider
-from lupintack.budgets.messages import Ask, Grant, Vote, Voted
+from lupintack.budgets.allocator import Allocator
+from lupintack.budgets.election import Election
+from lupintack.budgets.messages import LeaseGrant, LeaseRequest, VoteReply, VoteRequest
 from lupintack.budgets.terms import Terms
 from lupintack.budgets.voter import Promise, Voter
+from lupintack.lab.budget_check import Bounds, clocks, search
 from lupintack.lab.budgets import KINDS, World
-from lupintack.lab.check import Bounds, clocks, search
 
 ROUTERS = 9
 
@@ -36,57 +36,58 @@
     return us
 
 
-def _any_vote(self: Voter, vote: Vote, now: int) -> Voted:
-    self.top = max(self.top, vote.epoch.counter)
-    self.promise = Promise(vote.epoch, now + self.terms.promise_us, self.top)
-    return Voted(self.name, vote.epoch, vote.round, True, self.top)
+def _any_vote(self: Voter, vote: VoteRequest, now: int) -> VoteReply:
+    self.highest_counter = max(self.highest_counter, vote.epoch.counter)
+    self.promise = Promise(vote.epoch, now + self.terms.promise_us, self.highest_counter)
+    return VoteReply(self.name, vote.epoch, vote.round, True, self.highest_counter)
 
 
-def _few(self: Candidacy, told: Voted, now: int) -> bool:
-    if told.epoch != self.epoch or told.round != self.round or not told.yes:
+def _few(self: Election, told: VoteReply, now: int) -> bool:
+    if told.epoch != self.epoch or told.round != self.round or not told.granted:
         return False
-    self.until_us = self.rounds[self.round][0] + self.terms.own(self.terms.promise_us)
+    self.until_us = self.rounds[self.round][0] + self.terms.drift_safe(self.terms.promise_us)
     return True
 
 
-def _forget(self: Divider, ask: Ask, now: int) -> Grant | None:
+def _forget(self: Allocator, ask: LeaseRequest, now: int) -> LeaseGrant | None:
     """Books what is granted, not what may be held of the grant before."""
     found = REAL_ASKED(self, ask, now)
-    one = self.book.get((ask.name, ask.start))
+    one = self.ledger.get((ask.name, ask.start))
     if found is not None and one is not None:
         one.amounts = found.amounts
     return found
 
 
-def _early(self: Divider, now: int) -> None:
+def _early(self: Allocator, now: int) -> None:
     """Forgets a holder at three quarters of its lease."""
-    for key in [k for k, one in self.book.items() if now >= one.until_us - self.terms.lease_us // 4]:
-        del self.book[key]
+    for key in [k for k, one in self.ledger.items() if now >= one.until_us - self.terms.lease_us // 4]:
+        del self.ledger[key]
 
 
-REAL_ASKED: Callable[[Divider, Ask, int], Grant | None] = Divider.asked
+REAL_ASKED: Callable[[Allocator, LeaseRequest, int], LeaseGrant | None] = Allocator.handle_request
 
 
-def _holds(self: Candidacy, now: int) -> bool:
+def _holds(self: Election, now: int) -> bool:
     return self.until_us > 0
 
 
-def _blind(self: Divider, key: tuple[str, int]) -> tuple[int, ...]:
-    return self.divided
+def _blind(self: Allocator, key: tuple[str, int]) -> tuple[int, ...]:
+    return self.allocatable
 
 
 FLAWS: dict[str, Flaw] = {
-    "no-wait": Flaw("a new tenure gives before the older one's leases are over", Divider, "ready_us",
+    "no-wait": Flaw("a new tenure gives before the older one's leases are over", Allocator, "ready_us",
                     property(lambda self: self.elected_us), bounds=Bounds(7, 1, 0, 0, 1, 0)),
-    "giver-clock": Flaw("a lease ends by the giver's clock, without the drift", Terms, "own", _own,
+    "giver-clock": Flaw("a lease ends by the giver's clock, without the drift", Terms, "drift_safe", _own,
                         ("site", "kill", "pause", "halves"), 50_000),
-    "endless-term": Flaw("who divides does not look at its term's end", Candidacy, "holds", _holds,
+    "endless-term": Flaw("who divides does not look at its term's end", Election, "is_valid", _holds,
                          ("halves", "islands", "site")),
-    "two-words": Flaw("a voter gives its word to whoever asks", Voter, "vote", _any_vote),
-    "minority": Flaw("one voter's word is enough", Candidacy, "voted", _few),
-    "book-forgets": Flaw("the book forgets what may be held of the grant before", Divider, "asked", _forget),
-    "book-early": Flaw("the book ends before the lease", Divider, "expire", _early),
-    "blind": Flaw("what the others may have is not looked at", Divider, "free", _blind),
+    "two-words": Flaw("a voter gives its word to whoever asks", Voter, "handle_request", _any_vote),
+    "minority": Flaw("one voter's word is enough", Election, "handle_reply", _few),
+    "book-forgets": Flaw("the ledger forgets what may be held of the grant before", Allocator,
+                           "handle_request", _forget),
+    "book-early": Flaw("the book ends before the lease", Allocator, "expire", _early),
+    "blind": Flaw("what the others may have is not looked at", Allocator, "available_to", _blind),
 }  # fmt: skip
 
 
--- a/lupintack/lab/check.py
+++ b/lupintack/lab/budget_check.py
@@ -13,10 +13,10 @@
 from time import monotonic
 from typing import Any
 
-from lupintack.budgets.candidacy import Candidacy
-from lupintack.budgets.divider import Divider
-from lupintack.budgets.lease import Holder
-from lupintack.budgets.messages import Ask, Epoch, Grant, Message, Vote, Voted
+from lupintack.budgets.allocator import Allocator
+from lupintack.budgets.election import Election
+from lupintack.budgets.lease import LeaseHolder
+from lupintack.budgets.messages import Epoch, LeaseGrant, LeaseRequest, Message, VoteReply, VoteRequest
 from lupintack.budgets.terms import MILLION, Terms
 from lupintack.budgets.voter import Promise, Voter
 
@@ -27,17 +27,17 @@
 
 @dataclass(slots=True)
 class Process:
-    """One of the three: a voter, a holder, and at times the divider."""
+    """One of the three: a voter, a holder, and at times the allocator."""
 
     name: str
     rate_ppm: int
     voter: Voter
-    holder: Holder
+    holder: LeaseHolder
     start: int = 1
     counter: int = 0
     kept: Promise | None = None
-    standing: Candidacy | None = None
-    divider: Divider | None = None
+    standing: Election | None = None
+    allocator: Allocator | None = None
 
     def local(self, true: int) -> int:
         return true * self.rate_ppm // MILLION
@@ -49,18 +49,19 @@
         if self.standing is not None:
             found.standing = copy(self.standing)
             found.standing.rounds = {n: (at, set(yes)) for n, (at, yes) in self.standing.rounds.items()}
-        if self.divider is not None:
-            found.divider = copy(self.divider)
-            found.divider.book = {key: copy(one) for key, one in self.divider.book.items()}
-            found.divider.targets = dict(self.divider.targets)
+        if self.allocator is not None:
+            found.allocator = copy(self.allocator)
+            found.allocator.ledger = {key: copy(one) for key, one in self.allocator.ledger.items()}
+            found.allocator.targets = dict(self.allocator.targets)
         return found
 
     def key(self) -> Hashable:
         """All that what happens next can depend on."""
-        voter, holder, standing, divider = self.voter, self.holder, self.standing, self.divider
+        voter, holder, standing, allocator = self.voter, self.holder, self.standing, self.allocator
         found: list[Any] = [
-            self.start, self.counter, self.kept, voter.promise, voter.top, voter.abstain_us, holder.amounts,
-            holder.until_us, holder.number, holder.asked_us, holder.epoch, holder.answered,
+            self.start, self.counter, self.kept, voter.promise, voter.highest_counter, voter.abstain_until_us,
+            holder.amounts, holder.until_us, holder.sequence, holder.requested_us, holder.epoch,
+            holder.answered,
         ]  # fmt: skip
         if standing is not None:
             found += [
@@ -69,10 +70,10 @@
                 standing.until_us,
                 *((n, at, *sorted(yes)) for n, (at, yes) in sorted(standing.rounds.items())),
             ]
-        if divider is not None:
-            book = [(k, b.number, b.needs, b.amounts, b.until_us, b.granted, b.granted_until_us)
-                    for k, b in divider.book.items()]  # fmt: skip
-            found += [divider.elected_us, divider.shared_us, *book, *divider.targets.items()]
+        if allocator is not None:
+            book = [(k, b.sequence, b.demand, b.amounts, b.until_us, b.granted, b.granted_until_us)
+                    for k, b in allocator.ledger.items()]  # fmt: skip
+            found += [allocator.elected_us, allocator.shares_computed_us, *book, *allocator.targets.items()]
         return tuple(found)
 
 
@@ -103,7 +104,7 @@
         return found
 
     def key(self) -> int:
-        """Two states of one key behave alike; 64 bits, so that two that don't hardly ever have one."""
+        """Two states of one key behave equal_weight; 64 bits, so that two that don't hardly ever have one."""
         out = frozenset(Counter(self.out).items())
         counts = (self.now, self.stood, self.crashed, self.doubled, self.asked, self.renewed)
         return hash((counts, out, *(one.key() for one in self.processes.values())))
@@ -159,7 +160,9 @@
     """a divides, and is past its wait; a and b hold one unit each; c has asked for nothing yet."""
     state = State(0, {})
     for name, rate in zip(NAMES, rates, strict=True):
-        state.processes[name] = Process(name, rate, Voter(name, TERMS, None, 0), Holder(name, 1, 1, TERMS))
+        state.processes[name] = Process(
+            name, rate, Voter(name, TERMS, None, 0), LeaseHolder(name, 1, 1, TERMS)
+        )
     state.now = 10_000  # nobody abstains any more
     apply(state, ("stand", "a"))
     for name in ("b", "c"):
@@ -167,8 +170,8 @@
     while state.out:
         deliver(state, state.out[0])
     first = state.processes["a"]
-    assert first.divider is not None
-    first.divider.elected_us -= TERMS.lease_us
+    assert first.allocator is not None
+    first.allocator.elected_us -= TERMS.lease_us
     for name in ("a", "b", "a", "b"):
         apply(state, ("ask", name, "a", "2"))
         while state.out:
@@ -184,24 +187,24 @@
     to, sender, told = message
     one = state.processes[to]
     now = one.local(state.now)
-    if isinstance(told, Vote):
-        answer = one.voter.vote(told, now)
+    if isinstance(told, VoteRequest):
+        answer = one.voter.handle_request(told, now)
         one.kept = one.voter.promise
         state.out.append((sender, to, answer))
-    elif isinstance(told, Voted):
+    elif isinstance(told, VoteReply):
         voted(one, told, now)
-    elif isinstance(told, Ask):
-        if one.divider is not None and one.standing is not None and one.standing.holds(now):
-            grant = one.divider.asked(told, now)
+    elif isinstance(told, LeaseRequest):
+        if one.allocator is not None and one.standing is not None and one.standing.is_valid(now):
+            grant = one.allocator.handle_request(told, now)
             if grant is not None:
                 state.out.append((sender, to, grant))
-    elif isinstance(told, Grant):
-        one.holder.granted(told, now)
+    elif isinstance(told, LeaseGrant):
+        one.holder.accept(told, now)
 
 
-def voted(one: Process, told: Voted, now: int) -> None:
-    if one.standing is not None and one.standing.voted(told, now) and one.divider is None:
-        one.divider = Divider(one.standing.epoch, (WHOLE,), TERMS, now)
+def voted(one: Process, told: VoteReply, now: int) -> None:
+    if one.standing is not None and one.standing.handle_reply(told, now) and one.allocator is None:
+        one.allocator = Allocator(one.standing.epoch, (WHOLE,), TERMS, now)
 
 
 def apply(state: State, action: Action) -> None:
@@ -220,32 +223,36 @@
     now = one.local(state.now)
     if kind == "stand":
         state.stood += 1
-        one.counter = max(one.counter, one.voter.top) + 1
-        one.standing = Candidacy(Epoch(one.counter, one.name, one.start), NAMES, TERMS)
-        one.divider = None
-        vote = one.standing.begin(now)
+        one.counter = max(one.counter, one.voter.highest_counter) + 1
+        one.standing = Election(Epoch(one.counter, one.name, one.start), NAMES, TERMS)
+        one.allocator = None
+        vote = one.standing.start_round(now)
         state.out += [(name, one.name, vote) for name in NAMES if name != one.name]
-        answer = one.voter.vote(vote, now)
+        answer = one.voter.handle_request(vote, now)
         one.kept = one.voter.promise
         voted(one, answer, now)
     elif kind == "renew":
         # In one step, with the answers of both others: only rounds that make an epoch are taken apart.
         assert one.standing is not None
         state.renewed += 1
-        vote = one.standing.begin(now)
+        vote = one.standing.start_round(now)
         for other in state.processes.values():
-            answer = other.voter.vote(vote, other.local(state.now))
+            answer = other.voter.handle_request(vote, other.local(state.now))
             other.kept = other.voter.promise
             voted(one, answer, now)
     elif kind == "ask":
         state.asked += 1
-        divider = state.processes[words[1]].divider
-        assert divider is not None
-        ask = one.holder.ask(divider.epoch, (int(words[2]),), now)
+        allocator = state.processes[words[1]].allocator
+        assert allocator is not None
+        ask = one.holder.request(allocator.epoch, (int(words[2]),), now)
         if words[1] == one.name:
-            grant = divider.asked(ask, now) if one.standing is not None and one.standing.holds(now) else None
+            grant = (
+                allocator.handle_request(ask, now)
+                if one.standing is not None and one.standing.is_valid(now)
+                else None
+            )
             if grant is not None:
-                one.holder.granted(grant, now)
+                one.holder.accept(grant, now)
         else:
             state.out.append((words[1], one.name, ask))
     elif kind in ("crash", "crash without file"):
@@ -253,8 +260,8 @@
         one.start += 1
         kept = one.kept if kind == "crash" else None
         one.voter = Voter(one.name, TERMS, kept, now)
-        one.holder = Holder(one.name, one.start, 1, TERMS)
-        one.standing = one.divider = None
+        one.holder = LeaseHolder(one.name, one.start, 1, TERMS)
+        one.standing = one.allocator = None
         one.counter = 0
 
 
@@ -266,14 +273,14 @@
             yield ("double", message)
     for one in state.processes.values():
         now = one.local(state.now)
-        if state.stood < bounds.stands and (one.standing is None or not one.standing.holds(now)):
+        if state.stood < bounds.stands and (one.standing is None or not one.standing.is_valid(now)):
             yield ("stand", one.name)
-        if one.divider is not None and one.standing is not None and one.standing.holds(now):
+        if one.allocator is not None and one.standing is not None and one.standing.is_valid(now):
             if state.renewed < bounds.renews:
                 yield ("renew", one.name)
         if state.asked < bounds.asks:
             for other in state.processes.values():
-                if other.divider is not None:
+                if other.allocator is not None:
                     for need in bounds.needs:
                         yield ("ask", one.name, other.name, need)
         if state.crashed < bounds.crashes:
@@ -287,13 +294,13 @@
 def deadlines(state: State) -> Iterator[int]:
     """When, in true time, something runs out at somebody: nothing differs between two of them."""
     for one in state.processes.values():
-        times = [one.voter.abstain_us, one.holder.until_us]
+        times = [one.voter.abstain_until_us, one.holder.until_us]
         if one.voter.promise is not None:
             times.append(one.voter.promise.until_us)
         if one.standing is not None:
             times.append(one.standing.until_us)
-        if one.divider is not None:
-            times += [one.divider.ready_us, *(b.until_us for b in one.divider.book.values())]
+        if one.allocator is not None:
+            times += [one.allocator.ready_us, *(b.until_us for b in one.allocator.ledger.values())]
         for at in times:
             yield -(-at * MILLION // one.rate_ppm)
 
--- a/lupintack/lab/budgets.py
+++ b/lupintack/lab/budgets.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from lupintack.budgets.messages import Message
-from lupintack.budgets.part import Out, Part
+from lupintack.budgets.node import Actions, BudgetNode
 from lupintack.budgets.terms import MILLION, Terms
 from lupintack.budgets.voter import Promise
 from lupintack.lab.clock import Clock
@@ -37,11 +37,11 @@
     site: str
     offset: int
     rate: float
-    part: Part | None = None
+    node: BudgetNode | None = None
     starts: int = 0
     kept: Promise | None = None
     paused: int = 0
-    inbox: list[tuple[Callable[..., Out], tuple[Any, ...]]] = field(default_factory=list)
+    inbox: list[tuple[Callable[..., Actions], tuple[Any, ...]]] = field(default_factory=list)
     planned: int = -1
     ends: float = 0.0  # of its lease, in true time
     amounts: tuple[int, ...] = ()
@@ -84,12 +84,12 @@
         kinds: Sequence[str] = KINDS,
         wholes: Sequence[int] = (2000, 60),
         script: Sequence[Fault] | None = None,
-        part: type[Part] = Part,
+        node: type[BudgetNode] = BudgetNode,
     ) -> None:
         self.random = Random(seed)
         self.clock = Clock()
         self.terms = terms or Terms()
-        self.wholes, self.make = tuple(wholes), part
+        self.wholes, self.make = tuple(wholes), node
         names = [f"n{n}" for n in range(routers)]
         sites = max(1, min(8, routers // 3))
         where = {name: f"site{n % sites}" for n, name in enumerate(names)}
@@ -121,7 +121,7 @@
             self.clock.call(fault.at_us, self.begin, fault)
         self.clock.call(START_US, self.look)
         self.clock.run(self.end_us)
-        lives = sum(self.hosts[name].part is not None for name in self.voters)
+        lives = sum(self.hosts[name].node is not None for name in self.voters)
         self.result.votes = lives * 2 > len(self.voters)
         self.result.hash = self.digest.hexdigest()
         return self.result
@@ -135,7 +135,7 @@
         now = host.local(self.clock.now)
         if self.random.random() < 0.25:
             host.kept = None
-        host.part = self.make(
+        host.node = self.make(
             name, host.starts, self.voters, self.wholes, self.terms, Random(self.random.getrandbits(64)), now,
             host.kept,
         )  # fmt: skip
@@ -144,49 +144,49 @@
         self.plan(host)
 
     def want(self, host: Host) -> None:
-        """More than its part, and now and then much more: demand moves between sites."""
-        assert host.part is not None
-        host.part.want(
+        """More than its node, and now and then much more: demand moves between sites."""
+        assert host.node is not None
+        host.node.set_demand(
             [whole * self.random.choice((2, 4, 20)) // len(self.hosts) + 1 for whole in self.wholes]
         )
 
     def end(self, host: Host) -> None:
-        host.part, host.inbox, host.amounts, host.ends = None, [], (), 0.0
+        host.node, host.inbox, host.amounts, host.ends = None, [], (), 0.0
 
-    def call(self, host: Host, part: Part, what: Callable[..., Out], *words: Any) -> None:
+    def call(self, host: Host, node: BudgetNode, what: Callable[..., Actions], *words: Any) -> None:
         """Into a process, or into its inbox while it stands still."""
-        if host.part is not part:
+        if host.node is not node:
             return
         if host.paused:
             if len(host.inbox) < 500:
                 host.inbox.append((what, words))
             return
         out = what(*words, host.local(self.clock.now))
-        if out.keep is not None:
-            host.kept = out.keep
+        if out.promise is not None:
+            host.kept = out.promise
         for to, message in out.sends:
             self.send(host, to, message)
         for what_, why in out.events:
             self.result.epochs += what_ == "won"
             self.digest.update(f"{self.clock.now} {host.name} {what_} {why}".encode())
-        self.count(host, part)
+        self.count(host, node)
         self.plan(host)
 
     def plan(self, host: Host) -> None:
-        part = host.part
-        if part is not None and host.planned != part.wake_us:
-            host.planned = part.wake_us
-            if part.wake_us < 1 << 61:
-                self.clock.call(host.true(part.wake_us), self.tick, host, part, part.wake_us)
-
-    def tick(self, host: Host, part: Part, wanted: int) -> None:
-        if host.part is part and host.planned == wanted:
+        node = host.node
+        if node is not None and host.planned != node.wake_us:
+            host.planned = node.wake_us
+            if node.wake_us < 1 << 61:
+                self.clock.call(host.true(node.wake_us), self.tick, host, node, node.wake_us)
+
+    def tick(self, host: Host, node: BudgetNode, wanted: int) -> None:
+        if host.node is node and host.planned == wanted:
             if host.paused:
                 return
             host.planned = -1
             if self.random.random() < 0.1:
                 self.want(host)
-            self.call(host, part, part.tick)
+            self.call(host, node, node.tick)
 
     def send(self, host: Host, to: str, message: Message) -> None:
         self.result.messages += 1
@@ -195,16 +195,16 @@
             self.clock.call(self.clock.now + way, self.arrive, other, host.name, message)
 
     def arrive(self, host: Host, sender: str, message: Message) -> None:
-        if host.part is not None:
-            self.call(host, host.part, host.part.receive, sender, message)
+        if host.node is not None:
+            self.call(host, host.node, host.node.receive, sender, message)
 
     # What must hold
 
-    def count(self, host: Host, part: Part) -> None:
+    def count(self, host: Host, node: BudgetNode) -> None:
         """The sum can grow only where a process takes a grant."""
         now = host.local(self.clock.now)
-        held = part.held(now)
-        ends = float((part.holder.until_us - host.offset) / host.rate) if any(held) else 0.0
+        held = node.held(now)
+        ends = float((node.holder.until_us - host.offset) / host.rate) if any(held) else 0.0
         if held == host.amounts and ends == host.ends:
             return
         host.amounts, host.ends = held, ends
@@ -223,7 +223,7 @@
         """What all that live, also those that stand still, may spend now."""
         now, found = self.clock.now, [0] * len(self.wholes)
         for host in self.hosts.values():
-            if host.part is not None and now < host.ends:
+            if host.node is not None and now < host.ends:
                 for n, amount in enumerate(host.amounts):
                     found[n] += amount
         return found
@@ -241,7 +241,7 @@
                 self.result.converge_us = now - self.last_us
         if now > self.last_us:
             for host in self.hosts.values():
-                if host.part is not None and host.part.held(host.local(now))[0] == 0:
+                if host.node is not None and host.node.held(host.local(now))[0] == 0:
                     host.bare_us = now if host.bare_us < 0 else host.bare_us
                     since = max(host.bare_us, self.last_us)
                     self.result.starved_us = max(self.result.starved_us, now - since)
@@ -264,7 +264,9 @@
                     self.clock.call(at, self.stop, host, fault.kind == "rolling")
                     self.clock.call(at + 300_000, self.launch, host.name)
             case "divider":
-                found = [h for h in self.hosts.values() if h.part is not None and h.part.divider is not None]
+                found = [
+                    h for h in self.hosts.values() if h.node is not None and h.node.allocator is not None
+                ]
                 for host in found:
                     if fault.for_us:
                         self.pause([host], fault.until())
@@ -280,8 +282,8 @@
                     self.clock.call(fault.until(), done)
 
     def stop(self, host: Host, leaving: bool) -> None:
-        if host.part is not None and leaving and not host.paused:
-            self.call(host, host.part, host.part.leave)
+        if host.node is not None and leaving and not host.paused:
+            self.call(host, host.node, host.node.leave)
         self.end(host)
 
     def pause(self, hosts: Sequence[Host], until: int) -> None:
@@ -291,14 +293,14 @@
 
     def resume(self, host: Host) -> None:
         host.paused -= 1
-        if host.paused or host.part is None:
+        if host.paused or host.node is None:
             return
-        part, inbox, host.inbox, host.planned = host.part, host.inbox, [], -1
+        node, inbox, host.inbox, host.planned = host.node, host.inbox, [], -1
         if self.random.random() < 0.5:
-            self.call(host, part, part.tick)
+            self.call(host, node, node.tick)
         for what, words in inbox:
-            self.call(host, part, what, *words)
-        self.call(host, part, part.tick)
+            self.call(host, node, what, *words)
+        self.call(host, node, node.tick)
 
     def islands(self, islands: dict[str, int]) -> None:
         self.network.islands = islands
--- a/lupintack/settings/terms.py
+++ b/lupintack/settings/terms.py
@@ -46,12 +46,12 @@
         promise_us=promise,
         lease_us=lease,
         drift_ppm=told.drift_ppm,
-        renew_us=promise // 3,
-        ask_us=lease * 3 // 16,
-        again_us=lease // 20,
-        round_us=promise // 4,
-        stand_us=promise // 6,
-        share_us=lease // 40,
+        renew_interval_us=promise // 3,
+        request_interval_us=lease * 3 // 16,
+        retry_us=lease // 20,
+        round_timeout_us=promise // 4,
+        candidacy_delay_us=promise // 6,
+        share_interval_us=lease // 40,
     )
 
 
--- a/tests/test_division.py
+++ b/tests/test_division.py
@@ -1,4 +1,4 @@
-"""Router processes that divide budgets through a switch: the divider killed, paused, cut off."""
+"""Router processes that divide budgets through a switch: the allocator killed, paused, cut off."""
 
 from __future__ import annotations
 
@@ -13,11 +13,11 @@
 import pytest
 from click.testing import CliRunner
 
-from lupintack.budgets.messages import Epoch, Vote
+from lupintack.budgets.messages import Epoch, VoteRequest
 from lupintack.budgets.terms import Terms
 from lupintack.cli.main import main
 from lupintack.fleet import budgets as running
-from lupintack.fleet.budgets import Budgets, budget
+from lupintack.fleet.budgets import BudgetService, budget
 from lupintack.membership.messages import Codec
 from lupintack.standins.routers import Routers
 
@@ -50,7 +50,7 @@
         self.play.kill([name])
         self.ended[name, self.now.pop(name)["start"]] = time.monotonic_ns() // 1000
 
-    def divider(self) -> str:
+    def allocator(self) -> str:
         """Who divides and is past its wait; "" for nobody."""
         self.look()
         running = [n for n in self.play.running if n not in self.play.paused]
@@ -87,7 +87,7 @@
     try:
         play.start()
         book = Book(play)
-        play.until(lambda: bool(book.divider()) and book.share() > 0.99, 20.0, "the whole is divided")
+        play.until(lambda: bool(book.allocator()) and book.share() > 0.99, 20.0, "the whole is divided")
         yield play, book
     finally:
         play.close()
@@ -95,20 +95,20 @@
 
 def test_the_divider_killed_paused_and_cut_off_and_never_more_than_the_whole(tmp_path: Path) -> None:
     with routers(tmp_path) as (play, book):
-        first = book.divider()
+        first = book.allocator()
         book.kill(first)
-        play.until(lambda: book.divider() not in ("", first), 20.0, "another divides")
+        play.until(lambda: book.allocator() not in ("", first), 20.0, "another divides")
         play.until(lambda: book.share() > 0.99, 20.0, "also what the dead one had")
         play.launch(first)
-        second = book.divider()
+        second = book.allocator()
         play.pause([second])
-        play.until(lambda: book.divider() not in ("", second), 20.0, "a third divides")
+        play.until(lambda: book.allocator() not in ("", second), 20.0, "a third divides")
         play.resume([second])
         play.until(lambda: book.share() > 0.99, 20.0, "the one that was paused has a part again")
-        third = book.divider()
+        third = book.allocator()
         others = [name for name in play.names if name != third]
         play.switch.split([third], others)
-        play.until(lambda: book.divider() not in ("", third), 20.0, "the larger part divides")
+        play.until(lambda: book.allocator() not in ("", third), 20.0, "the larger part divides")
         play.until(lambda: book.now[third]["lease_ends_ms"] == 0, 20.0, "the one cut off has no lease")
         play.switch.heal()
         play.until(lambda: book.share() > 0.99, 20.0, "all have parts again")
@@ -126,14 +126,14 @@
         told = json.loads(run.output)
         assert [one["name"] for one in told["budgets"]] == ["fills", "probes"]
         page = CliRunner().invoke(main, ["fleet", "budgets", "--admin", admin])
-        assert page.exit_code == 0 and f"{book.divider()} divides, epoch" in page.output
+        assert page.exit_code == 0 and f"{book.allocator()} divides, epoch" in page.output
         play.term("n0")
         play.until(lambda: book.share() > 0.99, 20.0, "what it gave back is divided")
 
 
-def part(tmp: Path, sent: list[Any]) -> Budgets:
+def part(tmp: Path, sent: list[Any]) -> BudgetService:
     """One process's part, of a name that votes."""
-    return Budgets(
+    return BudgetService(
         "v", len(sent) + 1, "f", str(tmp), [budget("fills", 100, False, 100)], ["v", "a", "b"], ["v"],
         Terms(), Codec("f", "s"), lambda to, told, raw: sent.append((to, raw)), "",
     )  # fmt: skip
@@ -144,12 +144,12 @@
     with unittest.mock.patch.object(running, "AGAIN_US", 0):
         first, second = part(tmp_path, []), part(tmp_path, [])
         for one in (first, second):
-            one.want((50,), (14,))
-            one.call(one.part.tick)
-        assert first.floors == (10,) and (first.part.using, second.part.using) == ((4,), (14,))
-        first.want((50,), (3,))
-        first.call(first.part.tick)
-        assert first.part.using == (0,)
+            one.set_demand((50,), (14,))
+            one.call(one.node.tick)
+        assert first.floors == (10,) and (first.node.in_use, second.node.in_use) == ((4,), (14,))
+        first.set_demand((50,), (3,))
+        first.call(first.node.tick)
+        assert first.node.in_use == (0,)
         first.close()
         second.close()
 
@@ -161,23 +161,23 @@
     with unittest.mock.patch.object(running, "AGAIN_US", 0):
         old, new = part(tmp_path, sent[0]), part(tmp_path, sent[1])
         for one in (old, new):
-            one.call(one.part.tick)
-        assert old.part.voter is not None and new.part.voter is None
+            one.call(one.node.tick)
+        assert old.node.voter is not None and new.node.voter is None
         assert old.status()["budgets"][0]["floor"] == 10 and new.status()["budgets"][0]["floor"] == 0
-        old.part.voter.abstain_us = 0
-        old.take(old.parcels.word("a", "", Vote(epoch, 1)))
-        new.take(new.parcels.word("b", "", Vote(other, 1)))
+        old.node.voter.abstain_until_us = 0
+        old.take(old.codec.encode("a", "", VoteRequest(epoch, 1)))
+        new.take(new.codec.encode("b", "", VoteRequest(other, 1)))
         assert old.status()["votes_for"] == list(epoch) and new.status()["votes_for"] is None
         assert "b" not in [to for to, _ in sent[1]]
         old.close()
-        new.call(new.part.tick)
+        new.call(new.node.tick)
         assert new.status()["votes_for"] == list(epoch) and new.status()["budgets"][0]["floor"] == 10
         new.close()
-    nowhere = Budgets(
+    nowhere = BudgetService(
         "v", 1, "f", "", [], ["v"], ["v"], Terms(), Codec("f", "s"), lambda to, told, raw: None, ""
     )
-    nowhere.call(nowhere.part.tick)
-    assert nowhere.part.voter is None
+    nowhere.call(nowhere.node.tick)
+    assert nowhere.node.voter is None
 
 
 @pytest.mark.parametrize(
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -11,14 +11,14 @@
 from hypothesis import strategies as st
 
 from lupintack import interface as i
-from lupintack.budgets.spend import Budget, Per
+from lupintack.budgets.spending import Budget, BudgetKind
 from lupintack.clock import now_us
 from lupintack.core.actor import Core
-from lupintack.core.leases import Leases, Wishes, wishes
+from lupintack.core.leases import Leases, MeasuredDemand, measure_demand
 from lupintack.core.messages import ClientRequest
 from lupintack.core.retune import Retune
 from lupintack.core.roster import Host, PoolNews, Roster, member_id
-from lupintack.fleet.leases import leases, needs, using
+from lupintack.fleet.budget_leases import core_leases, demand, in_use
 from lupintack.limits.shared import Store, Wanted, part
 from tests import helpers as h
 from tests.test_shared import WARM_AT, cold, spent
@@ -96,19 +96,22 @@
 
 
 BUDGETS = (
-    Budget("cold-caches.east", 8, Per.ONCE), Budget("cold-caches.west", 8, Per.ONCE),
-    Budget("cold-parents", 4, Per.ONCE), Budget("spare", 9, Per.SECOND), Budget("store-fills", 40, Per.ONCE),
+    Budget("cold-caches.east", 8, BudgetKind.CONCURRENT),
+    Budget("cold-caches.west", 8, BudgetKind.CONCURRENT),
+    Budget("cold-parents", 4, BudgetKind.CONCURRENT),
+    Budget("spare", 9, BudgetKind.RATE),
+    Budget("store-fills", 40, BudgetKind.CONCURRENT),
 )  # fmt: skip
 
 
 def test_leases_and_needs_go_by_the_budgets_names() -> None:
-    found = leases(BUDGETS, (2, 8, 1, 9, 7), 99, "east")
+    found = core_leases(BUDGETS, (2, 8, 1, 9, 7), 99, "east")
     assert found == Leases(0.25, 0.25, 7, 99)
-    assert leases((), (), 0, "east") == Leases(-1.0, -1.0, -1, 0)
-    wished = Wishes(cold_caches=0.3, cold_parents=5.0, store_fills=10.0)
-    assert needs(BUDGETS, wished, (0, 0, 0, 0, 0), "east") == (3, 0, 4, 9, 13)
-    assert using(BUDGETS, Wishes(0.0, 0.0, 9.0, 4)) == (0, 0, 0, 0, 4)
-    down = needs(BUDGETS, Wishes(0.0, 0.0, 0.0), (8, 0, 4, 9, 40), "east")
+    assert core_leases((), (), 0, "east") == Leases(-1.0, -1.0, -1, 0)
+    report_demand = MeasuredDemand(cold_caches=0.3, cold_parents=5.0, store_fills=10.0)
+    assert demand(BUDGETS, report_demand, (0, 0, 0, 0, 0), "east") == (3, 0, 4, 9, 13)
+    assert in_use(BUDGETS, MeasuredDemand(0.0, 0.0, 9.0, 4)) == (0, 0, 0, 0, 4)
+    down = demand(BUDGETS, MeasuredDemand(0.0, 0.0, 0.0), (8, 0, 4, 9, 40), "east")
     assert down == (7, 0, 3, 9, 35), "down by and by"
 
 
@@ -125,15 +128,18 @@
 
 def test_an_attempt_decided_under_a_lease_is_not_written_once_it_has_run_out() -> None:
     link = unittest.mock.Mock()
-    told: list[Wishes] = []
+    told: list[MeasuredDemand] = []
     core = hosted(link)
     until = now_us() + 60_000_000
-    core.post(Retune(leases=Leases(store_fills=5, until_us=until), wished=told.append))
-    assert core.router.settings.store_fills == 5 and told == [Wishes(0.0, 0.0, 0.0)]
+    core.post(Retune(leases=Leases(store_fills=5, until_us=until), report_demand=told.append))
+    assert core.router.settings.store_fills == 5 and told == [MeasuredDemand(0.0, 0.0, 0.0)]
     sink = unittest.mock.Mock()
     core.take(ClientRequest("0" * 16, h.SAFE, "0" * 16, 5, 0, 0, now_us() + 10_000_000, sink, cls_name="a"))
     (order,) = [call.args[0] for call in link.send.call_args_list]
     assert order.source == member_id("origin") and order.until_us == until
     assert not order.forbidden(until - 1) and order.forbidden(until)
     core.post(Retune(leases=Leases(store_fills=0, until_us=0)))
-    assert core.router.settings.store_fills == 0 and wishes(core.router, core.router.now).store_fills >= 1.0
+    assert (
+        core.router.settings.store_fills == 0
+        and measure_demand(core.router, core.router.now).store_fills >= 1.0
+    )
