Let an allocator grant from a lease of its own, for budgets of two levels

An allocator may have a ceiling and an end for its leases; successive allocators of a region share one booking; SubLeaseGrant carries its duration. One level takes the same paths as before; a SubLeaseGrant is a seventh kind on the wire that only two levels send.

--- a/lupintack/budgets/allocator.py
+++ b/lupintack/budgets/allocator.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from lupintack.budgets.messages import Epoch, LeaseGrant, LeaseRequest
+from lupintack.budgets.messages import Epoch, LeaseGrant, LeaseRequest, SubLeaseGrant
 from lupintack.budgets.shares import Demand, max_min_fair
 from lupintack.budgets.terms import Terms
 
@@ -29,12 +29,18 @@
     until_us: int
     granted: tuple[int, ...]  # by the last grant
     granted_until_us: int = 0
+    granted_lease_us: int = 0
     weight: int = 1
 
 
 @dataclass(slots=True)
 class Allocator:
-    """A tenure from the moment at which a majority was known."""
+    """A tenure from the moment at which a majority was known.
+
+    An allocator that grants from a lease of its own has a `ceiling` (what is surely booked for it now) beside
+    what it shares out, and an end for its leases. Successive holders of a name in `shared_names` (the
+    allocators of one region) have one booking: the largest of their entries counts, not the sum.
+    """
 
     epoch: Epoch
     allocatable: tuple[int, ...]  # of each budget: the whole without its floors
@@ -44,6 +50,16 @@
     ledger: dict[tuple[str, int], LedgerEntry] = field(default_factory=dict)
     targets: dict[tuple[str, int], tuple[int, ...]] = field(default_factory=dict)
     shares_computed_us: int = -1
+    ceiling: tuple[int, ...] | None = None  # None: what is allocatable
+    expires_by_us: int | None = None  # no lease ends later than this; None: each has its full time
+    shared_names: frozenset[str] = frozenset()
+
+    def set_allocatable(self, allocatable: tuple[int, ...], ceiling: tuple[int, ...]) -> None:
+        """What is shared out from now on, and the most that the ledger may come to by a grant."""
+        if allocatable != self.allocatable:
+            self.allocatable = allocatable
+            self.shares_computed_us = -1
+        self.ceiling = ceiling
 
     @property
     def ready_us(self) -> int:
@@ -54,7 +70,7 @@
         """
         return self.elected_us + self.terms.lease_us
 
-    def handle_request(self, request: LeaseRequest, now: int) -> LeaseGrant | None:
+    def handle_request(self, request: LeaseRequest, now: int) -> LeaseGrant | SubLeaseGrant | None:
         """What this holder is given. The term must hold at `now`; None: the request says nothing to it."""
         if (
             request.epoch != self.epoch
@@ -67,7 +83,7 @@
         old = self.ledger.get(key)
         if old is not None and request.sequence <= old.sequence:
             same = request.sequence == old.sequence and now < old.granted_until_us
-            return LeaseGrant(self.epoch, *key, request.sequence, old.granted) if same else None
+            return self.grant(request, old) if same else None
         if old is None and len(self.ledger) >= self.terms.max_holders:
             return None
         # What it says it holds is the most it can have of earlier grants, for it takes none of them any more.
@@ -82,17 +98,24 @@
             # to this holder either.
             left = request.in_use
             keep = tuple(map(max, keep, left))
+        ends = now + self.terms.lease_us
+        if self.expires_by_us is not None:
+            ends = min(ends, self.expires_by_us)
+        if ends <= now:
+            return None
+        # What was granted before lasts until its own end, also where this grant ends sooner or gets lost.
+        booked_until = max(
+            ends, old.until_us if old is not None else 0, min(self.ready_us, now + self.terms.lease_us)
+        )
         if request.leaving:
-            self.ledger[key] = LedgerEntry(
-                request.sequence, self.zero, left, now + self.terms.lease_us, self.zero
-            )
+            self.ledger[key] = LedgerEntry(request.sequence, self.zero, left, booked_until, self.zero)
             self.shares_computed_us = -1
             return None
         mine = self.ledger[key] = LedgerEntry(
             request.sequence,
             request.demand,
             keep,
-            now + self.terms.lease_us,
+            booked_until,
             self.zero,
             weight=max(1, self.weight_of(request.name)),
         )
@@ -106,10 +129,17 @@
         if now < self.ready_us:
             given = tuple(map(min, target, request.held))
         else:
-            given = tuple(max(0, min(t, f)) for t, f in zip(target, self.available_to(key), strict=True))
+            given = target
+        if now >= self.ready_us or self.ceiling is not None:
+            given = tuple(max(0, min(t, f)) for t, f in zip(given, self.available_to(key), strict=True))
         mine.amounts = tuple(map(max, keep, given))
-        mine.granted, mine.granted_until_us = given, now + self.terms.lease_us
-        return LeaseGrant(self.epoch, *key, request.sequence, given)
+        mine.granted, mine.granted_until_us, mine.granted_lease_us = given, ends, ends - now
+        return self.grant(request, mine)
+
+    def grant(self, request: LeaseRequest, entry: LedgerEntry) -> LeaseGrant | SubLeaseGrant:
+        """The answer to a request, as booked."""
+        told = (self.epoch, request.name, request.start, request.sequence, entry.granted)
+        return LeaseGrant(*told) if self.ceiling is None else SubLeaseGrant(*told, entry.granted_lease_us)
 
     @property
     def zero(self) -> tuple[int, ...]:
@@ -125,13 +155,27 @@
 
     def available_to(self, key: tuple[str, int]) -> tuple[int, ...]:
         """What nobody but this holder may have."""
-        others = [one.amounts for other, one in self.ledger.items() if other != key]
-        sums = map(sum, zip(*others, strict=True)) if others else self.zero
-        return tuple(whole - spent for whole, spent in zip(self.allocatable, sums, strict=True))
+        shared = key[0] if key[0] in self.shared_names else None
+        spent = self.booked(lambda other: other != key and (shared is None or other[0] != shared))
+        limit = self.ceiling if self.ceiling is not None else self.allocatable
+        return tuple(most - sum_ for most, sum_ in zip(limit, spent, strict=True))
 
     def allocated(self) -> tuple[int, ...]:
-        """The ledger's sum, for the staff and for tests."""
-        return tuple(map(sum, zip(self.zero, *(one.amounts for one in self.ledger.values()), strict=True)))
+        """The ledger's sum."""
+        return self.booked(lambda key: True)
+
+    def total_demand(self) -> tuple[int, ...]:
+        """What all holders in the ledger have asked for."""
+        return tuple(map(sum, zip(self.zero, *(one.demand for one in self.ledger.values()), strict=True)))
+
+    def booked(self, counts: Callable[[tuple[str, int]], bool]) -> tuple[int, ...]:
+        """The sum over some entries; of the holders of a shared name the largest amounts count."""
+        bookings: dict[tuple[str, int], tuple[int, ...]] = {}
+        for key, one in self.ledger.items():
+            if counts(key):
+                owner = (key[0], 0) if key[0] in self.shared_names else key
+                bookings[owner] = tuple(map(max, bookings.get(owner, self.zero), one.amounts))
+        return tuple(map(sum, zip(self.zero, *bookings.values(), strict=True)))
 
     def compute_shares(self, now: int) -> None:
         """What each should have, by what all have asked for."""
--- a/lupintack/budgets/lease.py
+++ b/lupintack/budgets/lease.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lupintack.budgets.messages import Epoch, LeaseGrant, LeaseRequest
+from lupintack.budgets.messages import Epoch, LeaseGrant, LeaseRequest, SubLeaseGrant
 from lupintack.budgets.terms import Terms
 
 
@@ -18,6 +18,7 @@
         self.requested_us = 0
         self.epoch: Epoch | None = None  # of the ask that is out
         self.answered = True
+        self.last_request: LeaseRequest | None = None
 
     def held(self, now: int) -> tuple[int, ...]:
         """What may be spent now; to be asked at the spend itself."""
@@ -36,11 +37,12 @@
             self.amounts, self.until_us = self.zero, 0
         self.sequence += 1
         self.epoch, self.requested_us, self.answered = epoch, now, False
-        return LeaseRequest(
+        self.last_request = LeaseRequest(
             self.name, self.start, self.sequence, epoch, demand, self.held(now), leaving, in_use
         )
+        return self.last_request
 
-    def accept(self, grant: LeaseGrant, now: int) -> bool:
+    def accept(self, grant: LeaseGrant | SubLeaseGrant, now: int) -> bool:
         """Takes a grant to the last ask; its time counts from that ask, which was before the grant."""
         if (grant.name, grant.start, grant.sequence) != (self.name, self.start, self.sequence):
             return False
@@ -48,5 +50,8 @@
             return False
         self.answered = True
         self.amounts = grant.amounts
-        self.until_us = self.requested_us + self.terms.drift_safe(self.terms.lease_us)
+        lease_us = self.terms.lease_us
+        if isinstance(grant, SubLeaseGrant):
+            lease_us = min(lease_us, grant.lease_us)
+        self.until_us = self.requested_us + self.terms.drift_safe(lease_us)
         return now < self.until_us
--- a/lupintack/budgets/messages.py
+++ b/lupintack/budgets/messages.py
@@ -65,10 +65,24 @@
     amounts: tuple[int, ...]
 
 
+class SubLeaseGrant(NamedTuple):
+    """What a holder may spend of a lease that its allocator holds itself.
+
+    `lease_us`: how long the allocator books it, on the allocator's clock; the holder counts less than that.
+    """
+
+    epoch: Epoch
+    name: str
+    start: int
+    sequence: int
+    amounts: tuple[int, ...]
+    lease_us: int
+
+
 class Redirect(NamedTuple):
     """Who divides, as far as the one that was asked knows; epoch None: nobody that it knows of."""
 
     epoch: Epoch | None
 
 
-Message = VoteRequest | VoteReply | VoteRelease | LeaseRequest | LeaseGrant | Redirect
+Message = VoteRequest | VoteReply | VoteRelease | LeaseRequest | LeaseGrant | Redirect | SubLeaseGrant
--- a/lupintack/budgets/node.py
+++ b/lupintack/budgets/node.py
@@ -19,6 +19,7 @@
     LeaseRequest,
     Message,
     Redirect,
+    SubLeaseGrant,
     VoteRelease,
     VoteReply,
     VoteRequest,
@@ -30,6 +31,7 @@
     from random import Random
 
 
+NEVER_US = 1 << 62
 MAX_DOUBLINGS = 4  # doublings of a round's time, and of the wait before the next
 
 
@@ -57,12 +59,18 @@
         stored: Promise | None = None,
         weight_of: Callable[[str], int] = equal_weight,
         votes: bool = True,
+        holds: bool = True,
+        prepare: Callable[[Allocator], None] = lambda allocator: None,
     ) -> None:
-        """`allocatable`: of each budget the whole less its reservations; `stored`: see Voter."""
+        """`allocatable`: of each budget the whole less its reservations; `stored`: see Voter; `holds`: if
+        it asks for leases from the start; `prepare`: sets up the allocator of an epoch that was just won.
+        """
         self.name, self.start, self.terms, self.random = name, start, terms, random
         self.voters = tuple(sorted(set(voters)))
         self.allocatable = tuple(allocatable)
         self.weight_of = weight_of
+        self.prepare = prepare
+        self.holds = holds
         self.holder = LeaseHolder(name, start, len(self.allocatable), terms)
         self.voter: Voter | None = None
         if votes:
@@ -80,7 +88,8 @@
         self.voided = (
             0  # requests that the next one voided, less those answered: the way is longer than the wait
         )
-        self.next_request_us = now
+        self.next_request_us = now if holds else NEVER_US
+        self.max_retry_us = terms.lease_us // 2
         self.redirected_us = 0
         self.leased = False
         self.left = False
@@ -94,7 +103,7 @@
             times.append(self.holder.until_us)
         if self.voter is not None and not self.left:
             times.append(self.next_renewal_us if self.election is not None else self.next_candidacy_us)
-        return min(times, default=1 << 62)
+        return min(times, default=NEVER_US)
 
     # What it is called with
 
@@ -128,9 +137,22 @@
     def rejoin(self, now: int) -> None:
         """Back at work after a leave of this very process."""
         if self.left:
-            self.left, self.leader, self.attempts, self.next_request_us = False, None, 0, now
+            self.left, self.leader, self.attempts = False, None, 0
+            self.next_request_us = now if self.holds else NEVER_US
             self.next_candidacy_us = now + self._later(self.terms.candidacy_delay_us)
 
+    def start_holding(self, name: str, start: int, now: int) -> None:
+        """Ask for leases from now on, as this holder, which has none yet."""
+        self.holds, self.attempts, self.leased = True, 0, False
+        self.holder = LeaseHolder(name, start, len(self.allocatable), self.terms)
+        self.next_request_us = now
+
+    def stop_holding(self) -> None:
+        """Ask for nothing any more; what was held is booked for its time, and not given back."""
+        self.holds, self.leased = False, False
+        self.holder.amounts, self.holder.until_us = self.holder.zero, 0
+        self.next_request_us = NEVER_US
+
     def held(self, now: int) -> tuple[int, ...]:
         """What may be spent by lease; asked at the spend."""
         return self.holder.held(now)
@@ -139,7 +161,7 @@
         """On purpose: the lease is given back, the word of the others is free at once."""
         if not self.left:
             self.left = True
-            if self.leader is not None and not self.is_allocator(now):
+            if self.holds and self.leader is not None and not self.is_allocator(now):
                 request = self.holder.request(self.leader, self.demand, now, True, self.in_use)
                 self.actions.sends.append((self.leader.name, request))
             self.holder.amounts, self.holder.until_us = self.holder.zero, 0
@@ -199,9 +221,11 @@
         if self.allocator is None:
             self.failed_rounds = 0
             self.allocator = Allocator(self.election.epoch, self.allocatable, self.terms, now, self.weight_of)
+            self.prepare(self.allocator)
             self.next_renewal_us = now + self.terms.renew_interval_us
             self.actions.events.append(("won", str(self.election.epoch.counter)))
-            self.leader, self.next_request_us, self.attempts = self.election.epoch, now, 0
+            self.leader, self.attempts = self.election.epoch, 0
+            self.next_request_us = now if self.holds else NEVER_US
 
     def _resign(self, now: int) -> None:
         """This epoch is never counted on again, so the voters' words for it are free."""
@@ -225,7 +249,7 @@
             self.leader = None
         self.voided += self.attempts > 0
         request = self.holder.request(self.leader, self.demand, now, in_use=self.in_use)
-        wait = min(self.terms.retry_us << min(max(self.attempts, self.voided), 8), self.terms.lease_us // 2)
+        wait = min(self.terms.retry_us << min(max(self.attempts, self.voided), 8), self.max_retry_us)
         self.next_request_us = now + wait + int(wait * self.random.random() / 4)
         self.attempts += 1
         to = self.leader.name if self.leader is not None else self.random.choice(self.voters)
@@ -251,12 +275,14 @@
                     )
         elif isinstance(message, LeaseRequest):
             self._handle_lease_request(sender, message, now)
-        elif isinstance(message, LeaseGrant):
-            if self.holder.accept(message, now):
+        elif isinstance(message, LeaseGrant | SubLeaseGrant):
+            if self.holds and self.holder.accept(message, now):
                 self.attempts, self.leased, self.voided = 0, True, max(0, self.voided - 1)
                 self.next_request_us = now + int(
                     self.terms.request_interval_us * (0.9 + self.random.random() / 5)
                 )
+        elif not self.holds:
+            return
         elif message.epoch is not None and message.epoch != self.leader and now >= self.redirected_us:
             # Guards against two that each send it to the other: one turn in a while.
             self.leader, self.attempts = message.epoch, 0
--- /dev/null
+++ b/lupintack/budgets/regions.py
@@ -0,0 +1,79 @@
+"""How a fleet's budgets are split among its regions: who votes, what is reserved, what is allocated where.
+
+With regions there are two levels. The fleet's allocator leases fleet-wide budgets to one allocator a region,
+which leases to its routers from that and from the region's reservation alone. A budget of one site is
+allocated in the site's own region and is never seen elsewhere.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from lupintack.budgets.reservation import allocatable, reservations
+from lupintack.budgets.spending import Budget
+
+
+class RegionError(ValueError):
+    """The regions can't be used as they are configured; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Region:
+    """A region: the names of its voters, and its sites."""
+
+    name: str
+    voters: tuple[str, ...]
+    sites: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RegionPlan:
+    """What one region's routers go by: fleet-wide budgets first, then those of the region's own sites."""
+
+    region: Region
+    weights: tuple[tuple[str, int], ...]  # of each region at the fleet's allocator
+    budgets: tuple[Budget, ...]
+    fleet_wide: int  # how many of `budgets` are the whole fleet's
+    fleet_allocatable: tuple[int, ...]  # of fleet-wide budgets: the whole less what is reserved for regions
+    region_pool: tuple[int, ...]  # of all `budgets`: what the region may allocate without a parent lease
+    name_reservations: tuple[int, ...]  # of all `budgets`: for each voter of the region, allocated or not
+
+    def weight_of(self, region: str) -> int:
+        """The weight of a region at the fleet's allocator."""
+        return dict(self.weights).get(region, 1)
+
+
+def region_of_site(regions: Sequence[Region], site: str) -> Region:
+    """The region that a site belongs to; RegionError where there is none, or more than one."""
+    found = [region for region in regions if site in region.sites]
+    if len(found) != 1:
+        raise RegionError(f"site {site!r} stands in {len(found)} regions, where one is wanted")
+    return found[0]
+
+
+def plan_region(budgets: Sequence[Budget], regions: Sequence[Region], region: Region) -> RegionPlan:
+    """Split the budgets: `BUDGET.SITE` with a SITE of some region belongs to that region alone."""
+    owners = {site: one.name for one in regions for site in one.sites}
+    fleet_wide = [budget for budget in budgets if site_of(budget.name) not in owners]
+    own = [budget for budget in budgets if owners.get(site_of(budget.name)) == region.name]
+    names = [one.name for one in regions]
+    shares = [reservations(b.whole, b.reserved_per_mille, names)[region.name] for b in fleet_wide]
+    wholes = [*shares, *(b.whole for b in own)]
+    per_mille = [b.reserved_per_mille for b in (*fleet_wide, *own)]
+    pairs = list(zip(wholes, per_mille, strict=True))
+    voter = region.voters[0]
+    return RegionPlan(
+        region=region,
+        weights=tuple((one.name, max(1, len(one.sites))) for one in regions),
+        budgets=(*fleet_wide, *own),
+        fleet_wide=len(fleet_wide),
+        fleet_allocatable=tuple(allocatable(b.whole, b.reserved_per_mille, names) for b in fleet_wide),
+        region_pool=tuple(allocatable(whole, part, region.voters) for whole, part in pairs),
+        name_reservations=tuple(reservations(whole, part, region.voters)[voter] for whole, part in pairs),
+    )
+
+
+def site_of(budget: str) -> str:
+    """The SITE of a budget named `BUDGET.SITE`; "" for other names."""
+    return budget.partition(".")[2]
--- a/lupintack/lab/budget_bugs.py
+++ b/lupintack/lab/budget_bugs.py
@@ -10,7 +10,7 @@
 
 from lupintack.budgets.allocator import Allocator
 from lupintack.budgets.election import Election
-from lupintack.budgets.messages import LeaseGrant, LeaseRequest, VoteReply, VoteRequest
+from lupintack.budgets.messages import LeaseGrant, LeaseRequest, SubLeaseGrant, VoteReply, VoteRequest
 from lupintack.budgets.terms import Terms
 from lupintack.budgets.voter import Promise, Voter
 from lupintack.lab.budget_check import Bounds, clocks, search
@@ -49,7 +49,7 @@
     return True
 
 
-def _forget(self: Allocator, ask: LeaseRequest, now: int) -> LeaseGrant | None:
+def _forget(self: Allocator, ask: LeaseRequest, now: int) -> LeaseGrant | SubLeaseGrant | None:
     """Books what is granted, not what may be held of the grant before."""
     found = REAL_ASKED(self, ask, now)
     one = self.ledger.get((ask.name, ask.start))
@@ -64,7 +64,8 @@
         del self.ledger[key]
 
 
-REAL_ASKED: Callable[[Allocator, LeaseRequest, int], LeaseGrant | None] = Allocator.handle_request
+Grant = LeaseGrant | SubLeaseGrant
+REAL_ASKED: Callable[[Allocator, LeaseRequest, int], Grant | None] = Allocator.handle_request
 
 
 def _holds(self: Election, now: int) -> bool:
