Run budgets of two levels on sockets, where the operator file names regions

Need: budgets/hierarchy.py had no way onto the wire. [budgets] named one level, at most 8 budgets of a kind (143 are wanted for 140 sites), and the datagram had no room for a level or a SubLeaseGrant.

Change: [budgets.regions.NAME] with voters and sites, checked as a whole in settings/budget_plan.py (one line each: a site or voter in two regions, an even number of voters, names beside regions, a request that would not fit into 1,200 bytes; at the start a site of no region, a voter of another region). Regions speak version 2: an envelope with the region (empty: the fleet's level), the version under the code; version 1 keeps its bytes. A region's messages are dropped by others. BudgetService drives either kind behind fleet/budget_levels.Levels; each level's vote has its own file, the one-level file keeps its name. The stand-in's operator files quote the keys of inline tables: a budget's name may have a dot.

Existing tests: tests/test_division.py reads the node and the codec by their new place (levels.holding, BudgetCodec), with the same assertions.

--- a/lupintack/budgets/codec.py
+++ b/lupintack/budgets/codec.py
@@ -1,35 +1,41 @@
 """Budget messages as datagrams: `B`, the version, the fleet's keyed code, MessagePack.
 
-What can't be read is dropped.
+Version 1 is spoken where budgets have one level, version 2, which also says the level, where they have two.
+What can't be read, and what is of the other version, is dropped.
 """
 
 from __future__ import annotations
 
 import hmac
-from typing import Any
+from collections.abc import Sequence
+from typing import Any, NamedTuple
 
 import msgspec
 
+from lupintack.budgets.hierarchy import Level
 from lupintack.budgets.messages import (
     Epoch,
     LeaseGrant,
     LeaseRequest,
     Message,
     Redirect,
+    SubLeaseGrant,
     VoteRelease,
     VoteReply,
     VoteRequest,
 )
 from lupintack.membership.messages import CODE, HEAD, NAME_MOST, Bad, Codec, Drop
 
-MAGIC, VERSION = b"B", 1
+MAGIC = b"B"
+ONE_LEVEL, TWO_LEVELS = 1, 2  # versions
 KINDS: tuple[type, ...] = (VoteRequest, VoteReply, VoteRelease, LeaseRequest, LeaseGrant, Redirect)
-MAX_BUDGETS = 16
+TWO_LEVEL_KINDS = (*KINDS, SubLeaseGrant)
 MAX_AMOUNT = 1 << 60
+MAX_DATAGRAM_BYTES = 1_200  # fits into one packet on any usual link
 
 
 class Envelope(msgspec.Struct, array_like=True):
-    """One datagram's: who speaks, where it is answered, and a message by its kind."""
+    """One datagram's of version 1: who speaks, where it is answered, and a message by its kind."""
 
     sender: str
     address: str
@@ -37,8 +43,27 @@
     body: msgspec.Raw
 
 
+class LevelEnvelope(msgspec.Struct, array_like=True):
+    """One datagram's of version 2. `region`: the one whose level this is; empty: the fleet's level."""
+
+    sender: str
+    address: str
+    region: str
+    kind: int
+    body: msgspec.Raw
+
+
+class Datagram(NamedTuple):
+    """What a datagram of version 2 says."""
+
+    sender: str
+    address: str
+    level: Level
+    message: Message
+
+
 class BudgetCodec:
-    """Words and reads the messages of one fleet."""
+    """Words and reads the messages of one fleet whose budgets have one level."""
 
     def __init__(self, codec: Codec, budgets: int) -> None:
         self.codec, self.budgets = codec, budgets
@@ -50,38 +75,90 @@
         """As it goes out."""
         raw = msgspec.Raw(self.encoder.encode(message))
         body = self.encoder.encode(Envelope(sender, address, KINDS.index(type(message)), raw))
-        return b"%b%c%b%b" % (MAGIC, VERSION, self.codec.code(MAGIC + body), body)
+        return b"%b%c%b%b" % (MAGIC, ONE_LEVEL, self.codec.code(MAGIC + body), body)
 
     def decode(self, raw: bytes) -> tuple[str, str, Message]:
         """Sender, its address, and what it says; Bad for anything else."""
-        if len(raw) < HEAD or raw[:1] != MAGIC:
-            raise Bad(Drop.CUT if raw[:1] == MAGIC else Drop.FOREIGN)
-        if raw[1] != VERSION:
-            raise Bad(Drop.VERSION)
         # The magic is under the code: a message of the membership can't be passed off as one of these.
-        if not hmac.compare_digest(raw[2 : 2 + CODE], self.codec.code(MAGIC + raw[HEAD:])):
-            raise Bad(Drop.FOREIGN)
+        body = checked_body(self.codec, raw, ONE_LEVEL, MAGIC)
         try:
-            envelope = self.envelopes.decode(raw[HEAD:])
-            if not 0 <= envelope.kind < len(KINDS):
-                raise ValueError
-            message: Message = self.decoders[envelope.kind].decode(envelope.body)
+            envelope = self.envelopes.decode(body)
+            message = decode_message(self.decoders, envelope.kind, envelope.body)
         except (msgspec.MsgspecError, ValueError, RecursionError):
             raise Bad(Drop.UNREADABLE) from None
-        texts = [
-            envelope.sender,
-            envelope.address,
-            *(field for field in flat(message) if isinstance(field, str)),
-        ]
-        numbers = [field for field in flat(message) if isinstance(field, int)]
-        rows = [field for field in message if isinstance(field, tuple) and not isinstance(field, Epoch)]
-        if any(len(text) > NAME_MOST for text in texts) or any(not 0 <= n <= MAX_AMOUNT for n in numbers):
-            raise Bad(Drop.UNREADABLE)
-        if any(row and len(row) != self.budgets for row in rows):  # who takes it looks after empty ones
-            raise Bad(Drop.UNREADABLE)
+        check_message(message, (envelope.sender, envelope.address), self.budgets)
         return envelope.sender, envelope.address, message
 
 
+class TwoLevelCodec:
+    """Words and reads the messages that a router of one region sends and gets, at both levels."""
+
+    # Under the code with the magic: neither version's message can be passed off as one of the other.
+    PREFIX = MAGIC + bytes([TWO_LEVELS])
+
+    def __init__(self, codec: Codec, region: str, fleet_wide: int, budgets: int) -> None:
+        """`fleet_wide`: how many of the region's `budgets` are allocated at the fleet's level, too."""
+        self.codec = codec
+        self.regions = {Level.FLEET: "", Level.REGION: region}
+        self.levels = {text: level for level, text in self.regions.items()}
+        self.row_lengths = {Level.FLEET: fleet_wide, Level.REGION: budgets}
+        self.encoder = msgspec.msgpack.Encoder()
+        self.envelopes = msgspec.msgpack.Decoder(LevelEnvelope)
+        self.decoders: list[Any] = [msgspec.msgpack.Decoder(kind) for kind in TWO_LEVEL_KINDS]
+
+    def encode(self, sender: str, address: str, level: Level, message: Message) -> bytes:
+        """As it goes out."""
+        raw = msgspec.Raw(self.encoder.encode(message))
+        kind = TWO_LEVEL_KINDS.index(type(message))
+        body = self.encoder.encode(LevelEnvelope(sender, address, self.regions[level], kind, raw))
+        return self.PREFIX + self.codec.code(self.PREFIX + body) + body
+
+    def decode(self, raw: bytes) -> Datagram:
+        """What it says; Bad for anything else, also for what another region says to its own routers."""
+        body = checked_body(self.codec, raw, TWO_LEVELS, self.PREFIX)
+        try:
+            envelope = self.envelopes.decode(body)
+            message = decode_message(self.decoders, envelope.kind, envelope.body)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            raise Bad(Drop.UNREADABLE) from None
+        level = self.levels.get(envelope.region)
+        if level is None:
+            raise Bad(Drop.FOREIGN)
+        check_message(message, (envelope.sender, envelope.address), self.row_lengths[level])
+        return Datagram(envelope.sender, envelope.address, level, message)
+
+
+def checked_body(codec: Codec, raw: bytes, version: int, prefix: bytes) -> bytes:
+    """What follows the head of a datagram of this version; Bad where the code over it is another."""
+    if len(raw) < HEAD or raw[:1] != MAGIC:
+        raise Bad(Drop.CUT if raw[:1] == MAGIC else Drop.FOREIGN)
+    if raw[1] != version:
+        raise Bad(Drop.VERSION)
+    if not hmac.compare_digest(raw[2 : 2 + CODE], codec.code(prefix + raw[HEAD:])):
+        raise Bad(Drop.FOREIGN)
+    return raw[HEAD:]
+
+
+def decode_message(decoders: Sequence[Any], kind: int, body: msgspec.Raw) -> Message:
+    """A message by its kind; ValueError for a kind that does not exist, or a body that is no such message."""
+    if not 0 <= kind < len(decoders):
+        raise ValueError
+    message: Message = decoders[kind].decode(body)
+    return message
+
+
+def check_message(message: Message, texts: tuple[str, ...], row_length: int) -> None:
+    """Bad for texts and numbers that are out of bounds, and for rows that are not of this length."""
+    fields = flat(message)
+    texts = (*texts, *(field for field in fields if isinstance(field, str)))
+    numbers = [field for field in fields if isinstance(field, int)]
+    rows = [field for field in message if isinstance(field, tuple) and not isinstance(field, Epoch)]
+    if any(len(text) > NAME_MOST for text in texts) or any(not 0 <= n <= MAX_AMOUNT for n in numbers):
+        raise Bad(Drop.UNREADABLE)
+    if any(row and len(row) != row_length for row in rows):  # who takes it looks after empty ones
+        raise Bad(Drop.UNREADABLE)
+
+
 def flat(message: Any) -> list[Any]:
     """A message's fields, those of its tuples too."""
     found: list[Any] = []
@@ -91,3 +168,16 @@
         else:
             found.append(field)
     return found
+
+
+def largest_datagram_bytes(amounts: Sequence[int], region: str = "") -> int:
+    """The most bytes that a message takes whose rows are at most `amounts`, with the longest names.
+
+    A lease request is the largest: it has three rows. `region`: of a message of version 2.
+    """
+    name, number, row = "x" * NAME_MOST, (1 << 64) - 1, tuple(amounts)
+    epoch = Epoch(number, name, number)
+    request = LeaseRequest(name, number, number, epoch, row, row, False, row)
+    encoder = msgspec.msgpack.Encoder()
+    raw = msgspec.Raw(encoder.encode(request))
+    return HEAD + len(encoder.encode(LevelEnvelope(name, name, region, 0, raw)))
--- /dev/null
+++ b/lupintack/fleet/budget_levels.py
@@ -0,0 +1,201 @@
+"""A router's budgets at one level or at two, as `BudgetService` drives them: node, wire and status by level.
+
+Both have the same methods: the service knows neither the version of the wire nor how many voters a name is.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+
+from lupintack.budgets.codec import BudgetCodec, TwoLevelCodec
+from lupintack.budgets.hierarchy import Level, LevelActions, LevelSend, TwoLevelNode
+from lupintack.budgets.node import Actions, BudgetNode
+from lupintack.budgets.regions import RegionPlan
+from lupintack.budgets.reservation import allocatable, reservations
+from lupintack.budgets.spending import Budget
+from lupintack.budgets.terms import Terms
+from lupintack.budgets.voter import Promise
+from lupintack.membership.messages import Codec
+
+Stored = Callable[[Level], Promise | None]  # what the process before promised at a level
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """A datagram that could be read: who sent it, where that is answered, and the call that it makes."""
+
+    sender: str
+    address: str
+    call: Callable[[int], LevelActions | Actions]
+
+
+@dataclass(frozen=True, slots=True)
+class Router:
+    """Which process this is, and what it goes by."""
+
+    name: str
+    start: int
+    voters: tuple[str, ...]  # of the fleet's level
+    terms: Terms
+
+
+class Levels(Protocol):
+    """What the service needs of either kind."""
+
+    budgets: tuple[Budget, ...]
+    reservations: tuple[int, ...]  # of each budget, for this name
+
+    @property
+    def node(self) -> BudgetNode | TwoLevelNode:
+        """What is ticked."""
+
+    @property
+    def holding(self) -> BudgetNode:
+        """The level at which this process holds leases to spend."""
+
+    def become_voter(self, stored: Stored, now: int) -> None:
+        """From now on this process is its name's voter, at each level where the name is one."""
+
+    def decode(self, raw: bytes) -> Received:
+        """A datagram; Bad for one that can't be read."""
+
+    def encode(self, sender: str, address: str, send: LevelSend) -> bytes:
+        """As it goes out."""
+
+    def status(self, now: int) -> dict[str, Any]:
+        """What the staff sees beside what the service tells of each kind."""
+
+
+class OneLevel:
+    """The fleet's allocator leases to each router."""
+
+    def __init__(
+        self, router: Router, budgets: Sequence[Budget], names: Sequence[str], codec: Codec, now: int
+    ) -> None:
+        """`names`: those that have reservations."""
+        self.budgets = tuple(budgets)
+        self.reservations = tuple(
+            reservations(b.whole, b.reserved_per_mille, names).get(router.name, 0) for b in self.budgets
+        )
+        rest = [allocatable(b.whole, b.reserved_per_mille, names) for b in self.budgets]
+        self.codec = BudgetCodec(codec, len(self.budgets))
+        self.node = BudgetNode(
+            router.name,
+            router.start,
+            router.voters,
+            rest,
+            router.terms,
+            Random(router.start),
+            now,
+            votes=False,
+        )
+
+    @property
+    def holding(self) -> BudgetNode:
+        """The only level."""
+        return self.node
+
+    def become_voter(self, stored: Stored, now: int) -> None:
+        """See Levels."""
+        self.node.become_voter(stored(Level.FLEET), now)
+
+    def decode(self, raw: bytes) -> Received:
+        """See Levels."""
+        sender, address, message = self.codec.decode(raw)
+        return Received(sender, address, lambda now: self.node.receive(sender, message, now))
+
+    def encode(self, sender: str, address: str, send: LevelSend) -> bytes:
+        """See Levels."""
+        return self.codec.encode(sender, address, send.message)
+
+    def status(self, now: int) -> dict[str, Any]:
+        """See Levels."""
+        return {"level": Level.FLEET.value}
+
+
+class TwoLevels:
+    """The region's allocator leases to each router of the region, and holds a lease of the fleet's."""
+
+    def __init__(self, router: Router, plan: RegionPlan, codec: Codec, now: int) -> None:
+        self.budgets, self.plan = plan.budgets, plan
+        voter = router.name in plan.region.voters
+        self.reservations = plan.name_reservations if voter else (0,) * len(plan.budgets)
+        self.codec = TwoLevelCodec(codec, plan.region.name, plan.fleet_wide, len(plan.budgets))
+        self.node = TwoLevelNode(
+            router.name, router.start, router.voters, plan, router.terms, Random(router.start), now
+        )
+
+    @property
+    def holding(self) -> BudgetNode:
+        """The region's level."""
+        return self.node.region
+
+    def become_voter(self, stored: Stored, now: int) -> None:
+        """See Levels."""
+        self.node.become_voter(stored, now)
+
+    def decode(self, raw: bytes) -> Received:
+        """See Levels."""
+        sender, address, level, message = self.codec.decode(raw)
+        return Received(sender, address, lambda now: self.node.receive(sender, level, message, now))
+
+    def encode(self, sender: str, address: str, send: LevelSend) -> bytes:
+        """See Levels."""
+        return self.codec.encode(sender, address, send.level, send.message)
+
+    def status(self, now: int) -> dict[str, Any]:
+        """See Levels."""
+        fleet = self.node.fleet
+        return {
+            "level": Level.REGION.value,
+            "region": self.plan.region.name,
+            "fleet": {
+                **allocation_status(fleet, now),
+                "given": given(fleet, now),
+                "budgets": [budget.name for budget in self.budgets[: self.plan.fleet_wide]],
+            },
+            "parent_lease": self._parent_lease(now),
+        }
+
+    def _parent_lease(self, now: int) -> dict[str, Any] | None:
+        """What this process holds of the fleet's allocator as its region's allocator; None for others."""
+        node = self.node
+        if not node.region.is_allocator(now):
+            return None
+        wide = self.plan.fleet_wide
+        return {
+            "ends_ms": max(0, node.fleet.holder.until_us - now) // 1000,
+            "amounts": list(node.fleet.held(now)),
+            "covered": list(node.parent.covered),
+            "reserved": list(self.plan.region_pool[:wide]),
+        }
+
+
+def allocation_status(node: BudgetNode, now: int) -> dict[str, Any]:
+    """Who allocates at a level, as far as this process knows, and whom it promised its vote there."""
+    allocates = node.is_allocator(now)
+    return {
+        "epoch": list(node.leader) if node.leader is not None else None,
+        "divides": allocates,
+        "ready": allocates and node.allocator is not None and now >= node.allocator.ready_us,
+        "votes_for": list(node.voter.promised_to(now) or ()) if node.voter is not None else None,
+    }
+
+
+def given(node: BudgetNode, now: int) -> list[int] | None:
+    """What this process has granted at a level, of each budget; None where it does not allocate there."""
+    if node.allocator is None or not node.is_allocator(now):
+        return None
+    return list(node.allocator.allocated())
+
+
+def with_level(found: LevelActions | Actions) -> LevelActions:
+    """The actions of one level as those of the fleet's."""
+    if isinstance(found, LevelActions):
+        return found
+    actions = LevelActions()
+    actions.add(Level.FLEET, found)
+    return actions
--- a/lupintack/fleet/budgets.py
+++ b/lupintack/fleet/budgets.py
@@ -14,21 +14,30 @@
 import threading
 from collections import Counter, deque
 from collections.abc import Callable, Sequence
-from functools import partial
 from pathlib import Path
-from random import Random
 from typing import Any
 
 from lupintack.budgets import vote_file
-from lupintack.budgets.codec import BudgetCodec
-from lupintack.budgets.node import Actions, BudgetNode
-from lupintack.budgets.reservation import allocatable, reservations
-from lupintack.budgets.spending import Budget, BudgetKind, SpendLimiter
+from lupintack.budgets.hierarchy import Level, LevelActions, LevelSend
+from lupintack.budgets.messages import VoteReply, VoteRequest
+from lupintack.budgets.node import Actions
+from lupintack.budgets.regions import RegionPlan
+from lupintack.budgets.spending import Budget, SpendLimiter
 from lupintack.budgets.terms import Terms
 from lupintack.budgets.voter import Promise
 from lupintack.clock import now_us
+from lupintack.fleet.budget_levels import (
+    Levels,
+    OneLevel,
+    Router,
+    TwoLevels,
+    allocation_status,
+    given,
+    with_level,
+)
 from lupintack.logs import fields
 from lupintack.membership.messages import Bad, Codec
+from lupintack.settings.budget_plan import budget as budget
 
 LOG = logging.getLogger("budgets")
 BOOT = Path("/proc/sys/kernel/random/boot_id")
@@ -57,10 +66,11 @@
         address: str,
         told: Callable[[tuple[int, ...], int], None] = lambda amounts, until: None,
         asked: Callable[[], None] = lambda: None,
+        plan: RegionPlan | None = None,
     ) -> None:
         """`names`: those that have floors; `send`: name, the address that it last told, bytes; `told`: what
         is held, and until when (0: for good); `asked`: now and then, to be answered by `want`. Neither of
-        the two may block.
+        the two may block. `plan`: with it budgets have two levels: `budgets` and `names` are the plan's.
         """
         self.told, self.asked = told, asked
         self.last: tuple[tuple[int, ...], int] = ((), 0)
@@ -69,20 +79,26 @@
         self.in_use: tuple[int, ...] = ()
         self.asked_us = 0
         self.name, self.fleet, self.terms, self.send, self.address = name, fleet, terms, send, address
-        self.budgets = tuple(budgets)
-        self.codec = BudgetCodec(codec, len(self.budgets))
+        now, router = now_us(), Router(name, start, tuple(voters), terms)
+        self.levels: Levels = (
+            OneLevel(router, budgets, names, codec, now)
+            if plan is None
+            else TwoLevels(router, plan, codec, now)
+        )
+        self.node, self.budgets = self.levels.node, self.levels.budgets
         self.boot = boot()
         key = hashlib.blake2b(f"{fleet}\0{name}".encode(), digest_size=8).hexdigest()
-        self.file = Path(tmp) / f"lupintack-vote-{key}" if tmp else None
         self.lock_file = Path(tmp) / f"lupintack-name-{key}" if tmp else None
+        # By level: whose vote a file says, and where it lies.
+        self.vote_groups = {Level.FLEET: fleet}
+        self.files = {Level.FLEET: Path(tmp) / f"lupintack-vote-{key}"} if tmp else {}
+        if plan is not None:
+            self.vote_groups[Level.REGION] = f"{fleet}/{plan.region.name}"
+            if tmp:
+                self.files = {level: Path(tmp) / f"lupintack-vote-{key}-{level.value}" for level in Level}
         self.lock_fd = -1
         self.lock_us = 0
-        self.floors = tuple(
-            reservations(b.whole, b.reserved_per_mille, names).get(name, 0) for b in self.budgets
-        )
-        rest = [allocatable(b.whole, b.reserved_per_mille, names) for b in self.budgets]
-        now = now_us()
-        self.node = BudgetNode(name, start, voters, rest, terms, Random(start), now, votes=False)
+        self.floors = self.levels.reservations
         self.limiter = SpendLimiter(self.budgets, now)
         self.lock = threading.Lock()
         self.wake = threading.Event()
@@ -94,23 +110,25 @@
 
     # The files
 
-    def kept(self, now: int) -> Promise | None:
-        """What the process before promised as a voter."""
-        if self.file is None:
+    def kept(self, level: Level, now: int) -> Promise | None:
+        """What the process before promised as a voter at this level."""
+        file, group = self.files.get(level), self.vote_groups[level]
+        if file is None:
             return None
         try:
-            return vote_file.decode(self.file.read_bytes(), self.name, self.fleet, self.boot, self.terms, now)
+            return vote_file.decode(file.read_bytes(), self.name, group, self.boot, self.terms, now)
         except OSError:
             return None
 
-    def keep(self, promise: Promise) -> bool:
+    def keep(self, level: Level, promise: Promise) -> bool:
         """In place of the old one, whole; before anybody hears of it. A process's end leaves it as it is."""
-        if self.file is None:
+        file, group = self.files.get(level), self.vote_groups[level]
+        if file is None:
             return False
-        fresh = self.file.with_suffix(".new")
+        fresh = file.with_suffix(".new")
         try:
-            fresh.write_bytes(vote_file.encode(promise, self.name, self.fleet, self.boot))
-            os.replace(fresh, self.file)
+            fresh.write_bytes(vote_file.encode(promise, self.name, group, self.boot))
+            os.replace(fresh, file)
         except OSError as error:
             LOG.error("a promise can't be kept, and isn't given", extra=fields(reason=error))
             self.counts["unkept"] += 1
@@ -139,7 +157,7 @@
                 os.close(fd)
                 return False
             self.lock_fd = fd
-            self.node.become_voter(self.kept(now), now)
+            self.levels.become_voter(lambda level: self.kept(level, now), now)
         return self.lock_fd >= 0
 
     # What drives it
@@ -167,18 +185,18 @@
     def take(self, raw: bytes) -> None:
         """A datagram."""
         try:
-            sender, address, message = self.codec.decode(raw)
+            datagram = self.levels.decode(raw)
         except Bad as bad:
             self.counts[f"dropped.{bad.why.value}"] += 1
             return
-        self.addresses.pop(sender, None)
+        self.addresses.pop(datagram.sender, None)
         if len(self.addresses) >= ADDRESSES:  # whoever was silent for longest goes
             del self.addresses[next(iter(self.addresses))]
-        self.addresses[sender] = address
-        self.call(partial(self.node.receive, sender, message))
+        self.addresses[datagram.sender] = datagram.address
+        self.call(datagram.call)
         self.wake.set()
 
-    def call(self, what: Callable[[int], Actions]) -> None:
+    def call(self, what: Callable[[int], LevelActions | Actions]) -> None:
         """Into the pure part; what it asks for is carried out in its order, still under the lock."""
         with self.lock:
             now = now_us()
@@ -188,11 +206,8 @@
                 # nobody for as long as demand lasts: with three floors of one, three of nine units.
                 in_use = tuple(max(0, out - own) for out, own in zip(self.in_use, floor, strict=True))
                 self.node.set_demand(self.demand, in_use)
-            out = what(now)
-            if out.promise is not None and not self.keep(out.promise):
-                out.sends = [
-                    one for one in out.sends if type(one[1]).__name__ not in ("VoteRequest", "VoteReply")
-                ]
+            out = with_level(what(now))
+            sends = self.store_promises(out)
             holder = self.node.holder
             lease = (holder.until_us, holder.amounts)
             if self.node.leased and (not self.leases or lease != self.leases[-1][1:]):
@@ -204,11 +219,22 @@
                 # Under the lock: what is held now must not be told before what was held earlier.
                 self.last = held
                 self.told(*held)
-        for to, message in out.sends:
-            self.counts[f"sent.{type(message).__name__.lower()}"] += 1
-            self.send(to, self.addresses.get(to, ""), self.codec.encode(self.name, self.address, message))
-        for event, why in out.events:
-            LOG.info(event, extra=fields(budgets=len(self.budgets), epoch=why))
+        for send in sends:
+            self.counts[f"sent.{type(send.message).__name__.lower()}"] += 1
+            raw = self.levels.encode(self.name, self.address, send)
+            self.send(send.to, self.addresses.get(send.to, ""), raw)
+        for one in out.events:
+            level = {"level": one.level.value} if len(self.vote_groups) > 1 else {}
+            LOG.info(one.event, extra=fields(budgets=len(self.budgets), epoch=one.detail, **level))
+
+    def store_promises(self, out: LevelActions) -> list[LevelSend]:
+        """Store what was promised, and return what may be sent: no vote of a level whose file can't be."""
+        unkept = {one.level for one in out.promises if not self.keep(one.level, one.promise)}
+        return [
+            one
+            for one in out.sends
+            if one.level not in unkept or not isinstance(one.message, VoteRequest | VoteReply)
+        ]
 
     def set_demand(self, demand: tuple[int, ...], in_use: tuple[int, ...]) -> None:
         """What the next asks say; from any thread, and at once."""
@@ -234,18 +260,14 @@
     def status(self) -> dict[str, Any]:
         """For the staff: whole, given, mine and until when, who divides, and the leases of late."""
         with self.lock:
-            now, node = now_us(), self.node
-            holder, divides = node.holder, node.is_allocator(now)
-            given = node.allocator.allocated() if divides and node.allocator is not None else None
-            target = node.leader
+            now, node = now_us(), self.levels.holding
+            divided = given(node, now)
             return {
                 "now_us": now,
                 "start": node.start,
-                "epoch": list(target) if target is not None else None,
-                "divides": divides,
-                "ready": divides and node.allocator is not None and now >= node.allocator.ready_us,
-                "votes_for": list(node.voter.promised_to(now) or ()) if node.voter is not None else None,
-                "lease_ends_ms": max(0, holder.until_us - now) // 1000,
+                **allocation_status(node, now),
+                **self.levels.status(now),
+                "lease_ends_ms": max(0, node.holder.until_us - now) // 1000,
                 "budgets": [
                     {
                         "name": budget.name,
@@ -254,7 +276,7 @@
                         "floor": self.floor(now)[n],
                         "lease": node.held(now)[n],
                         "need": node.demand[n],
-                        "given": given[n] if given is not None else None,
+                        "given": divided[n] if divided is not None else None,
                     }
                     for n, budget in enumerate(self.budgets)
                 ],
@@ -278,10 +300,3 @@
         return BOOT.read_text().strip()
     except OSError:
         return ""
-
-
-def budget(name: str, whole: int, once: bool, reserved_per_mille: int) -> Budget:
-    """A budget as the operator file words it."""
-    return Budget(
-        name, whole, BudgetKind.CONCURRENT if once else BudgetKind.RATE, reserved_per_mille=reserved_per_mille
-    )
--- a/lupintack/fleet/start.py
+++ b/lupintack/fleet/start.py
@@ -75,14 +75,12 @@
 ) -> BudgetService:
     """The fleet's budgets at this router, not yet started."""
     from lupintack.fleet.budget_leases import core_leases, demand, in_use
-    from lupintack.fleet.budgets import BudgetService, budget
+    from lupintack.fleet.budgets import BudgetService
+    from lupintack.settings.budget_plan import budget_list, plan_for
     from lupintack.settings.terms import budget_terms
 
-    floor = told.floor_percent * 10
-    found = [
-        *(budget(name, whole, False, floor) for name, whole in sorted(told.per_second.items())),
-        *(budget(name, whole, True, floor) for name, whole in sorted(told.at_once.items())),
-    ]
+    plan = plan_for(told, conf.name, site)
+    found = plan.budgets if plan is not None else tuple(budget_list(told))
 
     def hold(amounts: tuple[int, ...], until_us: int) -> None:
         core.post(Retune(leases=core_leases(found, amounts, until_us, site)))
@@ -94,7 +92,7 @@
     made = BudgetService(
         conf.name, fleet.part.me.start, membership.fleet, conf.tmp, found, told.voters,
         told.names or told.voters, budget_terms(told), fleet.codec, fleet.parcel, fleet.address,
-        hold, lambda: core.post(Retune(report_demand=report_demand)),
+        hold, lambda: core.post(Retune(report_demand=report_demand)), plan,
     )  # fmt: skip
     core.leases = core_leases(found, made.node.holder.zero, 0, site)  # nothing is held before it is told
     core.settings = core.router.settings = core.leases.over(core.settings)
--- a/lupintack/operator.py
+++ b/lupintack/operator.py
@@ -30,6 +30,7 @@
 
 def parse(data: dict[str, object], name: str) -> Operator:
     """All tables, on or off, with what the types can't say."""
+    from lupintack.settings.budget_plan import check_budgets
     from lupintack.settings.operator import Operator
 
     found = files.record(Operator, data, name)
@@ -47,8 +48,5 @@
     if found.budgets.enabled:
         if not found.membership.enabled:
             raise ConfigError(f"{name}: [budgets] enabled: true: [membership] is wanted, too")
-        if len(set(found.budgets.voters)) not in (1, 3, 5, 7, 9):
-            raise ConfigError(f"{name}: [budgets] voters: an odd number of different names is wanted")
-        if set(found.budgets.per_second) & set(found.budgets.at_once):
-            raise ConfigError(f"{name}: [budgets] at_once: a name stands in per_second, too")
+        check_budgets(found.budgets, name)
     return found
--- a/lupintack/settings/operator.py
+++ b/lupintack/settings/operator.py
@@ -89,6 +89,17 @@
     ] = 10_000
 
 
+class BudgetRegion(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A region, whose voters elect an allocator that leases to the routers of its sites."""
+
+    voters: Annotated[
+        tuple[str, ...], Meta(max_length=9, description="names of routers there: 1, 3, 5, 7 or 9")
+    ] = ()
+    sites: Annotated[
+        tuple[str, ...], Meta(max_length=4096, description="its sites; each site stands in one region")
+    ] = ()
+
+
 class Budgets(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Budgets of the whole fleet, divided among its routers (docs/budgets.md); wants [membership]."""
 
@@ -99,11 +110,15 @@
     names: Annotated[
         tuple[str, ...], Meta(max_length=4096, description="names that have floors; empty: the voters")
     ] = ()
+    regions: Annotated[
+        dict[Annotated[str, Meta(max_length=64)], BudgetRegion],
+        Meta(max_length=512, description="by name, for budgets of two levels; none: one level"),
+    ] = {}
     per_second: Annotated[
-        dict[str, Annotated[int, Meta(ge=0, le=1 << 40)]], Meta(max_length=8, description="wholes of rates")
+        dict[str, Annotated[int, Meta(ge=0, le=1 << 40)]], Meta(max_length=512, description="wholes of rates")
     ] = {}
     at_once: Annotated[
-        dict[str, Annotated[int, Meta(ge=0, le=1 << 40)]], Meta(max_length=8, description="of things out")
+        dict[str, Annotated[int, Meta(ge=0, le=1 << 40)]], Meta(max_length=512, description="of things out")
     ] = {}
     floor_percent: Annotated[int, Meta(ge=0, le=100, description="of each whole, kept for names")] = 10
     promise_ms: Annotated[int, Meta(ge=200, le=60_000, description="a voter's word; the same at all")] = 3000
--- a/lupintack/standins/routers.py
+++ b/lupintack/standins/routers.py
@@ -31,7 +31,7 @@
 
     def worded(value: Any) -> str:
         if isinstance(value, dict):
-            return "{" + ", ".join(f"{key} = {worded(one)}" for key, one in value.items()) + "}"
+            return "{" + ", ".join(f"{json.dumps(key)} = {worded(one)}" for key, one in value.items()) + "}"
         return json.dumps(value)
 
     return "\n".join(f"{key} = {worded(value)}" for key, value in values.items())
--- a/tests/test_division.py
+++ b/tests/test_division.py
@@ -13,7 +13,17 @@
 import pytest
 from click.testing import CliRunner
 
-from lupintack.budgets.messages import Epoch, VoteRequest
+from lupintack.budgets.codec import BudgetCodec
+from lupintack.budgets.messages import (
+    Epoch,
+    LeaseGrant,
+    LeaseRequest,
+    Message,
+    Redirect,
+    VoteRelease,
+    VoteReply,
+    VoteRequest,
+)
 from lupintack.budgets.terms import Terms
 from lupintack.cli.main import main
 from lupintack.fleet import budgets as running
@@ -146,10 +156,13 @@
         for one in (first, second):
             one.set_demand((50,), (14,))
             one.call(one.node.tick)
-        assert first.floors == (10,) and (first.node.in_use, second.node.in_use) == ((4,), (14,))
+        assert first.floors == (10,) and (first.levels.holding.in_use, second.levels.holding.in_use) == (
+            (4,),
+            (14,),
+        )
         first.set_demand((50,), (3,))
         first.call(first.node.tick)
-        assert first.node.in_use == (0,)
+        assert first.levels.holding.in_use == (0,)
         first.close()
         second.close()
 
@@ -157,16 +170,17 @@
 def test_of_two_processes_of_one_name_one_votes_and_has_the_floor(tmp_path: Path) -> None:
     """Each gave the name's word by itself: an upgrade could make two majorities."""
     epoch, other = Epoch(1, "a", 1), Epoch(1, "b", 1)
+    codec = BudgetCodec(Codec("f", "s"), 1)
     sent: list[list[Any]] = [[], []]
     with unittest.mock.patch.object(running, "AGAIN_US", 0):
         old, new = part(tmp_path, sent[0]), part(tmp_path, sent[1])
         for one in (old, new):
             one.call(one.node.tick)
-        assert old.node.voter is not None and new.node.voter is None
+        assert old.levels.holding.voter is not None and new.levels.holding.voter is None
         assert old.status()["budgets"][0]["floor"] == 10 and new.status()["budgets"][0]["floor"] == 0
-        old.node.voter.abstain_until_us = 0
-        old.take(old.codec.encode("a", "", VoteRequest(epoch, 1)))
-        new.take(new.codec.encode("b", "", VoteRequest(other, 1)))
+        old.levels.holding.voter.abstain_until_us = 0
+        old.take(codec.encode("a", "", VoteRequest(epoch, 1)))
+        new.take(codec.encode("b", "", VoteRequest(other, 1)))
         assert old.status()["votes_for"] == list(epoch) and new.status()["votes_for"] is None
         assert "b" not in [to for to, _ in sent[1]]
         old.close()
@@ -177,7 +191,7 @@
         "v", 1, "f", "", [], ["v"], ["v"], Terms(), Codec("f", "s"), lambda to, told, raw: None, ""
     )
     nowhere.call(nowhere.node.tick)
-    assert nowhere.node.voter is None
+    assert nowhere.levels.holding.voter is None
 
 
 @pytest.mark.parametrize(
@@ -186,6 +200,7 @@
         ({"enabled": True}, "[membership] is wanted"),
         ({"enabled": True, "voters": ["a", "b"]}, "voters: an odd number"),
         ({"enabled": True, "voters": ["a"], "per_second": {"x": 1}, "at_once": {"x": 1}}, "at_once"),
+        ({"enabled": True, "voters": ["a"], "at_once": {f"x{n}": 1 << 40 for n in range(40)}}, "a datagram"),
     ],
 )
 def test_a_table_that_can_t_be_used_is_named(table: dict[str, Any], wrong: str) -> None:
@@ -196,3 +211,43 @@
     with pytest.raises(ConfigError) as error:
         parse({"budgets": table, **more}, "operator.toml")
     assert wrong in str(error.value) and "operator.toml" in str(error.value)
+
+
+TENURE = Epoch(7, "n1", 1234567890123456)
+ENVELOPE = "94a26e30ae3132372e302e302e313a39303932"  # of n0 at 127.0.0.1:9092
+EPOCH_BYTES = "9307a26e31cf000462d53c8abac0"
+
+
+@pytest.mark.parametrize(
+    ("message", "code", "body"),
+    [
+        (VoteRequest(TENURE, 3), "502211e8c7b7ea3be535ce46", f"0092{EPOCH_BYTES}03"),
+        (VoteReply("n2", TENURE, 3, True, 9), "fc3ca728588ba2cce11e2462", f"0195a26e32{EPOCH_BYTES}03c309"),
+        (VoteRelease(TENURE), "4dc65b76c42cfca7e69d74eb", f"0291{EPOCH_BYTES}"),
+        (
+            LeaseRequest("n0", 5, 6, TENURE, (100, 1 << 40), (1, 0), False, (0, 300)),
+            "84000ffc46cbe53e7769f798",
+            f"0398a26e300506{EPOCH_BYTES}9264cf0000010000000000920100c29200cd012c",
+        ),
+        (
+            LeaseRequest("n0", 5, 6, None, (100, 7), (1, 0), True),
+            "e4032786d8526900e45b434d",
+            "0398a26e300506c0926407920100c390",
+        ),
+        (
+            LeaseGrant(TENURE, "n0", 5, 6, (33, 70000)),
+            "780ae250feb031dcd494f404",
+            f"0495{EPOCH_BYTES}a26e3005069221ce00011170",
+        ),
+        (Redirect(None), "14d1bfbd670c3a34baff85eb", "0591c0"),
+        (Redirect(TENURE), "5a6234e28477f358609d96ff", f"0591{EPOCH_BYTES}"),
+    ],
+)
+def test_the_bytes_of_version_1_stay_what_running_routers_speak(
+    message: Message, code: str, body: str
+) -> None:
+    """As commit 5c0df44 worded them: the magic, the version, the keyed code, the envelope, the message."""
+    codec = BudgetCodec(Codec("f", "s"), 2)
+    raw = codec.encode("n0", "127.0.0.1:9092", message)
+    assert raw.hex() == f"4201{code}{ENVELOPE}{body}"
+    assert codec.decode(raw) == ("n0", "127.0.0.1:9092", message)
