Show both levels of budgets to operators, and play them with processes in three regions

Need: `lupintack fleet budgets` knew one level, and two levels had been tried in the lab alone.

Change: the page says who allocates at the region and at the fleet, and at the region's allocator until when its parent lease lasts and what it gives, covers and has reserved; JSON keys of one level keep their names. tests/test_two_levels.py: nine routers in three regions behind the switch, clients that want more than there is; a region's allocator killed, the fleet's paused, a region cut off and back. Sums by what all tell of their leases, and at the stand-in store; each request one answer. Book.most in test_division can sum some routers'.

--- a/lupintack/cli/fleet.py
+++ b/lupintack/cli/fleet.py
@@ -55,20 +55,54 @@
 
 
 def budgets_page(found: dict[str, Any]) -> str:
-    """For people: who divides, then a line for each budget."""
-    epoch = found["epoch"]
-    who = f"{epoch[1]} divides, epoch {epoch[0]}" if epoch else "nobody is known to divide"
-    who += " (this one)" if found["divides"] else ""
-    wait = "" if not found["divides"] or found["ready"] else ", and waits out what older epochs gave"
+    """For people: who allocates at each level, the parent lease, then a line for each budget."""
+    lines = [f"{allocator_line(found)}; the lease ends in {found['lease_ends_ms']} ms"]
     rows: list[tuple[str, ...]] = [("budget", "whole", "per", "floor", "lease", "need", "given by this one")]
     keys = ("name", "whole", "per", "floor", "lease", "need", "given")
     rows += [tuple(shown(one[key]) for key in keys) for one in found["budgets"]]
-    widths = [max(len(row[n]) for row in rows) for n in range(len(keys))]
+    if "region" in found:
+        lines[0] = f"region {found['region']}: {lines[0]}"
+        lines += [f"fleet: {allocator_line(found['fleet'])}", parent_lease_line(found["parent_lease"])]
+        rows = [(*row, text) for row, text in zip(rows, parent_column(found), strict=True)]
+    widths = [max(len(row[n]) for row in rows) for n in range(len(rows[0]))]
     return "\n".join([
-        f"{who}{wait}; the lease ends in {found['lease_ends_ms']} ms",
+        *lines,
         *("  ".join(t.ljust(w) for t, w in zip(row, widths, strict=True)).rstrip() for row in rows),
     ])  # fmt: skip
 
 
+def allocator_line(found: dict[str, Any]) -> str:
+    """Who allocates at a level, as far as the router that was asked knows."""
+    epoch = found["epoch"]
+    who = f"{epoch[1]} divides, epoch {epoch[0]}" if epoch else "nobody is known to divide"
+    who += " (this one)" if found["divides"] else ""
+    wait = "" if not found["divides"] or found["ready"] else ", and waits out what older epochs gave"
+    return who + wait
+
+
+def parent_lease_line(parent: dict[str, Any] | None) -> str:
+    """Until when the region's allocator may grant from the fleet's budgets."""
+    if parent is None:
+        return "parent lease: held by the region's allocator"
+    if not parent["ends_ms"]:
+        return "parent lease: none, the region has its reservation alone"
+    return f"parent lease: ends in {parent['ends_ms']} ms"
+
+
+def parent_column(found: dict[str, Any]) -> list[str]:
+    """A column beside the budgets: where each is allocated, and what the parent lease gives and covers."""
+    parent, names = found["parent_lease"], found["fleet"]["budgets"]
+    column = ["allocated by"]
+    for n, one in enumerate(found["budgets"]):
+        if one["name"] not in names:
+            column.append("the region alone")
+        elif parent is None:
+            column.append("fleet and region")
+        else:
+            leased, covered, reserved = (parent[key][n] for key in ("amounts", "covered", "reserved"))
+            column.append(f"fleet: {leased} leased, {covered} covered; region: {reserved} reserved")
+    return column
+
+
 def shown(value: object) -> str:
     return "-" if value is None or value == "" else str(value)
--- a/tests/test_division.py
+++ b/tests/test_division.py
@@ -5,7 +5,7 @@
 import json
 import time
 import unittest.mock
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -73,10 +73,12 @@
         told = self.now[next(iter(self.now))]["budgets"][n]
         return float(held / (told["whole"] - 3 * told["floor"]))
 
-    def most(self, n: int = 0) -> int:
-        """The highest sum of all leases at any instant."""
+    def most(self, n: int = 0, names: Collection[str] | None = None) -> int:
+        """The highest sum of all leases, or of those of some routers, at any instant."""
         steps: list[tuple[int, int]] = []
         for key, told in self.leases.items():
+            if names is not None and key[0] not in names:
+                continue
             taken = sorted(told)
             for at, after in zip(taken, [*taken[1:], 1 << 62], strict=True):
                 ends, amounts = told[at]
--- a/tests/test_two_levels.py
+++ b/tests/test_two_levels.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
 import unittest.mock
 from pathlib import Path
 from typing import Any
 
 import pytest
+from click.testing import CliRunner
 
 from lupintack.budgets.codec import MAX_DATAGRAM_BYTES, BudgetCodec, TwoLevelCodec, largest_datagram_bytes
 from lupintack.budgets.hierarchy import Level
@@ -23,6 +25,8 @@
 )
 from lupintack.budgets.regions import RegionPlan
 from lupintack.budgets.terms import Terms
+from lupintack.cli.fleet import budgets_page
+from lupintack.cli.main import main
 from lupintack.fleet import budgets as running
 from lupintack.fleet.budgets import BudgetService
 from lupintack.membership.messages import Bad, Codec, Drop
@@ -30,6 +34,11 @@
 from lupintack.settings.budget_plan import plan_for
 from lupintack.settings.errors import ConfigError
 from lupintack.settings.operator import Budgets, Operator
+from lupintack.standins import fleet as caches
+from lupintack.standins import store
+from lupintack.standins.deployment import HOSTS
+from lupintack.standins.routers import Routers
+from tests.test_division import Book
 
 EPOCH = Epoch(1, "a", 1)
 REGIONS: dict[str, Any] = {
@@ -267,3 +276,190 @@
     one.take(TwoLevelCodec(Codec("f", "s"), "west", 1, 2).encode("x", "", Level.REGION, Redirect(EPOCH)))
     assert one.counts == {"dropped.version": 1, "dropped.foreign": 1} and not one.addresses
     one.close()
+
+
+def status(changes: dict[str, Any], fleet: dict[str, Any], parent: dict[str, Any] | None) -> dict[str, Any]:
+    """What a router of two levels tells, with some of it changed."""
+    found: dict[str, Any] = {
+        "epoch": [3, "b", 1], "divides": False, "ready": False, "lease_ends_ms": 7000,
+        "level": "region", "region": "east", "parent_lease": parent,
+        "fleet": {"epoch": None, "divides": False, "ready": False, "budgets": ["fills"]} | fleet,
+        "budgets": [
+            {"name": "fills", "whole": 90, "per": "second", "floor": 1, "lease": 9, "need": 8, "given": None},
+            {"name": "cold-caches.s1", "whole": 60, "per": "at once", "floor": 2, "lease": 3, "need": 4,
+             "given": None},
+        ],
+    }  # fmt: skip
+    return found | changes
+
+
+def test_the_page_says_who_allocates_at_each_level_and_what_the_parent_lease_gives() -> None:
+    lines = budgets_page(status({}, {"epoch": [5, "d", 1]}, None)).splitlines()
+    assert lines[0] == "region east: b divides, epoch 3; the lease ends in 7000 ms"
+    assert lines[1] == "fleet: d divides, epoch 5"
+    assert lines[2] == "parent lease: held by the region's allocator"
+    assert lines[4].endswith("fleet and region") and lines[5].endswith("the region alone")
+    parent = {"ends_ms": 5000, "amounts": [30], "covered": [35], "reserved": [4]}
+    lines = budgets_page(status({"divides": True, "ready": True}, {}, parent)).splitlines()
+    assert lines[0] == "region east: b divides, epoch 3 (this one); the lease ends in 7000 ms"
+    assert lines[1] == "fleet: nobody is known to divide" and lines[2] == "parent lease: ends in 5000 ms"
+    assert lines[4].endswith("fleet: 30 leased, 35 covered; region: 4 reserved")
+    page = budgets_page(
+        status({"divides": True}, {}, parent | {"ends_ms": 0, "amounts": [0], "covered": [0]})
+    )
+    assert "waits out" in page and "parent lease: none, the region has its reservation alone" in page
+
+
+# The processes
+
+STORE_FILLS = 24
+CLIENTS = 4  # of each router; each has one request at a time
+ROUTERS, REGION_COUNT = 9, 3
+PATIENCE_S = 60.0  # for one step: the machine may be busy
+FILLS, STORE, OWN = range(3)  # of each router's budgets: two of the fleet, one of its region
+PLAYED: dict[str, Any] = {
+    "enabled": True,
+    "voters": ["n0", "n1", "n2"],  # one of each region
+    "per_second": {"fills": 1000},
+    "at_once": {"store-fills": STORE_FILLS, **{f"cold-caches.site{n}": 60 for n in range(REGION_COUNT)}},
+    "floor_percent": 75,
+    "promise_ms": 1000,
+    "lease_ms": 2400,
+    "regions": {
+        f"region{n}": {"voters": [f"n{n}", f"n{n + 3}", f"n{n + 6}"], "sites": [f"site{n}"]}
+        for n in range(REGION_COUNT)
+    },
+}
+REGION_OF = {name: region for region, one in PLAYED["regions"].items() for name in one["voters"]}
+
+
+class TwoLevelBook(Book):
+    """What the processes tell, by region; all of them have a reservation, and none may be lent to another."""
+
+    def region_allocator(self, region: str) -> str:
+        """Who allocates in this region and is past its wait; "" for nobody."""
+        self.look()
+        names = [name for name in self.live() if REGION_OF[name] == region]
+        return next((name for name in names if self.now.get(name, {}).get("ready")), "")
+
+    def fleet_allocator(self) -> str:
+        """Who allocates to the regions and is past its wait; "" for nobody."""
+        self.look()
+        return next((n for n in self.live() if self.now.get(n, {}).get("fleet", {}).get("ready")), "")
+
+    def live(self) -> list[str]:
+        """Those that run and aren't paused."""
+        return [name for name in self.play.running if name not in self.play.paused]
+
+    def leasable(self, n: int) -> int:
+        """What all leases may come to: the whole without all names' reservations."""
+        plan = region_plan("n0", "site0", PLAYED)
+        names = ROUTERS if n < plan.fleet_wide else ROUTERS // REGION_COUNT
+        return plan.budgets[n].whole - names * plan.name_reservations[n]
+
+    def leased_part(self, n: int, region: str = "") -> float:
+        """What all held at the last look, or those of a region, of what all leases may come to."""
+        names = [name for name in self.play.running if name in self.now and region in ("", REGION_OF[name])]
+        held = sum(self.now[name]["budgets"][n]["lease"] for name in names)
+        return float(held / self.leasable(n))
+
+
+def test_three_regions_through_faults_of_each_level_and_never_more_than_the_whole(tmp_path: Path) -> None:
+    """Nine processes whose clients want more than there is: a region's allocator killed, the fleet's paused,
+    a region cut off and back. The sum holds at every instant, by what all tell and at the store.
+    """
+    level = store.Level()
+    terms = caches.Terms(delay_s=lambda name, cls: 0.2)
+    fleet = caches.Fleet(terms, {name: kind for name, kind in HOSTS.items() if kind != "parent"})
+    fleet.watch = level.watch
+    play = Routers(
+        tmp_path, ROUTERS, sites=REGION_COUNT, tables=lambda name: {"budgets": PLAYED}, fleet=fleet
+    )
+    clients = None
+    try:
+        play.start()
+        book = TwoLevelBook(play)
+
+        def all_leased() -> bool:
+            """Of the budget that all want, and of each region's own."""
+            book.look()
+            own = (book.leased_part(OWN, region) for region in PLAYED["regions"])
+            return book.leased_part(FILLS) > 0.99 and all(part > 0.99 for part in own)
+
+        play.until(lambda: bool(book.fleet_allocator()) and all_leased(), PATIENCE_S, "all is leased")
+        clients = store.Clients(play.listen, CLIENTS)
+        play.until(lambda: level.out > STORE_FILLS / 2, PATIENCE_S, "the store is in use")
+
+        admin = f"127.0.0.1:{play.admin[book.region_allocator('region1')]}"
+        page = CliRunner().invoke(main, ["fleet", "budgets", "--admin", admin])
+        assert page.exit_code == 0 and "parent lease: ends in" in page.output, page.output
+
+        fleets = book.fleet_allocator()
+        region = next(one for one in PLAYED["regions"] if one != REGION_OF[fleets])
+        killed = book.region_allocator(region)
+        book.kill(killed)
+        play.until(lambda: bool(book.region_allocator(region)), PATIENCE_S, "another one of its region")
+        play.launch(killed)
+        play.until(lambda: all_leased() and killed in book.now, PATIENCE_S, "all is leased after a kill")
+
+        paused = book.fleet_allocator()
+        play.pause([paused])
+        slept = time.monotonic()
+        play.until(lambda: book.fleet_allocator() not in ("", paused), PATIENCE_S, "another one of the fleet")
+        play.resume([paused])
+        slept = time.monotonic() - slept
+        play.until(all_leased, PATIENCE_S, "all is leased after a pause")
+
+        away = [name for name in play.names if REGION_OF[name] == "region2"]
+        play.switch.split(away, [name for name in play.names if name not in away])
+        play.until(lambda: cut_off(book, away), PATIENCE_S, "the region has no parent lease")
+        play.until(lambda: book.leased_part(OWN, "region2") > 0.99, PATIENCE_S, "and leases its own budget")
+        held = sum(book.now[name]["budgets"][FILLS]["lease"] for name in away)
+        assert held <= region_plan("n2", "site2", PLAYED).region_pool[FILLS]
+        play.switch.heal()
+        play.until(all_leased, PATIENCE_S, "all is leased after a cut")
+        ends = clients.stop()
+
+        assert not [name for name in play.names if "Traceback" in play.log(name)]
+        for n in (FILLS, STORE):
+            assert 0 < book.most(n) <= book.leasable(n), n
+        for one in PLAYED["regions"]:
+            names = [name for name in play.names if REGION_OF[name] == one]
+            assert 0 < book.most(OWN, names) <= book.leasable(OWN), one
+        assert 0 < level.most() <= STORE_FILLS
+        assert ends["200"] > 100 and ends["503"] > 100
+        all_answered(clients.by_router, killed, paused, slept)
+    finally:
+        if clients is not None:
+            clients.stop()
+        play.close()
+
+
+def cut_off(book: TwoLevelBook, names: list[str]) -> bool:
+    """Whether the allocator of these routers' region has no parent lease any more."""
+    allocator = book.region_allocator(REGION_OF[names[0]])
+    parent = book.now[allocator]["parent_lease"] if allocator else None
+    return parent is not None and parent["ends_ms"] == 0 and not any(parent["covered"])
+
+
+def all_answered(by_router: dict[str, Any], killed: str, paused: str, slept: float) -> None:
+    """Every request had one final answer, but for those at the two processes that could not give it.
+
+    What the killed one had read, or its kernel had taken while it died, was not answered: at most two of each
+    client. What the paused one held past its time was failed when it woke, or its client had left
+    by then.
+    """
+    late = CLIENTS * (1 + int(slept / store.PATIENCE_S))
+    for name, ends in by_router.items():
+        most = {"200": store.MOST * CLIENTS, "503": store.MOST * CLIENTS}
+        if name == killed:
+            most |= {"refused": store.MOST * CLIENTS, "unanswered": 2 * CLIENTS}
+        if name == paused:
+            most |= {"502": CLIENTS, "unanswered": most.get("unanswered", 0) + late}
+        assert all(count <= most.get(end, 0) for end, count in ends.items()), (
+            name,
+            killed,
+            paused,
+            slept,
+            ends,
+        )
