--- a/lupintack/budgets/allocator.py
+++ b/lupintack/budgets/allocator.py
@@ -143,6 +143,7 @@
 
     @property
     def zero(self) -> tuple[int, ...]:
+        """Nothing of each budget."""
         return (0,) * len(self.allocatable)
 
     def expire(self, now: int) -> None:
--- a/lupintack/budgets/codec.py
+++ b/lupintack/budgets/codec.py
@@ -41,6 +41,7 @@
     """Words and reads the messages of one fleet."""
 
     def __init__(self, codec: Codec, budgets: int) -> None:
+        """`codec`: keys the code of each message; `budgets`: the length of each row of amounts."""
         self.codec, self.budgets = codec, budgets
         self.encoder = msgspec.msgpack.Encoder()
         self.envelopes = msgspec.msgpack.Decoder(Envelope)
--- a/lupintack/budgets/lease.py
+++ b/lupintack/budgets/lease.py
@@ -1,4 +1,4 @@
-"""A holder's side: parts of the fleet's budgets, until a moment on its own clock."""
+"""A holder's side of a lease: amounts of budgets, until a moment on its own clock."""
 
 from __future__ import annotations
 
@@ -7,21 +7,22 @@
 
 
 class LeaseHolder:
-    """The leases of one process. A new process has nothing: what the old one had dies by itself."""
+    """The lease of one process. A new process has none; what the process before had expires by itself."""
 
     def __init__(self, name: str, start: int, budgets: int, terms: Terms) -> None:
+        """A holder of `budgets` amounts, all of them 0."""
         self.name, self.start, self.terms = name, start, terms
         self.zero = (0,) * budgets
         self.amounts = self.zero
         self.until_us = 0
         self.sequence = 0
         self.requested_us = 0
-        self.epoch: Epoch | None = None  # of the ask that is out
+        self.epoch: Epoch | None = None  # of the request that is out
         self.answered = True
         self.last_request: LeaseRequest | None = None
 
     def held(self, now: int) -> tuple[int, ...]:
-        """What may be spent now; to be asked at the spend itself."""
+        """Return what may be spent now; to be read at the spend itself."""
         return self.amounts if now < self.until_us else self.zero
 
     def request(
@@ -32,7 +33,7 @@
         leaving: bool = False,
         in_use: tuple[int, ...] = (),
     ) -> LeaseRequest:
-        """The next ask. With it all earlier ones are void, answered or not."""
+        """Return the next request. It voids all earlier ones, answered or not."""
         if leaving:
             self.amounts, self.until_us = self.zero, 0
         self.sequence += 1
@@ -43,7 +44,10 @@
         return self.last_request
 
     def accept(self, grant: LeaseGrant | SubLeaseGrant, now: int) -> bool:
-        """Takes a grant to the last ask; its time counts from that ask, which was before the grant."""
+        """Accept a grant to the last request, and return whether it is valid now.
+
+        Its time counts from that request, which was sent before the lease was granted.
+        """
         if (grant.name, grant.start, grant.sequence) != (self.name, self.start, self.sequence):
             return False
         if grant.epoch != self.epoch or self.answered or len(grant.amounts) != len(self.zero):
--- a/lupintack/budgets/messages.py
+++ b/lupintack/budgets/messages.py
@@ -1,4 +1,4 @@
-"""What processes say to one another about budgets. An amount stands for each budget, in its own unit."""
+"""Messages between processes about budgets. Rows hold an amount for each budget, in the budget's unit."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 
 
 class VoteRequest(NamedTuple):
-    """One that wants to divide, or to go on dividing, asks a voter."""
+    """Asks a voter to elect an epoch, or to renew its term."""
 
     epoch: Epoch
     round: int
 
 
 class VoteReply(NamedTuple):
-    """A voter's answer to a round."""
+    """A voter's answer to one round."""
 
     voter: str
     epoch: Epoch
@@ -31,16 +31,16 @@
 
 
 class VoteRelease(NamedTuple):
-    """The epoch's process will never again count on what it was promised."""
+    """The epoch's process will not count on the voter's promise any more."""
 
     epoch: Epoch
 
 
 class LeaseRequest(NamedTuple):
-    """A holder asks for its parts.
+    """A holder asks for a lease.
 
-    Once it has left, no grant to an earlier number is taken any more: so `held` is the most that this holder
-    has of earlier grants, from now on. `in_use`: things at once that it began and that have not
+    Once it is sent, no grant to an earlier sequence number is accepted: so `held` is the most that this
+    holder has of earlier grants, from now on. `in_use`: things at once that it began and that have not
     ended, also such as its lease would not let it begin any more: they are kept for it, and not granted
     to others.
     """
@@ -48,7 +48,7 @@
     name: str
     start: int
     sequence: int
-    epoch: Epoch | None  # of the tenure that it asks; None: it does not know it yet
+    epoch: Epoch | None  # of the allocator that it asks; None: not known yet
     demand: tuple[int, ...]
     held: tuple[int, ...]
     leaving: bool = False
@@ -56,7 +56,7 @@
 
 
 class LeaseGrant(NamedTuple):
-    """What a holder may spend, from its ask on."""
+    """What a holder may spend, from its request on."""
 
     epoch: Epoch
     name: str
@@ -80,7 +80,7 @@
 
 
 class Redirect(NamedTuple):
-    """Who divides, as far as the one that was asked knows; epoch None: nobody that it knows of."""
+    """Names the allocator's epoch, as far as the asked process knows it; None where it knows of none."""
 
     epoch: Epoch | None
 
--- a/lupintack/budgets/node.py
+++ b/lupintack/budgets/node.py
@@ -175,6 +175,7 @@
         return us + int(2 * us * self.random.random())
 
     def is_allocator(self, now: int) -> bool:
+        """Whether this process allocates now."""
         return self.allocator is not None and self.election is not None and self.election.is_valid(now)
 
     def _hold_or_stand(self, voter: Voter, now: int) -> None:
--- a/lupintack/budgets/parent_lease.py
+++ b/lupintack/budgets/parent_lease.py
@@ -14,6 +14,7 @@
     """
 
     def __init__(self, holder: LeaseHolder) -> None:
+        """`holder`: this tenure's lease from the fleet's allocator; it has none yet."""
         self.holder = holder
         self.covered = holder.zero
         self.seen_request = 0
--- a/lupintack/budgets/reservation.py
+++ b/lupintack/budgets/reservation.py
@@ -1,4 +1,4 @@
-"""Floors: a part of each whole that belongs to configured names, divider or not."""
+"""Reservations: a part of each whole that belongs to configured names, allocator or not."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 
 
 def reservations(whole: int, per_mille: int, names: Sequence[str]) -> dict[str, int]:
-    """The same for each name, rounded down; what is left of the whole is divided by leases.
+    """Return each name's part: equal, rounded down; the rest of the whole is allocated by leases.
 
-    One process of a name spends it at a time: the one that holds the name's lock. See docs/budgets.md.
+    One process of a name spends it at a time, the one that holds the name's lock (docs/budgets.md).
     """
     distinct = sorted(set(names))
     each = whole * per_mille // 1000 // len(distinct) if distinct else 0
@@ -16,5 +16,5 @@
 
 
 def allocatable(whole: int, per_mille: int, names: Sequence[str]) -> int:
-    """The whole without its floors."""
+    """Return the whole without its reservations."""
     return whole - sum(reservations(whole, per_mille, names).values())
--- a/lupintack/budgets/spending.py
+++ b/lupintack/budgets/spending.py
@@ -1,4 +1,4 @@
-"""What a holder may do now: a lease's parts as rates or things out at once, taken together or not at all."""
+"""What a holder may spend now: rates, or things in use at once, of several budgets together or of none."""
 
 from __future__ import annotations
 
@@ -54,6 +54,7 @@
         return (lease + floor) * self.budget.burst_us
 
     def amount(self, now: int) -> int:
+        """What is held now: the reservation, and the lease while it lasts."""
         return self.floor + (self.lease if now < self.until_us else 0)
 
     def room(self, now: int) -> int:
@@ -71,9 +72,10 @@
 
 
 class SpendLimiter:
-    """All of one holder's boxes."""
+    """One holder's balances of all budgets."""
 
     def __init__(self, budgets: Sequence[Budget], now: int) -> None:
+        """A limiter that holds nothing yet."""
         self.balances = {budget.name: Balance(budget, at_us=now) for budget in budgets}
 
     def hold(self, leases: Sequence[int], until_us: int, floors: Sequence[int], now: int) -> None:
--- a/lupintack/budgets/vote_file.py
+++ b/lupintack/budgets/vote_file.py
@@ -1,4 +1,4 @@
-"""What a voter leaves in a file for the process after it, and when that can be believed. No I/O.
+"""The file in which a voter's promise outlives its process, and when that can be believed. No I/O.
 
 The monotonic clock goes on through a process's end, not through a machine's: the file names the boot. One
 that is torn, empty, another's, of another boot or ahead of what could have been promised says nothing, and
@@ -18,33 +18,36 @@
 
 
 def encode(promise: Promise, voter: str, fleet: str, boot: str) -> bytes:
-    """The file's bytes: a sum over the rest, and the rest."""
-    rest = json.dumps(
-        {"voter": voter, "fleet": fleet, "boot": boot, "epoch": promise.epoch, "until_us": promise.until_us,
-         "top": promise.highest_counter}
-    ).encode()  # fmt: skip
+    """Return the file's bytes: a checksum over the rest, and the rest."""
+    fields = {
+        "voter": voter,
+        "fleet": fleet,
+        "boot": boot,
+        "epoch": promise.epoch,
+        "until_us": promise.until_us,
+        "top": promise.highest_counter,
+    }
+    rest = json.dumps(fields).encode()
     return b"%08x %b\n" % (zlib.crc32(rest), rest)
 
 
 def decode(raw: bytes, voter: str, fleet: str, boot: str, terms: Terms, now: int) -> Promise | None:
-    """What it says; None where it can't be believed."""
+    """Return the promise that the file holds, or None where it can't be believed."""
     if not boot or len(raw) > MAX_BYTES or raw[8:9] != b" " or not raw.endswith(b"\n"):
         return None
     rest = raw[9:-1]
     try:
         if int(raw[:8], 16) != zlib.crc32(rest):
             return None
-        told = json.loads(rest)
-        if (told["voter"], told["fleet"], told["boot"]) != (voter, fleet, boot):
+        fields = json.loads(rest)
+        if (fields["voter"], fields["fleet"], fields["boot"]) != (voter, fleet, boot):
             return None
-        counter, name, start = told["epoch"]
-        until, highest_counter = told["until_us"], told["top"]
-        whole = (
-            all(type(n) is int and n >= 0 for n in (counter, start, until, highest_counter))
-            and type(name) is str
-        )
+        counter, name, start = fields["epoch"]
+        until, highest_counter = fields["until_us"], fields["top"]
+        numbers = (counter, start, until, highest_counter)
+        well_formed = all(type(n) is int and n >= 0 for n in numbers) and type(name) is str
     except (ValueError, TypeError, KeyError, RecursionError):
         return None
-    if not whole or until > now + terms.promise_us or highest_counter < counter:
+    if not well_formed or until > now + terms.promise_us or highest_counter < counter:
         return None
     return Promise(Epoch(counter, name, start), until, highest_counter)
--- a/lupintack/budgets/voter.py
+++ b/lupintack/budgets/voter.py
@@ -1,4 +1,4 @@
-"""A voter: its word is for one epoch at a time; it keeps it over a restart or says nothing for as long."""
+"""A voter: it promises itself to one epoch at a time, and keeps the promise over a restart or abstains."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Promise:
-    """Nobody else has this voter's word until then, on this machine's monotonic clock."""
+    """No other epoch gets this voter's vote before `until_us`, on this machine's monotonic clock."""
 
     epoch: Epoch
     until_us: int
@@ -21,10 +21,11 @@
     """One process of a voter."""
 
     def __init__(self, name: str, terms: Terms, stored: Promise | None, now: int) -> None:
-        """`stored`: what the process before promised, where its file can be believed; None: it can't.
+        """`stored`: the promise of the process before, where its file can be believed; None where it can't.
 
         Without it this process abstains for as long as any promise of the one before can matter. That one's
-        promises were made before `now`, and a divider counts on them for less than `promise_us` of any clock.
+        promises were made before `now`, and an allocator counts on them for less than `promise_us` of any
+        clock.
         """
         self.name, self.terms = name, terms
         self.promise = stored
@@ -32,24 +33,24 @@
         self.abstain_until_us = now + terms.promise_us if stored is None else now
 
     def promised_to(self, now: int) -> Epoch | None:
-        """The epoch that has this voter's word now."""
+        """The epoch that has this voter's promise now."""
         return self.promise.epoch if self.promise is not None and now < self.promise.until_us else None
 
     def handle_request(self, request: VoteRequest, now: int) -> VoteReply:
-        """Yes to the epoch that has its word, or to any when nobody has it.
+        """Grant the vote to the epoch that has the promise, or to any where none has it.
 
-        Only the time of a word keeps two terms apart, so an epoch's counter need not be the highest: a voter
-        that stood in vain has a higher one than who divides, and must be able to hear of that one.
+        Only the time of a promise keeps two terms apart, so an epoch's counter need not be the highest: a
+        voter whose own election failed has a higher one than the allocator, and must be able to vote for it.
         """
         bound = self.promised_to(now)
         free = bound is None and now >= self.abstain_until_us
-        yes = bound == request.epoch or free
+        granted = bound == request.epoch or free
         self.highest_counter = max(self.highest_counter, request.epoch.counter)
-        if yes:
+        if granted:
             self.promise = Promise(request.epoch, now + self.terms.promise_us, self.highest_counter)
-        return VoteReply(self.name, request.epoch, request.round, yes, self.highest_counter)
+        return VoteReply(self.name, request.epoch, request.round, granted, self.highest_counter)
 
     def handle_release(self, release: VoteRelease, now: int) -> None:
-        """The word is free again before its time."""
+        """Forget the promise before its time: its epoch will not be counted on again."""
         if self.promised_to(now) == release.epoch:
             self.promise = None
--- a/lupintack/lab/budget_bugs.py
+++ b/lupintack/lab/budget_bugs.py
@@ -45,7 +45,7 @@
 def _few(self: Election, told: VoteReply, now: int) -> bool:
     if told.epoch != self.epoch or told.round != self.round or not told.granted:
         return False
-    self.until_us = self.rounds[self.round][0] + self.terms.drift_safe(self.terms.promise_us)
+    self.until_us = self.rounds[self.round].sent_us + self.terms.drift_safe(self.terms.promise_us)
     return True
 
 
--- a/lupintack/lab/budget_check.py
+++ b/lupintack/lab/budget_check.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from lupintack.budgets.allocator import Allocator
-from lupintack.budgets.election import Election
+from lupintack.budgets.election import Election, Round
 from lupintack.budgets.lease import LeaseHolder
 from lupintack.budgets.messages import Epoch, LeaseGrant, LeaseRequest, Message, VoteReply, VoteRequest
 from lupintack.budgets.terms import MILLION, Terms
@@ -48,7 +48,9 @@
         found.voter, found.holder = copy(self.voter), copy(self.holder)
         if self.standing is not None:
             found.standing = copy(self.standing)
-            found.standing.rounds = {n: (at, set(yes)) for n, (at, yes) in self.standing.rounds.items()}
+            found.standing.rounds = {
+                n: Round(one.sent_us, set(one.granted_by)) for n, one in self.standing.rounds.items()
+            }
         if self.allocator is not None:
             found.allocator = copy(self.allocator)
             found.allocator.ledger = {key: copy(one) for key, one in self.allocator.ledger.items()}
@@ -68,7 +70,7 @@
                 standing.epoch,
                 standing.round,
                 standing.until_us,
-                *((n, at, *sorted(yes)) for n, (at, yes) in sorted(standing.rounds.items())),
+                *((n, one.sent_us, *sorted(one.granted_by)) for n, one in sorted(standing.rounds.items())),
             ]
         if allocator is not None:
             book = [(k, b.sequence, b.demand, b.amounts, b.until_us, b.granted, b.granted_until_us)
