Let an attempt end only by proof where neither a second copy nor a cancel is allowed

The module sent with limit = soft there (policy.py send: in_time, limit), the core set a timer on it (core/actor.py on_fetch, on_timers: DUE_ATTEMPT), told the module TIMEOUT at it, and peers/actor.py on_give_up wrote nothing as never_mind is barred; the module then sent another. Change: the audit holds an attempt to be out until its answer, never_mind or its connection's end, also where it is never answered (Audit.close); the stand-ins keep every open run of a connection, not the last 64. No attempt has a limit of its own: Fetch.timeout, Order.limit_us and DUE_ATTEMPT go, a want tells what is left of the client's wait.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -58,8 +58,7 @@
 TURNS_MOST = 4  # turns that a poster runs before it goes back to its own work
 NAP_S = 0.01  # the timer's thread looks again this often: no timer is set closer than that
 TICK_US = 250_000  # between two looks of the peers after idle and silent connections
-DUE_LIMIT, DUE_TOKEN, DUE_ATTEMPT = 0, 1, 2
-ATTEMPT_BITS = 8
+DUE_LIMIT, DUE_TOKEN = 0, 1
 
 
 @dataclass(slots=True)
@@ -401,12 +400,6 @@
             if what == DUE_TOKEN:
                 events.append(TimerFired(number))
                 continue
-            if what == DUE_ATTEMPT:
-                one = self.owed.get(number >> ATTEMPT_BITS)
-                out = one.live.get(number % (1 << ATTEMPT_BITS)) if one is not None else None
-                if one is not None and out is not None:
-                    self.end(one, out, Ending.DEADLINE, events)
-                continue
             one = self.owed.get(number)
             if one is None or one.over:
                 continue
@@ -520,8 +513,6 @@
         )
         one.sent += 1
         cls = self.settings.classes[one.ask.cls]
-        if action.timeout > 0:
-            order.limit_us = min(self.now + int(action.timeout * 1000), one.ask.deadline_us)
         if cls.repeat is Repeat.KEYED and one.ask.token:
             first = self.keys.first(one.ask.cls, one.ask.token)
             if first is not None:
@@ -538,8 +529,6 @@
             self.again.append(self.verdict(one, order, Ending.NOT_OWED, None))
             return
         one.live[order.number] = order
-        if order.limit_us:
-            self.set_timer(order.limit_us, DUE_ATTEMPT, (action.request << ATTEMPT_BITS) + order.number)
         self.counters["sent." + order.cls_name] += 1
         pair = self.links.get(action.member)
         if pair is None:
--- a/lupintack/core/messages.py
+++ b/lupintack/core/messages.py
@@ -83,7 +83,6 @@
     heard: int  # the number of the last purge that the module had heard of
     stale: Callable[[Order], bool] = field(repr=False)
     link: Link | None = None
-    limit_us: int = 0  # when its own time is up, before its request's; 0: with its request's
     until_us: int = 0  # the last moment at which it may be written, by the archive's window; 0: any
 
     def forbidden(self, now: int) -> bool:
--- a/lupintack/interface.py
+++ b/lupintack/interface.py
@@ -272,10 +272,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Fetch:
-    """Ask a cache, and say where and how a miss is filled. A timeout or max_age of 0 means the default.
+    """Ask a cache, and say where and how a miss is filled. A max_age of 0 means the default.
 
     join: wait for a fill that runs already; renew: serve an ageing copy and fetch it anew behind;
-    held_only: the source gives what it holds and fetches nothing.
+    held_only: the source gives what it holds and fetches nothing. It has no time limit of its own: its member
+    would go on past that, and where second copies are barred no other may go out until it has ended.
     """
 
     request: int
@@ -283,7 +284,6 @@
     source: int
     max_age: float = 0.0
     keep: int = 0
-    timeout: float = 0.0
     join: bool = False
     renew: bool = False
     held_only: bool = False
--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -365,7 +365,8 @@
     def on_give_up(self, message: GiveUp) -> None:
         """never_mind for what is written, where the settings allow it; what waits is just forgotten.
 
-        Where they don't, the member ends it by itself at the limit that the want told.
+        Where they don't, it is out at its member until that answers or the connection ends, however long past
+        the limit that the want told: only what belongs to a request that is over comes here.
         """
         order = message.order
         ending = Ending.GIVEN_UP
--- a/lupintack/peers/words.py
+++ b/lupintack/peers/words.py
@@ -37,9 +37,9 @@
 
 
 def want(order: Order, now_us: int) -> bytes:
-    """The command that makes the attempt; its limit counts from now."""
+    """The command that makes the attempt; its limit is what is left of the client's wait from now."""
     ask = order.ask
-    limit = max(1, ((order.limit_us or ask.deadline_us) - now_us) // 1000)
+    limit = max(1, (ask.deadline_us - now_us) // 1000)
     told = f"cls={order.cls_name},item={ask.item},chunk={ask.part},limit={limit}"
     if order.source_host:
         told += f",miss={order.source_host}"
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -417,10 +417,8 @@
                 one.tokens -= self.sizes.sending[ask.cls]
         age, join = self.freshness(req)
         renew = req.cls.fresh_for > 0 and not held_only
-        in_time = self.settings.second_copies or self.settings.can_cancel or req.cls.repeat != Repeat.SAFE
-        limit = 0.0 if in_time else soft
         named = (source or peer).id
-        self.out.append(Fetch(ask.id, peer.id, named, age, req.keep, limit, join, renew, held_only))
+        self.out.append(Fetch(ask.id, peer.id, named, age, req.keep, join, renew, held_only))
         self.out.append(SetTimer(now + soft, (ask.id << _ATTEMPT_BITS) + req.sent + 1))
         self.attempts[ask.id, req.sent] = req.live[req.sent] = attempt
         if req.risk_peer is None:
--- a/lupintack/standins/audit.py
+++ b/lupintack/standins/audit.py
@@ -42,14 +42,9 @@
     wire_id: str
     member: str
     began: float
-    limit_s: float = 0.0  # a member ends it by itself then
-    ended: float = 0.0
+    ended: float = 0.0  # its answer was written, it was given up, or its connection ended; 0: it is out
     how: str = OPEN
 
-    def end(self) -> float:
-        """When it was no longer out."""
-        return min(self.ended or time.time(), self.began + self.limit_s)
-
 
 @dataclass(slots=True)
 class Place:
@@ -103,7 +98,7 @@
 
     def began(self, member: str, wire_id: str, told: Mapping[str, str], body: bytes) -> Run:
         """A want has come whole."""
-        run = Run(wire_id, member, time.time(), int(told.get("limit", "0")) / 1000.0)
+        run = Run(wire_id, member, time.time())
         with self.lock:
             self.check_form(wire_id, told, body)
             self.check_places(run, told)
@@ -120,6 +115,13 @@
                 run.ended, run.how = time.time(), how
                 self.check_beside(run)
 
+    def close(self) -> None:
+        """The members are gone: what is out still has ended with its connection."""
+        with self.lock:
+            for runs in self.runs.values():
+                for run in runs:
+                    self.ended(run, BROKEN)
+
     def never_mind(self, member: str, wire_id: str) -> None:
         """The router gives an attempt up."""
         with self.lock:
@@ -201,9 +203,14 @@
                 self.fault(run.wire_id, f"under its key {run.began - may[0]:.2f} s after the first")
 
     def check_beside(self, run: Run) -> None:
-        """Two attempts of one request out at once, where the settings bar it."""
+        """Attempts that came while this one, which has just ended, was out, where the settings bar it.
+
+        A `limit` ends nothing: an attempt is out until its member has written its end, it is given up, or its
+        connection ends, however long past its limit.
+        """
         if self.limits.get("second-copies", False):
             return
         for one in self.runs[run.wire_id]:
-            if one is not run and min(one.end(), run.end()) - max(one.began, run.began) > SLACK_S:
-                self.fault(run.wire_id, f"out at {one.member} and {run.member} at once")
+            beside = run.ended - one.began
+            if one is not run and one.began >= run.began and beside > SLACK_S:
+                self.fault(run.wire_id, f"out at {run.member} for {beside:.2f} s beside {one.member}")
--- a/lupintack/standins/fleet.py
+++ b/lupintack/standins/fleet.py
@@ -126,7 +126,8 @@
                 else:
                     wire_id, told, body = bytes(parts[1]).decode(), resp.pairs(parts[2]), bytes(parts[3])
                     run = audit.began(self.name, wire_id, told, body) if audit is not None else None
-                    runs = [*runs[-64:], run] if run is not None else runs
+                    runs = [one for one in runs if not one.ended]
+                    runs += [run] if run is not None else []
                     dropped.discard(wire_id)
                     if self.fleet.watch is not None:
                         ends[wire_id] = self.fleet.watch(self.name, told)
@@ -275,3 +276,5 @@
         self.board.close()
         for member in self.members.values():
             member.close()
+        if self.audit is not None:
+            self.audit.close()
--- a/lupintack/wire.py
+++ b/lupintack/wire.py
@@ -193,7 +193,7 @@
                 action.source & 0xFFFF,
                 action.member >> 16,
                 action.member & 0xFFFF,
-                action.timeout,
+                0.0,  # no time-out of its own
                 manner,
             )
         case i.Cancel():
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -97,6 +97,17 @@
     assert len(again) == 1
 
 
+def test_with_neither_second_copies_nor_cancelling_only_the_end_of_an_attempt_lets_another_out() -> None:
+    made = h.router(second_copies=False, can_cancel=False)
+    actions = made.handle(0.0, [h.ask(1)])
+    first = h.fetches(actions)[0]
+    made.eject(made.peers[first.member], "silent")
+    timer = next(a for a in actions if isinstance(a, i.SetTimer))
+    assert made.handle(timer.when + 500.0, [i.TimerFired(timer.token)]) == []
+    again = h.fetches(made.handle(timer.when + 600.0, [h.ended(first, i.Outcome.RESET)]))
+    assert len(again) == 1 and again[0].member != first.member
+
+
 def test_retries_are_bounded_when_everything_fails() -> None:
     made = h.router()
     sent = 0
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -233,18 +233,26 @@
     assert [e.outcome for e in told if isinstance(e, i.AttemptEnded)] == [i.Outcome.CANCELLED]
 
 
-def test_an_attempts_own_limit_ends_it_and_goes_out_with_it() -> None:
+@pytest.mark.parametrize("cancelling", [True, False])
+def test_an_attempt_is_told_the_clients_whole_wait_and_ends_with_it(cancelling: bool) -> None:
+    """No limit of its own: past it the member would still be at work, and nothing would prove its end."""
     link = unittest.mock.Mock()
-    core = Core(h.settings(can_cancel=False), 7, Roster(6000.0), lambda number, host: link)
+    settings = h.settings(can_cancel=cancelling, second_copies=False)
+    core = Core(settings, 7, Roster(6000.0), lambda number, host: link)
     sink = unittest.mock.Mock()
     ask = ClientRequest("0" * 16, h.SAFE, "0" * 16, 5, 0, 0, now_us() + 10_000_000, sink, cls_name="a")
     core.on_ask(ask, [])
     core.hosts[11] = Host("s-1", ("127.0.0.1", 1))
-    core.act(i.Fetch(ask.number, 11, 21, timeout=250.0))
+    core.act(i.Fetch(ask.number, 11, 21))
     out = core.owed[ask.number].live[0]
-    assert out.limit_us == core.now + 250_000 and b"limit=249" in words.want(out, core.now + 1000)
-    core.now = out.limit_us
+    assert b"limit=9999\r\n" in words.want(out, ask.deadline_us - 9_999_000)
     told: list[i.Event] = []
+    core.now = ask.deadline_us - 1
+    core.on_timers(told)
+    assert (
+        not [e for e in told if isinstance(e, i.AttemptEnded)] and out in core.owed[ask.number].live.values()
+    )
+    core.now = ask.deadline_us
     core.on_timers(told)
     assert [e.outcome for e in told if isinstance(e, i.AttemptEnded)] == [i.Outcome.TIMEOUT]
     link.give_up.assert_called_once_with(out)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lupintack import interface as i
+from lupintack import wire
 from tests import helpers as h
 
 BAD = [o for o in i.Outcome if o not in (i.Outcome.OK,)]
@@ -47,7 +48,9 @@
     made = h.router()
     actions = made.handle(0.0, [h.ask(1, cls=h.UNSAFE)])
     fetch = h.fetches(actions)[0]
-    assert fetch.timeout == 0.0 and fetch.source == h.ORIGIN and fetch.keep == 0
+    assert fetch.source == h.ORIGIN and fetch.keep == 0
+    sent = wire.encode([(0, [fetch])])[-wire.ACTION_SIZE :]
+    assert sent[0] == 68 and sent[26:34] == bytes(8)  # no time-out of its own, as the simulator reads it
     timers = [a for a in actions if isinstance(a, i.SetTimer)]
     assert made.handle(4000.0, [i.TimerFired(t.token) for t in timers]) == []
 
