Measure slopes of five roles: lupintack scale slope

Need: the control work at 3,000 routers has to be worked out from measured slopes, and there was no way to measure one: single scripts gave one run each, with the machine's noise in it and no size but their own.

The membership is measured in the lab's world begun as joined, with the codec of the wire: the lab's own figure has the joining in it. Watchers of the discovery stand-in read in a process that ends with the pipe to its starter.

--- /dev/null
+++ b/lupintack/scale/membership_world.py
@@ -0,0 +1,147 @@
+"""The lab's world of memberships, joined from the start, with the processor time and bytes of the routers.
+
+The lab plays clocks and packets; each datagram is worded and read by the codec that goes over the wire.
+Joining is passed over: every router begins with all records, and nothing of them is left to be passed on.
+Only what the membership and the codec do is timed, not the lab; sockets and threads are not in it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+from time import thread_time_ns
+from typing import Any, NamedTuple
+
+from lupintack.lab.faults import Fault
+from lupintack.lab.members import Host, World
+from lupintack.membership.member import Membership
+from lupintack.membership.messages import Codec, Message, Whole
+from lupintack.membership.terms import Terms
+from lupintack.membership.view import Record, State
+
+SECOND_US = 1_000_000
+
+
+class Totals(NamedTuple):
+    """What all routers have spent so far."""
+
+    cpu_us: float
+    bytes: int
+    datagrams: int
+    exchanges: int
+    detections: int
+
+
+@dataclass(frozen=True, slots=True)
+class Mark:
+    """The totals at a moment."""
+
+    at_us: int
+    totals: Totals
+
+
+class WarmWorld(World):
+    """Routers that all know one another when the run begins."""
+
+    def __init__(self, seed: int, routers: int, script: Sequence[Fault], sites: int) -> None:
+        super().__init__(seed, routers, Terms(), script=script, sites=sites)
+        self.codec = Codec("slope", "a secret of this run")
+        self.make = partial(membership, self.codec)
+        self.spent_ns = 0
+        self.datagrams = 0
+        self.exchanges = 0
+        self.marks: list[Mark] = []
+
+    def begin_joined(self) -> None:
+        """All processes, each with the records of all."""
+        starts = {name: number + 1 for number, name in enumerate(self.names)}
+        records = [
+            (name, start, 1, int(State.ALIVE), self.hosts[name].site, f"{name}:1")
+            for name, start in starts.items()
+        ]
+        for name, start in starts.items():
+            self.begin_one(self.hosts[name], start, records)
+        for name in self.names:
+            self.plan(self.hosts[name])
+
+    def begin_one(self, host: Host, start: int, records: list[tuple[str, int, int, int, str, str]]) -> None:
+        """One process; what joining would have it say is not said."""
+        host.start = start
+        me = Record(host.name, start, 0, State.JOINING, host.site, f"{host.name}:1")
+        part = membership(
+            self.codec, me, self.terms, Random(self.random.getrandbits(64)), self.seed_addresses(host)
+        )
+        host.part = part
+        part.start(0)
+        others = [*records[: start - 1], *records[start:]]
+        part.exchanged(Whole(others[0], 0, others), 0)
+        part.spread.news.clear()
+        part.tick(0)
+        part.told = {name: one.start for name, one in part.view.records.items()}
+        part.pending_us = 0
+        host.told = dict(part.told)
+
+    def seed_addresses(self, host: Host) -> list[str]:
+        """The seeds that a router is configured with."""
+        return [f"{seed}:1" for seed in self.seeds if seed != host.name]
+
+    def run_to(self, until_us: int) -> None:
+        """Play on."""
+        self.clock.run(until_us)
+
+    def mark_at(self, at_us: int) -> None:
+        """Note the totals at a moment."""
+        self.clock.call(at_us, self.mark)
+
+    def mark(self) -> None:
+        sent = sum(host.sent for host in self.hosts.values())
+        totals = Totals(
+            self.spent_ns / 1000, sent, self.datagrams, self.exchanges, len(self.result.detect_us)
+        )
+        self.marks.append(Mark(self.clock.now, totals))
+
+    # What the lab does for each router, timed
+
+    def call(self, host: Host, what: Callable[..., Any], *words: Any) -> None:
+        """Into a process, and how long it took."""
+        if host.part is None or getattr(what, "__self__", None) is not host.part:
+            return
+        self.steps += 1
+        began = thread_time_ns()
+        out = what(*words, self.clock.now)
+        self.spent_ns += thread_time_ns() - began
+        self.out(host, out)
+
+    def send(self, host: Host, name: str, address: str, message: Message) -> None:
+        """A datagram, worded as on the wire."""
+        began = thread_time_ns()
+        raw = self.codec.word(message)
+        self.spent_ns += thread_time_ns() - began
+        host.sent += len(raw)
+        self.datagrams += 1
+        other = self.hosts.get(address.partition(":")[0])
+        if other is None:
+            return
+        for way in self.network.ways(host.name, other.name):
+            self.clock.call(self.clock.now + way, self.arrive_raw, other, raw)
+
+    def arrive_raw(self, host: Host, raw: bytes) -> None:
+        """A datagram, read as from the wire."""
+        if host.part is None:
+            return
+        began = thread_time_ns()
+        message = self.codec.read(raw)
+        self.spent_ns += thread_time_ns() - began
+        self.call(host, host.part.receive, len(raw), message)
+
+    def exchange(self, host: Host, address: str, told: Whole) -> None:
+        """A full exchange; its bytes are counted as the lab does, by the records' most."""
+        self.exchanges += 1
+        super().exchange(host, address, told)
+
+
+def membership(codec: Codec, me: Record, terms: Terms, random: Random, seeds: Sequence[str]) -> Membership:
+    """The program's own, with datagrams measured by the codec."""
+    return Membership(me, terms, random, seeds, codec.size)
--- /dev/null
+++ b/lupintack/scale/role_discovery.py
@@ -0,0 +1,79 @@
+"""What the stand-in of the discovery service spends on a purge to N watchers, over loopback.
+
+`cpu_us` is the processor time of the thread that sends one purge to all of them; the watchers read in a
+process of their own. `last_s` runs from the call to the last watcher's line.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from time import thread_time_ns
+
+from lupintack.scale.slope import Parameters, Role, Sample, deep_bytes
+from lupintack.scale.watchers import WatcherProcess
+from lupintack.standins.board import Board
+
+STACK_BYTES = 256 * 1024
+IDLE_S = 2.2  # two beats at the least
+SETTLE_S = 0.05  # the watchers' process has begun to wait by then
+OWN_DESCRIPTORS = 64
+
+
+class DiscoverySubject:
+    """A stand-in and its watchers."""
+
+    def __init__(self, parameters: Parameters, idle_s: float = IDLE_S) -> None:
+        self.size = parameters.size
+        self.number = 0
+        stack = threading.stack_size(STACK_BYTES)
+        try:
+            self.board = Board()
+            host, _, port = self.board.address.rpartition(":")
+            self.watchers = WatcherProcess((host, int(port)), self.size)
+        finally:
+            threading.stack_size(stack)
+        self.await_watchers()
+        self.idle_bytes_per_s = self.watchers.idle(idle_s) if idle_s else 0.0
+
+    def await_watchers(self) -> None:
+        """Until the stand-in has taken all of them in."""
+        while len(self.board.watchers) < self.size:
+            time.sleep(0.01)
+
+    def sample(self) -> Sample:
+        """One purge."""
+        self.number += 1
+        asset = f"{self.number:016x}"
+        self.watchers.begin(asset.encode())
+        time.sleep(SETTLE_S)
+        began_us, began = time.monotonic_ns() // 1000, thread_time_ns()
+        self.board.purge(asset)
+        cpu_us = (thread_time_ns() - began) / 1000
+        found = self.watchers.arrivals()
+        details = {
+            "first_s": round((found.first_us - began_us) / 1e6, 4),
+            "last_s": round((found.last_us - began_us) / 1e6, 4),
+            "missing": float(found.missing),
+            "idle_bytes_per_s_per_watcher": round(self.idle_bytes_per_s, 2),
+        }
+        return Sample(cpu_us, len(self.board.events[-1][1]), float(self.size), details)
+
+    def state_bytes(self) -> int:
+        """Of the log of events; sockets and their threads are the kernel's."""
+        return deep_bytes(self.board.events)
+
+    def close(self) -> None:
+        """The watchers' process, and the stand-in."""
+        self.watchers.close()
+        self.board.close()
+
+
+ROLE = Role(
+    name="discovery",
+    per="purge to all watchers",
+    size_is="watchers",
+    make=DiscoverySubject,
+    memory_bytes=lambda parameters: 80_000_000 + 300_000 * parameters.size,
+    descriptors=lambda parameters: parameters.size + OWN_DESCRIPTORS,
+)
--- /dev/null
+++ b/lupintack/scale/role_membership.py
@@ -0,0 +1,165 @@
+"""What membership costs one router a second in a fleet of N, in the lab's world (`membership_world`).
+
+`cpu_us`, `bytes` and `messages` are for a router and second while nothing happens. Restarts, kills and
+machines that fall silent follow, a few of each; the details say what one restart costs each of the others
+and how long each kind takes to be told.
+"""
+
+from __future__ import annotations
+
+import socket
+from itertools import pairwise
+from statistics import median
+from time import thread_time_ns
+
+from lupintack.lab.faults import Fault
+from lupintack.membership.member import Membership
+from lupintack.scale.membership_world import SECOND_US, Mark, WarmWorld
+from lupintack.scale.slope import Parameters, Role, Sample, deep_bytes
+
+SITES_MOST = 140
+ROUTERS_PER_SITE = 21
+IDLE_FROM_S, IDLE_TO_S = 6, 14
+RESTARTS_TO_S = 30
+KILLS_TO_S = 44
+SILENT_TO_S = 64
+PHASES_S = (IDLE_FROM_S, IDLE_TO_S, RESTARTS_TO_S, KILLS_TO_S, SILENT_TO_S)
+RESTARTS, KILLS, SILENT = 4, 2, 2
+EVENTS_S = 1.0  # between two events of one kind
+DATAGRAMS = 2000
+DATAGRAM_BYTES = 200
+ENTRY_BYTES = 700  # of one router's view, by what was measured
+
+
+class MembershipSubject:
+    """Worlds of one size, one a repeat, each with a further seed."""
+
+    def __init__(self, parameters: Parameters) -> None:
+        self.size, self.seed = parameters.size, parameters.seed
+        self.world: WarmWorld | None = None
+        self.socket_us = datagram_us()
+
+    def build(self) -> WarmWorld:
+        """A world that is joined, and its marks."""
+        names = [f"n{number}" for number in range(self.size)]
+        sites = max(1, min(SITES_MOST, self.size // ROUTERS_PER_SITE))
+        world = WarmWorld(self.seed, self.size, script(names), sites)
+        self.seed += 1
+        world.begin_joined()
+        for fault in world.faults:
+            world.clock.call(fault.at_us, world.begin, fault)
+        for at_s in PHASES_S:
+            world.mark_at(at_s * SECOND_US)
+        return world
+
+    def sample(self) -> Sample:
+        """One run."""
+        self.world = None  # the one before is freed first
+        world = self.world = self.build()
+        world.run_to(SILENT_TO_S * SECOND_US)
+        idle, restarts, _, _ = [Phase(one, other, self.size) for one, other in pairwise(world.marks)]
+        found = world.result
+        detections = [mark.totals.detections for mark in world.marks]
+        per_restart = 1.0 / (RESTARTS * self.size)
+        details = {
+            "socket_us_per_datagram": self.socket_us,
+            "restart_bytes_per_router": restarts.over(idle).bytes * per_restart,
+            "restart_cpu_us_per_router": restarts.over(idle).cpu_us * per_restart,
+            "exchanges_per_restart": restarts.over(idle).exchanges / RESTARTS,
+            "kill_told_p50_s": told_s(found.detect_us[detections[2] : detections[3]], median),
+            "kill_told_max_s": told_s(found.detect_us[detections[2] : detections[3]], max),
+            "silent_told_p50_s": told_s(found.detect_us[detections[3] :], median),
+            "silent_told_max_s": told_s(found.detect_us[detections[3] :], max),
+            "false_removals": float(found.false_removals),
+        }
+        rounded = {name: round(value, 3) for name, value in details.items()}
+        return Sample(
+            round(idle.cpu_us_per_s, 3), round(idle.bytes_per_s, 1), round(idle.messages_per_s, 2), rounded
+        )
+
+    def state_bytes(self) -> int:
+        """Of one router, what it shares with no other."""
+        assert self.world is not None
+        parts = [h.part for h in self.world.hosts.values() if isinstance(h.part, Membership)]
+        one = parts[0]
+        return deep_bytes(one.view, one.rings, one.detector.subjects, one.heard, one.spread.news, one.told)
+
+    def close(self) -> None:
+        """Nothing is open."""
+        self.world = None
+
+
+class Spent:
+    """Totals over and above another phase's pace."""
+
+    def __init__(self, cpu_us: float, sent: float, exchanges: float) -> None:
+        self.cpu_us, self.bytes, self.exchanges = cpu_us, sent, exchanges
+
+
+class Phase:
+    """What all routers spent between two marks."""
+
+    def __init__(self, first: Mark, last: Mark, routers: int) -> None:
+        self.seconds = (last.at_us - first.at_us) / SECOND_US
+        self.cpu_us = last.totals.cpu_us - first.totals.cpu_us
+        self.bytes = last.totals.bytes - first.totals.bytes
+        self.datagrams = last.totals.datagrams - first.totals.datagrams
+        self.exchanges = last.totals.exchanges - first.totals.exchanges
+        share = 1.0 / (routers * self.seconds)
+        self.cpu_us_per_s = self.cpu_us * share
+        self.bytes_per_s = self.bytes * share
+        self.messages_per_s = self.datagrams * share
+
+    def over(self, idle: Phase) -> Spent:
+        """What this phase took beyond an idle one of its length."""
+        times = self.seconds / idle.seconds
+        return Spent(
+            self.cpu_us - idle.cpu_us * times,
+            self.bytes - idle.bytes * times,
+            self.exchanges - idle.exchanges * times,
+        )
+
+
+def told_s(times_us: list[int], of: object) -> float:
+    """A figure of the times from an event to each router that was told of it; 0 where there were none."""
+    if not times_us:
+        return 0.0
+    return (max(times_us) if of is max else median(times_us)) / SECOND_US
+
+
+def script(names: list[str]) -> list[Fault]:
+    """Restarts, kills and silences, of routers that are no seeds, as far as there are so many."""
+    victims = iter(names[3:])
+    found = []
+    plans = (("restart", RESTARTS, IDLE_TO_S), ("kill", KILLS, RESTARTS_TO_S), ("vanish", SILENT, KILLS_TO_S))
+    for kind, count, from_s in plans:
+        for number in range(count):
+            name = next(victims, None)
+            if name is not None:
+                found.append(Fault(int((from_s + number * EVENTS_S) * SECOND_US) + 1, kind, 0, (name,)))
+    return found
+
+
+def datagram_us() -> float:
+    """Processor time of one datagram's way out of a socket and into another, both system calls."""
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other,
+    ):
+        other.bind(("127.0.0.1", 0))
+        where, raw = other.getsockname(), bytes(DATAGRAM_BYTES)
+        began = thread_time_ns()
+        for _ in range(DATAGRAMS):
+            one.sendto(raw, where)
+            other.recvfrom(2048)
+        return round((thread_time_ns() - began) / 1000 / DATAGRAMS, 3)
+
+
+ROLE = Role(
+    name="membership",
+    per="router-second, idle",
+    size_is="routers",
+    make=MembershipSubject,
+    memory_bytes=lambda parameters: 60_000_000 + ENTRY_BYTES * parameters.size**2,
+    descriptors=lambda parameters: 16,
+)
--- /dev/null
+++ b/lupintack/scale/role_purge.py
@@ -0,0 +1,118 @@
+"""What a purge costs a router, from its line off the discovery service to the decision module and own copies.
+
+The size is the number of purges that come at once. `cpu_us` is for purges of this moment, which reach the
+module; `missed_cpu_us` for those of the past, as after a cut; `copies_cpu_us` with own copies held.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from time import thread_time_ns
+
+from lupintack.board import Board
+from lupintack.config import Names
+from lupintack.core.actor import Core
+from lupintack.core.copies import Copies
+from lupintack.core.messages import Answer, Link
+from lupintack.core.roster import Host, Roster
+from lupintack.interface import ServiceClass, Settings
+from lupintack.scale.slope import Parameters, Role, Sample, deep_bytes
+
+PURGES_PER_S = 25  # of the fleet that is planned for
+SETTLES_MS = 6000.0
+COPY_BYTES = 10_000
+COPIES = 2_000  # own copies of that size: about what 168 MB of spare memory has room for
+COPY_PURGES = 100  # in one repeat with own copies
+LINK_BYTES_PER_S = 1e9
+
+
+class Reader:
+    """Discovery's reader, the member table and the core of one router; all on the calling thread."""
+
+    def __init__(self, seed: int, copies: int = 0) -> None:
+        known = Settings(classes=(ServiceClass(name="a", deadline=5000.0),), purge_settles=SETTLES_MS)
+        self.roster = Roster(known.purge_settles)
+        self.copies = Copies((COPY_BYTES + 600) * 4 * copies, LINK_BYTES_PER_S) if copies else None
+        self.core = Core(known, seed, self.roster, no_connection, self.copies)
+        self.roster.tell = self.core.news
+        self.board = Board(None, Names(("a",), ("z",), ("box",), ()), self.roster, seed)
+        issued_ms = int(time.time() * 1000)
+        for number in range(copies):
+            answer = Answer(body=bytes(COPY_BYTES), issued_ms=issued_ms)
+            assert self.copies is not None
+            self.copies.put((-1 - number, 0), 0, answer)
+
+    def read(self, raw: bytes) -> None:
+        """One line, all the way."""
+        self.board.line(raw)
+        news = self.roster.mailbox.get_nowait()
+        assert news is not None
+        self.roster.tell(self.roster.heed(news))
+
+
+class PurgeSubject:
+    """One size."""
+
+    def __init__(self, parameters: Parameters) -> None:
+        self.size, self.seed = parameters.size, parameters.seed
+        self.reader = Reader(self.seed)
+
+    def sample(self) -> Sample:
+        """One repeat: three routers, each of its own."""
+        now_lines, missed_lines = lines(self.size, 0.0), lines(self.size, 1000.0 / PURGES_PER_S)
+        self.reader = Reader(self.seed)
+        now_us = purges_us(self.reader, now_lines)
+        missed = Reader(self.seed)
+        missed_us = purges_us(missed, missed_lines)
+        details = {
+            "all_s": round(now_us * self.size / 1e6, 3),
+            "missed_cpu_us": missed_us,
+            "missed_all_s": round(missed_us * self.size / 1e6, 3),
+            "missed_floor_binds_all": float(missed.roster.floor > 0),
+            "missed_at_module": float(len(missed.core.router.purged)),
+            "floor_binds_all": float(self.reader.roster.floor > 0),
+            "module_floor_binds_all": float(self.reader.core.router.purge_floor > 0),
+            "copies_cpu_us": purges_us(Reader(self.seed, COPIES), lines(COPY_PURGES, 0.0)),
+        }
+        return Sample(now_us, sum(map(len, now_lines)) / self.size, 1.0, details)
+
+    def state_bytes(self) -> int:
+        """Of the two tables of purges."""
+        return deep_bytes(self.reader.roster.purged, self.reader.core.router.purged)
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+def purges_us(reader: Reader, told: list[bytes]) -> float:
+    """Processor time of one purge, over all lines."""
+    began = thread_time_ns()
+    for raw in told:
+        reader.read(raw)
+    return round((thread_time_ns() - began) / 1000 / len(told), 3)
+
+
+def lines(count: int, apart_ms: float) -> list[bytes]:
+    """Purges of different objects as discovery words them, the last of this moment, the others before it."""
+    now_ms = int(time.time() * 1000)
+    found = []
+    for number in range(1, count + 1):
+        moment_ms = int(now_ms - (count - number) * apart_ms)
+        flush = {"asset": f"{number:016x}", "ms": moment_ms}
+        found.append(json.dumps({"rev": number, "flush": flush}).encode())
+    return found
+
+
+def no_connection(number: int, host: Host) -> Link:
+    """No request is sent here."""
+    raise AssertionError(f"a connection to {host.name}")
+
+
+ROLE = Role(
+    name="purge",
+    per="purge",
+    size_is="purges at once",
+    make=PurgeSubject,
+    memory_bytes=lambda parameters: 120_000_000 + 1_200 * parameters.size,
+)
--- /dev/null
+++ b/lupintack/scale/roles.py
@@ -0,0 +1,56 @@
+"""The roles by name, and the check that a slope can be measured on this machine."""
+
+from __future__ import annotations
+
+import resource
+from pathlib import Path
+
+from lupintack.scale import role_discovery, role_membership, role_purge, role_reload, role_request
+from lupintack.scale.slope import Parameters, Role, SlopeError
+
+ROLES: dict[str, Role] = {
+    module.ROLE.name: module.ROLE
+    for module in (role_request, role_purge, role_reload, role_discovery, role_membership)
+}
+MEMORY_SHARE = 0.5  # of what is available: others use the machine, too
+MEMORY_FILE = Path("/proc/meminfo")
+
+
+def role(name: str) -> Role:
+    """The role; SlopeError where there is none of that name."""
+    if name not in ROLES:
+        raise SlopeError(f"no role {name!r}; wanted is one of {', '.join(ROLES)}")
+    return ROLES[name]
+
+
+def sizes(text: str) -> tuple[int, ...]:
+    """The sizes that the user named; SlopeError for anything but positive whole numbers."""
+    words = [word.strip() for word in text.split(",")]
+    wrong = [word for word in words if not (word.isascii() and word.isdigit() and int(word) > 0)]
+    if wrong:
+        raise SlopeError(f"--sizes: positive whole numbers are wanted, not {wrong[0]!r}")
+    return tuple(int(word) for word in words)
+
+
+def check(wanted: Role, parameters: Parameters) -> None:
+    """SlopeError where the machine has too little memory or too few descriptors for this size."""
+    needed, spare = wanted.memory_bytes(parameters), available_bytes() * MEMORY_SHARE
+    if needed > spare:
+        raise SlopeError(
+            f"--sizes: {parameters.size}: about {needed >> 20} MiB are needed, {int(spare) >> 20} can be used"
+        )
+    descriptors, limit = wanted.descriptors(parameters), resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if limit != resource.RLIM_INFINITY and descriptors > limit:
+        raise SlopeError(
+            f"--sizes: {parameters.size}: {descriptors} descriptors are needed, the limit is {limit}"
+        )
+
+
+def available_bytes() -> int:
+    """Memory that could be had without swapping; without bound where the system does not say."""
+    try:
+        lines = MEMORY_FILE.read_text().splitlines()
+    except OSError:
+        return 1 << 62
+    found = [int(line.split()[1]) * 1024 for line in lines if line.startswith("MemAvailable:")]
+    return found[0] if found else 1 << 62
--- /dev/null
+++ b/lupintack/scale/slope.py
@@ -0,0 +1,181 @@
+"""Slopes: what one event of a role costs at several sizes, measured on the project's own code.
+
+A role module builds a `Subject` of one size. `measure` repeats it and keeps the spread; `fit` draws the line.
+Processor time is taken by `thread_time` around the code under test; `count_operations` counts instructions
+of the interpreter instead, so that a test of a slope does not depend on how busy the machine is.
+"""
+
+from __future__ import annotations
+
+import gc
+import statistics
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from types import FrameType, FunctionType, ModuleType
+from typing import Any, NamedTuple, Protocol
+
+REPEATS = 5
+SHARED_TYPES = (type, ModuleType, FunctionType)  # belong to the program, not to the state of one role
+
+
+class SlopeError(ValueError):
+    """A slope that can't be measured as asked; the text is one line for the user."""
+
+
+class Parameters(NamedTuple):
+    """What a subject is built from."""
+
+    size: int  # members, purges, watchers, routers or holders, as the role says
+    budgets: int  # of the allocator; other roles pass over it
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One repeat: for one event, or for one router and second."""
+
+    cpu_us: float
+    bytes: float = 0.0
+    messages: float = 0.0
+    details: Mapping[str, float] = field(default_factory=dict)
+
+
+class Subject(Protocol):
+    """One role at one size."""
+
+    def sample(self) -> Sample:
+        """One repeat."""
+
+    def state_bytes(self) -> int:
+        """Memory of the role's own tables."""
+
+    def close(self) -> None:
+        """End what it has opened."""
+
+
+@dataclass(frozen=True, slots=True)
+class Role:
+    """How a role is measured."""
+
+    name: str
+    per: str  # what one figure is for: an event, or a router and second
+    size_is: str  # what the size counts
+    make: Callable[[Parameters], Subject]
+    memory_bytes: Callable[[Parameters], int]  # about, at most
+    descriptors: Callable[[Parameters], int] = lambda parameters: 0
+
+
+@dataclass(frozen=True, slots=True)
+class SlopePoint:
+    """The figures of one size. Processor time is the median of the repeats, with the least and the most."""
+
+    role: str
+    size: int
+    budgets: int
+    per: str
+    cpu_us: float
+    cpu_us_min: float
+    cpu_us_max: float
+    repeats: int
+    seed: int
+    bytes: float
+    state_bytes: int
+    messages: float
+    details: Mapping[str, float]
+
+
+class Line(NamedTuple):
+    """A least-squares line."""
+
+    slope: float
+    at_zero: float
+
+    def at(self, size: float) -> float:
+        """The line's value."""
+        return self.at_zero + self.slope * size
+
+
+def measure(role: Role, parameters: Parameters, repeats: int = REPEATS) -> SlopePoint:
+    """All repeats of one size; what the subject opened is closed, also after an error."""
+    subject = role.make(parameters)
+    try:
+        samples = [subject.sample() for _ in range(repeats)]
+        state_bytes = subject.state_bytes()
+    finally:
+        subject.close()
+    return point(role, parameters, samples, state_bytes)
+
+
+def point(role: Role, parameters: Parameters, samples: Sequence[Sample], state_bytes: int) -> SlopePoint:
+    """The repeats of one size as one point."""
+    times = [sample.cpu_us for sample in samples]
+    names = dict.fromkeys(name for sample in samples for name in sample.details)
+    details = {name: middle([s.details[name] for s in samples if name in s.details]) for name in names}
+    return SlopePoint(
+        role=role.name,
+        size=parameters.size,
+        budgets=parameters.budgets,
+        per=role.per,
+        cpu_us=middle(times),
+        cpu_us_min=round(min(times), 3),
+        cpu_us_max=round(max(times), 3),
+        repeats=len(samples),
+        seed=parameters.seed,
+        bytes=middle([sample.bytes for sample in samples]),
+        state_bytes=state_bytes,
+        messages=middle([sample.messages for sample in samples]),
+        details=details,
+    )
+
+
+def middle(values: Sequence[float]) -> float:
+    """The median, to three places."""
+    return round(statistics.median(values), 3)
+
+
+def fit(sizes: Sequence[float], values: Sequence[float]) -> Line:
+    """The least-squares line through the points; a flat one through a single size."""
+    if len(set(sizes)) < 2:
+        return Line(0.0, statistics.fmean(values))
+    found = statistics.linear_regression(sizes, values)
+    return Line(found.slope, found.intercept)
+
+
+def count_operations(action: Callable[[], object]) -> int:
+    """Instructions of the interpreter that the action runs, in all of its Python frames.
+
+    The same for the same work, however busy the machine is. A loop inside a built-in function (`sorted`,
+    `sum` over a map of built-ins) counts as one call.
+    """
+    count = 0
+
+    def trace(frame: FrameType, event: str, argument: Any) -> Any:
+        nonlocal count
+        frame.f_trace_opcodes = True
+        frame.f_trace_lines = False
+        count += event == "opcode"
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        action()
+    finally:
+        sys.settrace(before)
+    return count
+
+
+def deep_bytes(*roots: object) -> int:
+    """Memory of these objects and of all that they refer to, classes, modules and functions aside."""
+    seen: set[int] = set()
+    total = 0
+    waiting = [*roots]
+    while waiting:
+        one = waiting.pop()
+        if id(one) in seen or isinstance(one, SHARED_TYPES):
+            continue
+        seen.add(id(one))
+        total += sys.getsizeof(one)
+        waiting.extend(gc.get_referents(one))
+    return total
