Measure the slope of a lease request at the allocator

Change: scale/role_allocator.py: holders ask in turn on a clock that their requests move on, so shares are worked out as often as in a running fleet; the common budgets are wanted by all, the rest by one site each. The ledger is filled without working shares out for each newcomer; what a newcomer costs is a detail.

--- /dev/null
+++ b/lupintack/scale/role_allocator.py
@@ -0,0 +1,184 @@
+"""What one lease request costs the fleet's allocator, by holders and budgets.
+
+Holders ask in turn, all of them once in a request interval, on a clock that the requests move on: so shares
+are worked out as often as in a running fleet. The first budgets are wanted by every holder, each of the rest
+by the holders of one site. `cpu_us` is the allocator's work alone; the codec's and a newcomer's request are
+in the details.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from random import Random
+from time import thread_time_ns
+
+from lupintack.budgets.allocator import Allocator
+from lupintack.budgets.codec import BudgetCodec
+from lupintack.budgets.messages import Epoch, LeaseGrant, LeaseRequest
+from lupintack.budgets.terms import Terms
+from lupintack.membership.messages import Codec
+from lupintack.scale.slope import Parameters, Role, Sample, deep_bytes
+
+COMMON_BUDGETS = 3  # wanted by every holder
+UNITS_PER_HOLDER = 10  # of a common budget's whole
+SITE_UNITS = 32  # the whole of a site's budget
+CHANGE_CHANCE = 0.25  # that a holder's demand is another than in its last request
+LEAST_REQUESTS = 150  # in one repeat
+SHARE_INTERVALS = 3  # in one repeat, at the least
+NEWCOMERS = 3
+MICROSECONDS = 1_000_000
+
+
+@dataclass(slots=True)
+class HolderState:
+    """One holder as the measurement plays it."""
+
+    name: str
+    demand: tuple[int, ...]
+    sequence: int = 0
+    held: tuple[int, ...] = ()
+
+
+@dataclass(slots=True)
+class FilledAllocator(Allocator):
+    """Works out no shares while its ledger is filled: each newcomer would have it done for all."""
+
+    filling: bool = field(default=False)
+
+    def compute_shares(self, now: int) -> None:
+        """Unless the ledger is being filled."""
+        if not self.filling:
+            Allocator.compute_shares(self, now)
+
+
+class AllocatorSubject:
+    """An allocator with all holders in its ledger, past the wait of a new epoch."""
+
+    def __init__(self, parameters: Parameters) -> None:
+        self.size, self.budgets = parameters.size, parameters.budgets
+        self.random = Random(parameters.seed)
+        self.terms = Terms()
+        self.now_us = 1_000_000_000
+        self.epoch = Epoch(1, "n0", 1)
+        wholes = [
+            UNITS_PER_HOLDER * self.size if n < COMMON_BUDGETS else SITE_UNITS for n in range(self.budgets)
+        ]
+        elected_us = self.now_us - 2 * self.terms.lease_us
+        self.allocator = FilledAllocator(self.epoch, tuple(wholes), self.terms, elected_us)
+        self.codec = BudgetCodec(Codec("slope", "a secret of this run"), self.budgets)
+        self.holders = [self.new_holder(f"n{number}", number) for number in range(self.size)]
+        self.step_us = max(1, self.terms.request_interval_us // self.size)
+        self.turn = 0
+        self.newcomers = 0
+        self.fill()
+
+    def new_holder(self, name: str, number: int) -> HolderState:
+        """A holder that wants the common budgets, and its site's."""
+        sites = max(0, self.budgets - COMMON_BUDGETS)
+        demand = [0] * self.budgets
+        for n in range(min(COMMON_BUDGETS, self.budgets)):
+            demand[n] = self.common_demand()
+        if sites:
+            demand[COMMON_BUDGETS + number % sites] = self.random.randrange(1, 8)
+        return HolderState(name, tuple(demand), held=(0,) * self.budgets)
+
+    def common_demand(self) -> int:
+        """About as much as there is, in the mean."""
+        return self.random.randrange(2 * UNITS_PER_HOLDER)
+
+    def fill(self) -> None:
+        """Each holder's first request, at one moment; then one with shares."""
+        self.allocator.filling = True
+        for holder in self.holders:
+            self.request(holder)
+        self.allocator.filling = False
+        self.allocator.shares_computed_us = -1
+        self.step()
+
+    def next_request(self, holder: HolderState) -> LeaseRequest:
+        """What a holder says next; now and then its demand is another."""
+        if self.random.random() < CHANGE_CHANCE:
+            n = self.random.randrange(min(COMMON_BUDGETS, self.budgets))
+            holder.demand = (*holder.demand[:n], self.common_demand(), *holder.demand[n + 1 :])
+        holder.sequence += 1
+        in_use = tuple(amount // 2 for amount in holder.held)
+        return LeaseRequest(
+            holder.name, 1, holder.sequence, self.epoch, holder.demand, holder.held, in_use=in_use
+        )
+
+    def request(self, holder: HolderState) -> int:
+        """One request; the processor time of the allocator, in nanoseconds."""
+        asked = self.next_request(holder)
+        began = thread_time_ns()
+        granted = self.allocator.handle_request(asked, self.now_us)
+        spent = thread_time_ns() - began
+        assert granted is not None
+        holder.held = granted.amounts
+        return spent
+
+    def step(self) -> int:
+        """The next holder's request, in its time."""
+        self.now_us += self.step_us
+        self.turn = (self.turn + 1) % self.size
+        return self.request(self.holders[self.turn])
+
+    def sample(self) -> Sample:
+        """One repeat."""
+        per_interval = self.size * self.terms.share_interval_us / self.terms.request_interval_us
+        requests = max(LEAST_REQUESTS, math.ceil(SHARE_INTERVALS * per_interval))
+        cpu_us = sum(self.step() for _ in range(requests)) / 1000 / requests
+        requests_per_s = self.size * MICROSECONDS / self.terms.request_interval_us
+        request_bytes, grant_bytes, codec_us = self.wire(self.holders[self.turn])
+        details = {
+            "requests_per_s": round(requests_per_s, 2),
+            "core_share": round((cpu_us + codec_us) * requests_per_s / MICROSECONDS, 4),
+            "codec_cpu_us": codec_us,
+            "request_bytes": request_bytes,
+            "grant_bytes": grant_bytes,
+            "newcomer_cpu_us": self.newcomer_us(),
+        }
+        return Sample(round(cpu_us, 3), request_bytes + grant_bytes, 2.0, details)
+
+    def wire(self, holder: HolderState) -> tuple[float, float, float]:
+        """Bytes of a request and a grant, and what the allocator's codec spends on the two."""
+        asked = LeaseRequest(
+            holder.name, 1, holder.sequence, self.epoch, holder.demand, holder.held, in_use=holder.held
+        )
+        granted = LeaseGrant(self.epoch, holder.name, 1, holder.sequence, holder.held)
+        raw = self.codec.encode(holder.name, "192.0.2.10:9092", asked)
+        began = thread_time_ns()
+        for _ in range(LEAST_REQUESTS):
+            self.codec.decode(raw)
+            answer = self.codec.encode("n0", "192.0.2.11:9092", granted)
+        codec_us = (thread_time_ns() - began) / 1000 / LEAST_REQUESTS
+        return float(len(raw)), float(len(answer)), round(codec_us, 3)
+
+    def newcomer_us(self) -> float:
+        """Processor time of the first request of a holder that is not in the ledger; it leaves again."""
+        spent = 0
+        for _ in range(NEWCOMERS):
+            self.newcomers += 1
+            holder = self.new_holder(f"new{self.newcomers}", self.newcomers)
+            spent += self.request(holder)
+            holder.sequence += 1
+            zero = (0,) * self.budgets
+            leaving = LeaseRequest(holder.name, 1, holder.sequence, self.epoch, zero, zero, leaving=True)
+            self.allocator.handle_request(leaving, self.now_us)
+        return round(spent / 1000 / NEWCOMERS, 3)
+
+    def state_bytes(self) -> int:
+        """Of the allocator, ledger and shares."""
+        return deep_bytes(self.allocator)
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+ROLE = Role(
+    name="allocator",
+    per="lease request",
+    size_is="holders",
+    make=AllocatorSubject,
+    memory_bytes=lambda parameters: 40_000_000 + parameters.size * (3_000 + 400 * parameters.budgets),
+)
--- a/lupintack/scale/roles.py
+++ b/lupintack/scale/roles.py
@@ -5,12 +5,19 @@
 import resource
 from pathlib import Path
 
-from lupintack.scale import role_discovery, role_membership, role_purge, role_reload, role_request
+from lupintack.scale import (
+    role_allocator,
+    role_discovery,
+    role_membership,
+    role_purge,
+    role_reload,
+    role_request,
+)
 from lupintack.scale.slope import Parameters, Role, SlopeError
 
 ROLES: dict[str, Role] = {
     module.ROLE.name: module.ROLE
-    for module in (role_request, role_purge, role_reload, role_discovery, role_membership)
+    for module in (role_request, role_purge, role_reload, role_discovery, role_membership, role_allocator)
 }
 MEMORY_SHARE = 0.5  # of what is available: others use the machine, too
 MEMORY_FILE = Path("/proc/meminfo")
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -20,6 +20,7 @@
 from lupintack.cli.main import main
 from lupintack.scale import roles
 from lupintack.scale.membership_world import SECOND_US, WarmWorld
+from lupintack.scale.role_allocator import AllocatorSubject
 from lupintack.scale.role_discovery import DiscoverySubject
 from lupintack.scale.role_purge import Reader, lines
 from lupintack.scale.role_reload import ReloadSubject
@@ -42,6 +43,11 @@
     return count_operations(run) / steps
 
 
+def lease_request_operations(holders: int, budgets: int) -> float:
+    """Instructions of one lease request, over some share intervals."""
+    return operations(AllocatorSubject(Parameters(holders, budgets, 1)).step, 3 * STEPS)
+
+
 def assert_linear(counts: list[float]) -> None:
     first, second = counts[1] - counts[0], counts[2] - counts[1]
     assert first > 0, counts
@@ -110,6 +116,15 @@
         counts = [count(size) for size in SIZES]
         assert counts[2] - counts[1] <= LINEAR[1] * max(1.0, counts[1] - counts[0]), counts
 
+    @pytest.mark.parametrize("budgets", [3, 9])
+    def test_a_lease_request_is_linear_at_most_in_the_holders(self, budgets: int) -> None:
+        counts = [lease_request_operations(size, budgets) for size in SIZES]
+        assert counts[2] - counts[1] <= LINEAR[1] * max(1.0, counts[1] - counts[0]), counts
+
+    def test_a_lease_request_is_linear_at_most_in_the_budgets(self) -> None:
+        counts = [lease_request_operations(20, budgets) for budgets in (6, 12, 24)]
+        assert counts[2] - counts[1] <= LINEAR[1] * max(1.0, counts[1] - counts[0]), counts
+
     @pytest.mark.xdist_group("lane")
     def test_a_purge_is_sent_once_to_each_watcher_in_linear_work(self) -> None:
         def count(size: int) -> float:
