--- a/lupintack/scale/role_membership.py
+++ b/lupintack/scale/role_membership.py
@@ -12,6 +12,8 @@
 from statistics import median
 from time import thread_time_ns
 
+from lupintack.fleet.talk import Fleet as FleetTransport
+from lupintack.fleet.talk import Place
 from lupintack.lab.faults import Fault
 from lupintack.membership.member import Membership
 from lupintack.scale.membership_world import SECOND_US, Mark, WarmWorld
@@ -72,6 +74,7 @@
             "silent_told_max_s": told_s(found.detect_us[detections[3] :], max),
             "false_removals": float(found.false_removals),
         }
+        details |= status_page(running_part(world))
         rounded = {name: round(value, 3) for name, value in details.items()}
         return Sample(
             round(idle.cpu_us_per_s, 3), round(idle.bytes_per_s, 1), round(idle.messages_per_s, 2), rounded
@@ -80,8 +83,7 @@
     def state_bytes(self) -> int:
         """Of one router, what it shares with no other."""
         assert self.world is not None
-        parts = [h.part for h in self.world.hosts.values() if isinstance(h.part, Membership)]
-        one = parts[0]
+        one = running_part(self.world)
         return deep_bytes(one.view, one.rings, one.detector.subjects, one.heard, one.spread.news, one.told)
 
     def close(self) -> None:
@@ -89,6 +91,25 @@
         self.world = None
 
 
+def running_part(world: WarmWorld) -> Membership:
+    """The membership of a router that runs."""
+    return next(host.part for host in world.hosts.values() if isinstance(host.part, Membership))
+
+
+def status_page(part: Membership) -> dict[str, float]:
+    """What `lupintack fleet status` costs the router that is asked: its answer with all members."""
+    place = Place("n0", "site0", ("127.0.0.1", 0), "slope", "a secret of this run", (), {})
+    fleet = FleetTransport(place, part.terms, 1, lambda change: None, lambda: True)
+    try:
+        fleet.part = part
+        began = thread_time_ns()
+        page = fleet.status_line()
+        return {"status_cpu_us": (thread_time_ns() - began) / 1000, "status_bytes": float(len(page))}
+    finally:
+        fleet.exchanges.listener.close()  # its thread was never started
+        fleet.close()
+
+
 class Spent:
     """Totals over and above another phase's pace."""
 
