Split the loops of the fleet, the exchanges and the discovery reader into single turns

Need: hollow routers drive many routers from one thread; talk.py, exchange.py, board.py and roster.py each had their work inside a loop of a thread of its own.

Change: Exchanges.open/turn/wake_us/close, Fleet.read/step/write, Board.request/feed with Lines, Roster.take. The threads call these; what is sent and when stays as it was. Exchanges count their bytes.

--- a/lupintack/board.py
+++ b/lupintack/board.py
@@ -21,6 +21,7 @@
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 LINE_MOST = 4 << 20
 SILENT_S = 1.8  # a line comes each second; after so long without one the connection is held to be cut off
+SILENT_US = int(SILENT_S * 1e6)
 CONNECT_S = 1.0  # for a connect: with SILENT_S it stays well under the 4 s after which all counts as told
 AGAIN_S = 0.2  # between two tries, but for the first after a connection that told something; in the mean
 APART = 0.4  # they differ by up to this part, or all routers would come back to a board in one moment
@@ -31,6 +32,26 @@
     """An event has not come: it is asked for again, once."""
 
 
+class Lines:
+    """A connection's bytes as whole lines, and until when the next one has to come.
+
+    Only whole lines count: half a line that drips on must not pass for a board that works.
+    """
+
+    def __init__(self, now: int) -> None:
+        self.rest = bytearray()
+        self.until_us = now + SILENT_US
+
+    def cut(self, data: bytes) -> list[bytes]:
+        """The lines that are whole with these bytes; ValueError where one is too long."""
+        self.rest += data
+        *lines, rest = self.rest.split(b"\n")
+        self.rest = bytearray(rest)
+        if len(self.rest) > LINE_MOST:
+            raise ValueError("a line is too long")
+        return [bytes(line) for line in lines]
+
+
 class Board:
     """Follows the notice board and words its events for the roster."""
 
@@ -127,25 +148,27 @@
 
     def watch(self, sock: socket.socket, turn: int) -> None:
         """Read lines until the connection ends, the board falls silent, or it moves."""
-        sock.sendall(b"watch %d\n" % self.last)
-        buffer = bytearray()
-        until = now_us() + int(SILENT_S * 1e6)
+        sock.sendall(self.request())
+        lines = Lines(now_us())
         while turn == self.turn and not self.stopped.is_set():
-            # Only whole lines count: half a line that drips on must not pass for a board that works.
-            sock.settimeout(max(0.01, (until - now_us()) / 1e6))
-            data = sock.recv(65536)
-            if not data:
-                raise ConnectionResetError("closed by the board")
-            buffer += data
-            *lines, rest = buffer.split(b"\n")
-            buffer = bytearray(rest)
-            if len(buffer) > LINE_MOST:
-                raise ValueError("a line is too long")
-            for line in lines:
-                with self.lock:
-                    if turn == self.turn and self.line(bytes(line)):
-                        self.roster.heard_us = now_us()
-                        until = self.roster.heard_us + int(SILENT_S * 1e6)
+            sock.settimeout(max(0.01, (lines.until_us - now_us()) / 1e6))
+            self.feed(lines, sock.recv(65536), turn)
+
+    def request(self) -> bytes:
+        """What a connection begins with."""
+        return b"watch %d\n" % self.last
+
+    def feed(self, lines: Lines, data: bytes, turn: int) -> None:
+        """Bytes of a connection of this turn; none where the board closed it. ConnectionError or ValueError
+        ends the connection.
+        """
+        if not data:
+            raise ConnectionResetError("closed by the board")
+        for line in lines.cut(data):
+            with self.lock:
+                if turn == self.turn and self.line(line):
+                    self.roster.heard_us = now_us()
+                    lines.until_us = self.roster.heard_us + SILENT_US
 
     def line(self, raw: bytes) -> bool:
         """One line: an event, or the last number alone; whether it could be read."""
--- a/lupintack/core/roster.py
+++ b/lupintack/core/roster.py
@@ -162,13 +162,17 @@
     def run(self) -> None:
         """Until None comes."""
         while (news := self.mailbox.get()) is not None:
-            upto = self.news + 1
-            try:
-                change = self.heed(news)
-            except (ValueError, TypeError, OverflowError) as error:
-                LOG.warning("news can't be used", extra=fields(reason=error))
-                change = Change((), upto=upto)  # nobody may wait for it
-            self.tell(change)
+            self.take(news)
+
+    def take(self, news: News) -> None:
+        """Bring the tables up to date, and pass the change on."""
+        upto = self.news + 1
+        try:
+            change = self.heed(news)
+        except (ValueError, TypeError, OverflowError) as error:
+            LOG.warning("news can't be used", extra=fields(reason=error))
+            change = Change((), upto=upto)  # nobody may wait for it
+        self.tell(change)
 
     def heed(self, news: News) -> Change:
         """Bring the tables up to date, and word the news for the module."""
--- a/lupintack/fleet/exchange.py
+++ b/lupintack/fleet/exchange.py
@@ -27,6 +27,7 @@
 LIMIT_US = 1_000_000  # for an exchange, from its connect to its end
 KNOCK_US = 400_000
 TURN_S = 0.02  # between two looks for new work
+NEVER_US = 1 << 62
 
 
 @dataclass(slots=True)
@@ -56,6 +57,7 @@
         self.lines: dict[socket.socket, Line] = {}
         self.stopped = threading.Event()
         self.counts = {"asked": 0, "begun": 0, "late": 0, "bad": 0, "knocks": 0, "refused": 0}
+        self.counts |= {"exchanged.in": 0, "exchanged.out": 0}  # bytes
 
     def begin(self, where: tuple[str, int], frame: bytes, answered: Callable[[bytes], None]) -> None:
         """Say a frame there, and hear what is answered."""
@@ -67,25 +69,45 @@
 
     def run(self) -> None:
         """Until it is stopped."""
+        self.open()
+        while not self.stopped.is_set():
+            self.turn(TURN_S)
+        self.close()
+
+    def open(self) -> None:
+        """Listen, before the first turn."""
         self.listener.setblocking(False)
         self.selector.register(self.listener, selectors.EVENT_READ)
-        while not self.stopped.is_set():
-            while self.work:
-                self._open(*self.work.popleft())
-            for key, events in self.selector.select(TURN_S):
-                if key.fileobj is self.listener:
-                    self._accept()
-                    continue
-                line = self.lines.get(key.fileobj)  # type: ignore[call-overload]
-                if line is not None:
-                    self._step(line, events)
-            now = now_us()
-            for line in [line for line in self.lines.values() if now >= line.until_us]:
-                self.counts["late"] += line.knocked is None
-                self._close(line)
+
+    def turn(self, timeout_s: float) -> None:
+        """Begin what was asked for, and do what is ready within this time and what is due after it."""
+        while self.work:
+            self._open(*self.work.popleft())
+        for key, events in self.selector.select(timeout_s):
+            if key.fileobj is self.listener:
+                self._accept()
+                continue
+            line = self.lines.get(key.fileobj)  # type: ignore[call-overload]
+            if line is not None:
+                self._step(line, events)
+        now = now_us()
+        for line in [line for line in self.lines.values() if now >= line.until_us]:
+            self.counts["late"] += line.knocked is None
+            self._close(line)
+
+    @property
+    def wake_us(self) -> int:
+        """When a turn is due though nothing is ready; 0 where something waits to be begun."""
+        if self.work:
+            return 0
+        return min((line.until_us for line in self.lines.values()), default=NEVER_US)
+
+    def close(self) -> None:
+        """End all connections, and listen no more."""
         for line in list(self.lines.values()):
             self._close(line)
         self.listener.close()
+        self.selector.close()
 
     def _open(
         self,
@@ -148,7 +170,9 @@
                 if line.sock not in self.lines:
                     return
             if events & selectors.EVENT_WRITE and line.writes:
-                del line.writes[: line.sock.send(line.writes)]
+                sent = line.sock.send(line.writes)
+                self.counts["exchanged.out"] += sent
+                del line.writes[:sent]
             if events & selectors.EVENT_READ and not self._read(line):
                 return
         except BlockingIOError:
@@ -167,6 +191,7 @@
     def _read(self, line: Line) -> bool:
         """Whether the connection goes on."""
         data = line.sock.recv(65536)
+        self.counts["exchanged.in"] += len(data)
         line.reads += data
         length = LENGTH.unpack_from(line.reads)[0] if len(line.reads) >= LENGTH.size else 0
         if not data or length > FRAME_MOST or line.answered is None:
--- a/lupintack/fleet/talk.py
+++ b/lupintack/fleet/talk.py
@@ -113,26 +113,44 @@
         """Datagrams and ticks, for good."""
         while not self.stopped.is_set():
             wait = (self.part.wake_us - now_us()) / 1e6
+            raw = b""
             try:
                 self.sock.settimeout(min(WAIT_MOST_S, max(0.0005, wait)))
-                raw, _ = self.sock.recvfrom(RECEIVE)
-            except TimeoutError:
-                raw = b""
+                raw = self.read()
             except OSError as error:  # a refusal of something sent earlier, as some kernels tell it
                 self.counts["errors"] += 1
                 if self.stopped.is_set():
                     return
                 LOG.debug("datagram", extra=fields(reason=error))
-                raw = b""
-            try:
-                if raw:
-                    self.take(raw)
-                if now_us() >= self.part.wake_us:
-                    self.do(self.call(self.part.tick))
-                self.look()
-            except Exception:  # one datagram's fault must not end the others'
-                self.counts["faults"] += 1
-                LOG.exception("fleet")
+            self.step(raw)
+
+    def read(self) -> bytes:
+        """One datagram; nothing where none came in the socket's time. OSError where one sent was refused."""
+        try:
+            raw, _ = self.sock.recvfrom(RECEIVE)
+        except (TimeoutError, BlockingIOError):
+            return b""
+        return raw
+
+    def step(self, raw: bytes) -> None:
+        """Take a datagram, where there is one, and do what is due."""
+        try:
+            if raw:
+                self.take(raw)
+            if now_us() >= self.part.wake_us:
+                self.do(self.call(self.part.tick))
+            self.look()
+        except Exception:  # one datagram's fault must not end the others'
+            self.counts["faults"] += 1
+            LOG.exception("fleet")
+
+    def write(self, raw: bytes, where: tuple[str, int]) -> None:
+        """One datagram goes out; one that can't is counted."""
+        self.counts["bytes.out"] += len(raw)
+        try:
+            self.sock.sendto(raw, where)
+        except OSError:
+            self.counts["unsent"] += 1
 
     def take(self, raw: bytes) -> None:
         """One datagram."""
@@ -173,13 +191,8 @@
             where = self.road.to(name, told)
             if where is None:
                 continue
-            raw = self.codec.word(message)
-            self.counts["bytes.out"] += len(raw)
             self.counts["datagrams.out"] += 1
-            try:
-                self.sock.sendto(raw, where)
-            except OSError:
-                self.counts["unsent"] += 1
+            self.write(self.codec.word(message), where)
         for name, start, told in out.knocks:
             where = self.road.to(name, told)
             if where is not None:
@@ -196,11 +209,7 @@
         held = self.part.view.records.get(name)
         where = self.road.to(name, held.address if held is not None else told)
         if where is not None:
-            self.counts["bytes.out"] += len(raw)
-            try:
-                self.sock.sendto(raw, where)
-            except OSError:
-                self.counts["unsent"] += 1
+            self.write(raw, where)
 
     def told(self, change: Change) -> None:
         """One line a change, and the word to whoever asked."""
