Run hollow routers on loopback by lupintack scale run

Nothing could run the control code of more than a few dozen routers on sockets.

BudgetService.run is split into step and next_us.

--- a/lupintack/fleet/budgets.py
+++ b/lupintack/fleet/budgets.py
@@ -147,23 +147,32 @@
     def run(self) -> None:
         """Ticks, until the end."""
         while not self.stopped.is_set():
-            now = now_us()
-            try:
-                if now >= self.node.wake_us:
-                    self.call(self.node.tick)
-                elif 0 < self.last[1] <= now:
-                    self.call(lambda now: Actions())  # the lease has run out, and that is news
-                if now >= self.asked_us + self.look_us:
-                    self.asked_us = now
-                    self.asked()
-            except Exception:  # one tick's fault must not end the others
-                self.counts["faults"] += 1
-                LOG.exception("budgets")
-            ends = self.last[1] or self.node.wake_us
-            wait = min(self.node.wake_us, ends, self.asked_us + self.look_us) - now_us()
+            wait = self.step() - now_us()
             if self.wake.wait(min(WAIT_MOST_S, max(0.0005, wait / 1e6))):
                 self.wake.clear()
 
+    def step(self) -> int:
+        """Do what is due; when the next step is, unless a datagram comes before."""
+        now = now_us()
+        try:
+            if now >= self.node.wake_us:
+                self.call(self.node.tick)
+            elif 0 < self.last[1] <= now:
+                self.call(lambda now: Actions())  # the lease has run out, and that is news
+            if now >= self.asked_us + self.look_us:
+                self.asked_us = now
+                self.asked()
+        except Exception:  # one tick's fault must not end the others
+            self.counts["faults"] += 1
+            LOG.exception("budgets")
+        return self.next_us
+
+    @property
+    def next_us(self) -> int:
+        """When a step is due."""
+        ends = self.last[1] or self.node.wake_us
+        return min(self.node.wake_us, ends, self.asked_us + self.look_us)
+
     def take(self, raw: bytes) -> None:
         """A datagram."""
         try:
--- /dev/null
+++ b/lupintack/scale/hollow_demand.py
@@ -0,0 +1,33 @@
+"""What a hollow router wants of each budget: drawn anew every few seconds, so that leases move."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+
+from lupintack.scale.hollow_plan import BudgetPlan
+
+REDRAWN_US = 5_000_000
+EAGER = 2.5  # times an equal share, at most: on average a little more is wanted than there is
+
+
+class Demand:
+    """The demand of one router of a site."""
+
+    def __init__(self, budgets: Sequence[BudgetPlan], routers: int, site: str, random: Random) -> None:
+        self.budgets, self.routers, self.site, self.random = tuple(budgets), routers, site, random
+        self.drawn: tuple[int, ...] = ()
+        self.until_us = 0
+
+    def draw(self, now: int) -> tuple[int, ...]:
+        """Units wanted of each budget at this moment."""
+        if now >= self.until_us:
+            self.until_us = now + int(REDRAWN_US * (0.5 + self.random.random()))
+            self.drawn = tuple(self._one(budget) for budget in self.budgets)
+        return self.drawn
+
+    def _one(self, budget: BudgetPlan) -> int:
+        if budget.site and budget.site != self.site:
+            return 0
+        share = budget.whole if budget.site else budget.whole / self.routers
+        return min(budget.whole, round(share * EAGER * self.random.random()))
--- /dev/null
+++ b/lupintack/scale/hollow_discovery.py
@@ -0,0 +1,149 @@
+"""The discovery reader of a hollow router: board.py's reader on a socket that never blocks.
+
+`Board` words its requests, takes its lines and says how long to wait; the roster keeps the list and purges as
+in a real router. Here only the connection is opened, read and closed.
+"""
+
+from __future__ import annotations
+
+import errno
+import selectors
+import socket
+from collections.abc import Callable
+
+from lupintack.board import CONNECT_S, Board, Lines
+from lupintack.clock import now_us
+from lupintack.config import Names, address
+from lupintack.core.roster import Change, Roster
+
+READ_BYTES = 65_536
+CONNECT_US = int(CONNECT_S * 1e6)
+PURGES_MATTER_MS = 6_000.0  # as in the settings of the platform's days
+
+
+class DiscoveryConnection:
+    """Follows discovery; `on_ready` is to be called when its socket is, `on_wake` at `wake_us`."""
+
+    def __init__(
+        self,
+        told: str,
+        names: Names,
+        seed: int,
+        selector: selectors.BaseSelector,
+        on_ready: Callable[[], None],
+        on_change: Callable[[Change], None],
+        reachable: Callable[[], bool],
+    ) -> None:
+        self.roster = Roster(PURGES_MATTER_MS)
+        self.roster.tell = on_change
+        self.client = Board(address(told, "discovery"), names, self.roster, seed)
+        self.selector, self.on_ready, self.reachable = selector, on_ready, reachable
+        self.sock: socket.socket | None = None
+        self.lines: Lines | None = None
+        self.connect_until_us = 0
+        self.again_us = 0
+        self.told_us = 0  # the roster's last sign of life when this connection began
+        self.bytes_in = self.bytes_out = 0
+
+    @property
+    def wake_us(self) -> int:
+        """When something is due though the socket isn't ready."""
+        if self.lines is not None:
+            return self.lines.until_us
+        return self.connect_until_us if self.sock is not None else self.again_us
+
+    def on_wake(self, now: int) -> None:
+        """Connect, or give up a connection that told nothing in its time."""
+        if now < self.wake_us:
+            return
+        if self.sock is None:
+            self._connect(now)
+        else:
+            self._lost(now)
+
+    def on_readable(self) -> None:
+        """The socket is connected, or has bytes, or has ended."""
+        if not self.reachable():
+            self._mute()
+            return
+        now = now_us()
+        try:
+            if self.sock is not None and self.lines is None:
+                self._connected(self.sock, now)
+            elif self.sock is not None and self.lines is not None:
+                self._read(self.sock, self.lines)
+        except BlockingIOError:
+            return
+        except (OSError, ValueError):
+            self._lost(now)
+
+    def on_cut(self) -> None:
+        """Reachable again or no longer: a muted connection is looked at once more."""
+        if self.sock is not None and self.reachable():
+            self._watch(selectors.EVENT_READ if self.lines is not None else selectors.EVENT_WRITE)
+
+    def pause(self) -> None:
+        """Read nothing until `resume`."""
+        self._mute()
+
+    def resume(self) -> None:
+        """Read again."""
+        self.on_cut()
+
+    def close(self) -> None:
+        """End the connection."""
+        if self.sock is not None:
+            self._mute()
+            self.sock.close()
+        self.sock = self.lines = None
+
+    def _connect(self, now: int) -> None:
+        assert self.client.address is not None
+        self.told_us = self.roster.heard_us
+        self.connect_until_us = now + CONNECT_US
+        sock = socket.socket()
+        sock.setblocking(False)
+        self.sock = sock
+        if not self.reachable():
+            return  # as if its first packet were lost: it is given up in its time
+        code = sock.connect_ex(self.client.address)
+        if code not in (0, errno.EINPROGRESS):
+            self._lost(now)
+            return
+        self._watch(selectors.EVENT_WRITE)
+
+    def _connected(self, sock: socket.socket, now: int) -> None:
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, "refused")
+        self.bytes_out += sock.send(self.client.request())
+        self.lines = Lines(now)
+        self._watch(selectors.EVENT_READ)
+
+    def _read(self, sock: socket.socket, lines: Lines) -> None:
+        data = sock.recv(READ_BYTES)
+        self.bytes_in += len(data)
+        self.client.feed(lines, data, self.client.turn)
+        while not self.roster.mailbox.empty():
+            news = self.roster.mailbox.get_nowait()
+            if news is not None:
+                self.roster.take(news)
+
+    def _lost(self, now: int) -> None:
+        self.close()
+        told = self.roster.heard_us != self.told_us
+        self.again_us = now + int(self.client.again_s(told) * 1e6)
+
+    def _watch(self, events: int) -> None:
+        assert self.sock is not None
+        try:
+            self.selector.modify(self.sock, events, self.on_ready)
+        except KeyError:
+            self.selector.register(self.sock, events, self.on_ready)
+
+    def _mute(self) -> None:
+        if self.sock is not None:
+            try:
+                self.selector.unregister(self.sock)
+            except KeyError:
+                pass
--- /dev/null
+++ b/lupintack/scale/hollow_plan.py
@@ -0,0 +1,96 @@
+"""Which routers a scale run has, where they stand, and the budgets that they share."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+VOTERS = 5
+ROUTERS_MOST = 3_000
+STORE_FILLS_PER_ROUTER = 4  # units of the whole for each router
+COLD_PARENT_SLOTS = 64
+COLD_CACHE_SLOTS_PER_ROUTER = 2
+RESERVED_PER_MILLE = 100
+
+
+class ScaleError(ValueError):
+    """A run that can't be started; the text says why in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSize:
+    """How many routers there are, and how they are grouped."""
+
+    routers: int
+    regions: int
+    zones: int
+    sites: int
+
+    def check(self) -> None:
+        """Raise ScaleError where the groups can't be filled."""
+        if not 1 <= self.regions <= self.zones <= self.sites <= self.routers:
+            raise ScaleError(
+                "regions <= zones <= sites <= routers is wanted, each at least 1, not "
+                f"{self.regions}, {self.zones}, {self.sites}, {self.routers}"
+            )
+        if self.routers > ROUTERS_MOST:
+            raise ScaleError(f"--routers: at most {ROUTERS_MOST}, not {self.routers}")
+
+
+class RouterPlan(msgspec.Struct, frozen=True):
+    """One hollow router: its name, where it stands, and its port on loopback."""
+
+    name: str
+    site: str
+    zone: str
+    region: str
+    port: int
+
+    @property
+    def address(self) -> str:
+        """Where its datagrams and exchanges go."""
+        return f"127.0.0.1:{self.port}"
+
+
+class BudgetPlan(msgspec.Struct, frozen=True):
+    """One budget that all routers share: a whole in units, of things out at once."""
+
+    name: str
+    whole: int
+    site: str = ""  # empty: wanted at all sites
+    reserved_per_mille: int = RESERVED_PER_MILLE
+
+
+def plan_routers(size: FleetSize, ports: Sequence[int]) -> tuple[RouterPlan, ...]:
+    """The routers of a run, dealt out evenly; `ports`: one for each."""
+    found = []
+    for number, port in zip(range(size.routers), ports, strict=True):
+        site = number % size.sites
+        zone = site % size.zones
+        region = zone % size.regions
+        found.append(RouterPlan(f"h{number:04d}", f"s{site:03d}", f"z{zone:02d}", f"r{region:02d}", port))
+    return tuple(found)
+
+
+def plan_voters(routers: Sequence[RouterPlan]) -> tuple[RouterPlan, ...]:
+    """Who votes and is asked by those that join: the first routers, which stand in different groups."""
+    count = VOTERS if len(routers) >= VOTERS else 1
+    return tuple(routers[:count])
+
+
+def plan_budgets(routers: Sequence[RouterPlan], site_budgets: bool) -> tuple[BudgetPlan, ...]:
+    """Two budgets of the whole fleet and, where wanted, one for each site."""
+    found = [
+        BudgetPlan("cold-parents", COLD_PARENT_SLOTS),
+        BudgetPlan("store-fills", STORE_FILLS_PER_ROUTER * len(routers)),
+    ]
+    if site_budgets:
+        counts = Counter(one.site for one in routers)
+        found += [
+            BudgetPlan(f"cold-caches.{site}", COLD_CACHE_SLOTS_PER_ROUTER * count, site, 0)
+            for site, count in sorted(counts.items())
+        ]
+    return tuple(found)
--- /dev/null
+++ b/lupintack/scale/hollow_process.py
@@ -0,0 +1,324 @@
+"""A process of hollow routers: one thread, one selector over all sockets, a heap of wake times.
+
+Commands come as frames on standard input, replies go to standard output. When standard input ends, whoever
+started this process has gone, and it ends as well.
+"""
+
+from __future__ import annotations
+
+import gc
+import heapq
+import logging
+import os
+import selectors
+import signal
+import sys
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+
+from lupintack import config
+from lupintack.clock import now_us
+from lupintack.core.roster import Change as ListChange
+from lupintack.membership.news import Change
+from lupintack.scale import hollow_messages as messages
+from lupintack.scale.hollow_network import Network
+from lupintack.scale.hollow_router import HollowRouter
+from lupintack.settings import changes
+
+LOG = logging.getLogger("hollow")
+READ_BYTES = 1 << 16
+WAIT_MOST_US = 200_000
+STATUS_US = 500_000
+STEP_LEAST_US = 500  # between two calls of one router that has nothing ready
+JOINING_MOST = 2  # routers of a process that join at the same time
+JOIN_PATIENCE_US = 5_000_000  # after so long the next ones start, whether or not these have joined
+LEAVE_US = 1_000_000  # between a word of leave and the end
+BEHIND_US = 500_000  # a tick later than this: the router does not keep up
+VIEWS_MOST = 4
+
+
+class HollowProcess:
+    """The routers of one process and what drives them."""
+
+    def __init__(self, setup: messages.Setup, frames: messages.Frames) -> None:
+        """`frames`: what has been read of standard input beyond the setup."""
+        self.setup, self.frames = setup, frames
+        self.selector = selectors.DefaultSelector()
+        self.network = Network({one.name: one.port for one in setup.routers})
+        self.plans = {one.name: one for one in setup.routers}
+        self.routers: dict[str, HollowRouter] = {}
+        self.waiting: deque[str] = deque()
+        self.joining: dict[str, int] = {}  # since when
+        self.started: set[str] = set()
+        self.heap: list[tuple[int, int, HollowRouter]] = []
+        self.timers: list[tuple[int, int, Callable[[], None]]] = []
+        self.counter = 0
+        self.unread_settings: deque[tuple[str, float]] = deque()
+        self.settings: config.Config | None = None
+        self.reports: list[messages.RouterReport] = []
+        self.removals: list[messages.Removal] = []
+        self.purge_ms: Counter[int] = Counter()
+        self.change_ms: Counter[int] = Counter()
+        self.status_us = 0
+        self.loop_cpu_ns = 0
+        self.marked = False
+        self.turn_most_us = self.turn_cpu_most_ns = 0
+        self.over = False
+
+    # The loop
+
+    def run(self) -> None:
+        """Until it is told to finish, or standard input ends."""
+        os.set_blocking(sys.stdin.fileno(), False)
+        self.selector.register(sys.stdin, selectors.EVENT_READ, self.on_command)
+        while not self.over:
+            wait_us = max(0, min(self._next_us() - now_us(), WAIT_MOST_US))
+            ready = self.selector.select(0 if self.unread_settings else wait_us / 1e6)
+            began_us, began_cpu_ns = now_us(), time.thread_time_ns()
+            for key, _ in ready:
+                key.data()
+            self._wake_routers()
+            self._run_timers()
+            self._start_waiting()
+            self._read_settings()
+            if now_us() >= self.status_us:
+                self.status_us = now_us() + STATUS_US
+                self.reply(self.status())
+            if self.marked:
+                self.turn_most_us = max(self.turn_most_us, now_us() - began_us)
+                self.turn_cpu_most_ns = max(self.turn_cpu_most_ns, time.thread_time_ns() - began_cpu_ns)
+
+    def _next_us(self) -> int:
+        times = [self.status_us]
+        if self.heap:
+            times.append(self.heap[0][0])
+        if self.timers:
+            times.append(self.timers[0][0])
+        return min(times)
+
+    def _wake_routers(self) -> None:
+        now = now_us()
+        while self.heap and self.heap[0][0] <= now:
+            at, _, router = heapq.heappop(self.heap)
+            if at == router.scheduled_us and not router.paused and not router.ended:
+                router.on_wake(now_us())
+
+    def _run_timers(self) -> None:
+        while self.timers and self.timers[0][0] <= now_us():
+            heapq.heappop(self.timers)[2]()
+
+    def schedule(self, router: HollowRouter) -> None:
+        """Call a router when it wants to be called, if that is sooner than it would be."""
+        if router.paused or router.ended:
+            return
+        at = max(router.wake_us, now_us() + STEP_LEAST_US)
+        if at < router.scheduled_us:
+            router.scheduled_us = at
+            self.counter += 1
+            heapq.heappush(self.heap, (at, self.counter, router))
+
+    def later(self, after_us: int, what: Callable[[], None]) -> None:
+        """Call this once, then."""
+        self.counter += 1
+        heapq.heappush(self.timers, (now_us() + after_us, self.counter, what))
+
+    def reply(self, message: messages.Reply) -> None:
+        """A frame to the coordinator."""
+        sys.stdout.buffer.write(messages.frame(message))
+        sys.stdout.buffer.flush()
+
+    # Commands
+
+    def on_command(self) -> None:
+        """Frames from the coordinator."""
+        try:
+            data = os.read(sys.stdin.fileno(), READ_BYTES)
+        except BlockingIOError:
+            return
+        if not data:
+            self.over = True
+            return
+        for raw in self.frames.cut(data):
+            self.carry_out(messages.commands.decode(raw))
+
+    def carry_out(self, command: messages.Command | messages.Publish) -> None:
+        """One command."""
+        match command:
+            case messages.Start(names):
+                self.waiting += names
+            case messages.Kill(names):
+                self._each(names, self.kill)
+            case messages.Leave(names):
+                self._each(names, self.leave)
+            case messages.Pause(names):
+                self._each(names, HollowRouter.pause, "pause")
+            case messages.Resume(names):
+                self._each(names, HollowRouter.resume, "resume")
+            case messages.Cut(number, names, discovery):
+                self.network.cut(number, names, discovery)
+            case messages.Heal(number):
+                self.network.heal(number)
+                for router in self.routers.values():
+                    if not router.paused:
+                        router.discovery.on_cut()
+            case messages.ChangeSettings(written):
+                self.unread_settings += [(name, written) for name in self.routers]
+            case messages.Mark():
+                self.mark()
+            case messages.Finish():
+                self.finish()
+            case _:
+                LOG.error("unknown command %r", command)
+
+    def _each(self, names: tuple[str, ...], what: Callable[[HollowRouter], None], kind: str = "") -> None:
+        for name in names:
+            router = self.routers.get(name)
+            if router is not None:
+                what(router)
+                if kind:
+                    self.reply(messages.Happened(kind, name, now_us()))
+
+    def kill(self, router: HollowRouter) -> None:
+        """End a router's process without a word."""
+        name = router.plan.name
+        self.reports.append(router.report())
+        self.joining.pop(name, None)
+        del self.routers[name]
+        at = now_us()
+        router.kill()
+        self.reply(messages.Happened("kill", name, at))
+
+    def leave(self, router: HollowRouter) -> None:
+        """Let a router say that it leaves, and end it then."""
+        self.reply(messages.Happened("leave", router.plan.name, now_us()))
+        router.leave()
+        self.later(LEAVE_US, lambda: self.kill(router) if not router.ended else None)
+
+    def mark(self) -> None:
+        """The measurement begins."""
+        self.later(0, self.count_turns)
+        gc.collect()
+        gc.freeze()  # a collection over the tables of all routers would stop each of them
+        self.purge_ms.clear()
+        self.change_ms.clear()
+        self.removals.clear()
+        self.reports.clear()
+        self.loop_cpu_ns = time.thread_time_ns()
+        for router in self.routers.values():
+            router.mark()
+
+    def count_turns(self) -> None:
+        """From the turn after the mark on: the mark itself takes long where tables are large."""
+        self.marked = True
+
+    def finish(self) -> None:
+        """Tell what was measured, and end."""
+        self.reports += [router.report() for router in self.routers.values()]
+        faults = sum(r.fleet.counts["faults"] + r.budgets.counts["faults"] for r in self.routers.values())
+        self.reply(
+            messages.Finished(
+                tuple(self.reports), tuple(self.removals), dict(self.purge_ms), dict(self.change_ms), faults,
+                time.thread_time_ns() - self.loop_cpu_ns, self.turn_most_us, self.turn_cpu_most_ns,
+            )
+        )  # fmt: skip
+        self.over = True
+
+    # Starts
+
+    def _start_waiting(self) -> None:
+        for name, since in list(self.joining.items()):
+            if self.routers[name].joined or now_us() - since > JOIN_PATIENCE_US:
+                del self.joining[name]
+        while self.waiting and len(self.joining) < JOINING_MOST:
+            name = self.waiting.popleft()
+            if name not in self.routers:
+                self.start(name)
+
+    def start(self, name: str) -> None:
+        """A router's process, under its name and port."""
+        alone = name == self.setup.routers[0].name and name not in self.started
+        self.started.add(name)
+        router = HollowRouter(
+            self.plans[name], self.setup, alone, self.network, self.selector, self.on_members, self.on_list,
+            self.schedule, max((one.discovery.client.last for one in self.routers.values()), default=1),
+        )  # fmt: skip
+        if router.fleet.address != self.plans[name].address:
+            LOG.error("port %d of %s was taken: cuts don't hold there", self.plans[name].port, name)
+        self.routers[name] = router
+        self.joining[name] = now_us()
+        router.start()
+        self.schedule(router)
+        self.reply(messages.Happened("start", name, now_us()))
+
+    # What routers hear
+
+    def on_members(self, router: HollowRouter, change: Change) -> None:
+        """A router tells its users of changes among the members."""
+        if change.went:
+            self.removals.append(messages.Removal(now_us(), router.plan.name, change.went))
+
+    def on_list(self, change: ListChange) -> None:
+        """A purge or a change of the list is in a router's tables."""
+        now_ms = time.time() * 1000
+        if change.purge is not None:
+            self.purge_ms[max(0, round(now_ms - change.purge.unix_ms))] += 1
+        for _, host in change.hosts:
+            if host.born_unix_ms > 0:
+                self.change_ms[max(0, round(now_ms - host.born_unix_ms))] += 1
+
+    def _read_settings(self) -> None:
+        """One router reads the settings file; the others wait for the next turn."""
+        if not self.unread_settings:
+            return
+        name, written = self.unread_settings.popleft()
+        if name not in self.routers or self.routers[name].paused:
+            return
+        old = self.settings
+        self.settings = config.load({"EDGE_CONFIG": self.setup.settings_file, "EDGE_NAME": name})
+        if old is not None and changes.missing(old.raw, self.settings.raw):
+            LOG.error("a settings file lacks what the one before had")
+        self.change_ms[max(0, round(time.time() * 1000 - written))] += 1
+
+    # Status
+
+    def status(self) -> messages.Status:
+        """How the routers are."""
+        now = now_us()
+        views = [one.fleet.part.view for one in self.routers.values()]
+        members = [len(view.names) for view in views]
+        return messages.Status(
+            len(self.routers),
+            len(self.waiting) + len(self.joining),
+            sum(one.joined for one in self.routers.values()),
+            min(members, default=0),
+            max(members, default=0),
+            tuple(sorted({view.id for view in views})[:VIEWS_MOST]),
+            sum(one.discovery.bytes_in > 0 for one in self.routers.values()),
+            tuple(n for n, one in self.routers.items() if one.budgets.node.is_allocator(now)),
+            sum(len(one.names) for one in self.removals),
+            sum(one.late_us > BEHIND_US for one in self.routers.values()),
+        )
+
+
+def main() -> None:
+    """The first frame on standard input says what to drive."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the coordinator ends its processes
+    logging.basicConfig(level=logging.WARNING)
+    frames = messages.Frames()
+    found: list[bytes] = []
+    while not found:
+        data = os.read(sys.stdin.fileno(), READ_BYTES)
+        if not data:
+            return
+        found = frames.cut(data)
+    setup = messages.commands.decode(found[0])
+    assert isinstance(setup, messages.Setup)
+    process = HollowProcess(setup, frames)
+    for raw in found[1:]:
+        process.carry_out(messages.commands.decode(raw))
+    process.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lupintack/scale/hollow_real_process.py
@@ -0,0 +1,51 @@
+"""A process that starts real routers beside the hollow ones, and ends them when its standard input ends.
+
+They follow a stand-in of discovery of their own, which publishes nothing; of the fleet they hear all.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from lupintack.scale import hollow_messages as messages
+from lupintack.standins.routers import Routers
+
+
+def operator_tables(setup: messages.Setup) -> tuple[dict[str, Any], dict[str, dict[str, Any]]]:
+    """The real routers' [membership] and their other tables."""
+    by_name = {one.name: one for one in setup.routers}
+    seeds = [by_name[name].address for name in setup.voters]
+    membership = {"fleet": setup.fleet, "secret": setup.secret, "seeds": seeds, "site": setup.routers[0].site}
+    wholes = {one.name: one.whole for one in setup.budgets}
+    percent = setup.budgets[0].reserved_per_mille // 10
+    budgets = {"enabled": True, "voters": list(setup.voters), "at_once": wholes, "floor_percent": percent}
+    return membership, {"budgets": budgets}
+
+
+def main() -> None:
+    """Start what the first frame says, and wait for the end of standard input."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the coordinator ends its processes
+    raw = messages.read_frame(sys.stdin.buffer)
+    if raw is None:
+        return
+    setup = messages.commands.decode(raw)
+    assert isinstance(setup, messages.Setup)
+    membership, tables = operator_tables(setup)
+    with tempfile.TemporaryDirectory(dir=setup.tmp) as folder:
+        routers = Routers(Path(folder), len(setup.mine), terms=membership, tables=lambda name: tables)
+        try:
+            routers.start()
+            while os.read(sys.stdin.fileno(), 1):
+                pass
+        finally:
+            routers.close()
+    os._exit(0)  # the threads of the stand-ins wait for ever
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lupintack/scale/hollow_router.py
@@ -0,0 +1,318 @@
+"""One hollow router: the real membership, budget and discovery code on real sockets, driven from outside.
+
+It has no thread of its own: a process of many such routers calls `on_wake` at `wake_us`, and its selector
+calls the others. Each call's processor time is counted for the part that it served.
+"""
+
+from __future__ import annotations
+
+import selectors
+import time
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from lupintack.budgets.terms import Terms as BudgetTerms
+from lupintack.clock import now_us
+from lupintack.config import Names
+from lupintack.core.roster import Change as ListChange
+from lupintack.fleet.budgets import BudgetService, budget
+from lupintack.fleet.exchange import Exchanges
+from lupintack.fleet.talk import Fleet, Place
+from lupintack.membership.news import Change
+from lupintack.membership.terms import Terms
+from lupintack.membership.view import State
+from lupintack.scale.hollow_demand import Demand
+from lupintack.scale.hollow_discovery import DiscoveryConnection
+from lupintack.scale.hollow_messages import HeldLease, RouterReport, Setup, Usage
+from lupintack.scale.hollow_network import Network
+from lupintack.scale.hollow_plan import RouterPlan
+from lupintack.scale.hollow_shared import SharedRings, SharedView
+
+DATAGRAMS_AT_ONCE = 16  # of one router, before the others have their turn
+NEVER_US = 1 << 62
+
+
+class HollowExchanges(Exchanges):
+    """Exchanges and probes of connections that don't cross a cut."""
+
+    def __init__(self, exchanges: Exchanges, passes: Callable[[int], bool]) -> None:
+        super().__init__(exchanges.listener, exchanges.asked)
+        exchanges.selector.close()
+        self.passes = passes
+
+    def begin(self, where: tuple[str, int], frame: bytes, answered: Callable[[bytes], None]) -> None:
+        """As Exchanges.begin; across a cut it is never answered."""
+        if self.passes(where[1]):
+            super().begin(where, frame, answered)
+
+    def knock(self, where: tuple[str, int], knocked: Callable[[bool], None]) -> None:
+        """As Exchanges.knock; across a cut it says nothing."""
+        if self.passes(where[1]):
+            super().knock(where, knocked)
+
+
+class HollowFleet(Fleet):
+    """The membership's sockets, whose datagrams don't cross a cut."""
+
+    def __init__(
+        self, place: Place, seed: int, network: Network, heard: Callable[[Change], None], usage: Usage
+    ) -> None:
+        self.network = network
+        self.budget_usage = usage
+        super().__init__(place, Terms(), seed, heard, lambda: True)
+        self.sock.setblocking(False)
+        self.exchanges = HollowExchanges(self.exchanges, lambda port: network.passes(place.name, port))
+        self.part.view = SharedView(self.part.terms.members, self.part.terms.forget_us)
+        self.part.rings = SharedRings(self.part.terms.rings)
+
+    def write(self, raw: bytes, where: tuple[str, int]) -> None:
+        """As Fleet.write; across a cut it is lost."""
+        if self.network.passes(self.place.name, where[1]):
+            super().write(raw, where)
+
+    def parcel(self, name: str, told: str, raw: bytes) -> None:
+        """As Fleet.parcel; counted for the budgets."""
+        self.budget_usage.bytes_out += len(raw)
+        super().parcel(name, told, raw)
+
+
+class HollowRouter:
+    """One process of one router."""
+
+    def __init__(
+        self,
+        plan: RouterPlan,
+        setup: Setup,
+        alone: bool,
+        network: Network,
+        selector: selectors.BaseSelector,
+        on_members: Callable[[HollowRouter, Change], None],
+        on_list: Callable[[ListChange], None],
+        on_touched: Callable[[HollowRouter], None],
+        revision: int,
+    ) -> None:
+        """`alone`: the fleet's first process, which asks nobody; `on_touched`: `wake_us` may have moved;
+        `revision`: of discovery, up to which its configuration tells all.
+        """
+        self.plan, self.selector = plan, selector
+        self.on_touched = on_touched
+        number = next(n for n, one in enumerate(setup.routers) if one.name == plan.name)
+        self.usage = {"membership": Usage(), "budgets": Usage(), "discovery": Usage()}
+        by_name = {one.name: one for one in setup.routers}
+        seeds = () if alone else tuple(by_name[name].address for name in setup.voters)
+        place = Place(
+            plan.name, plan.site, ("127.0.0.1", plan.port), setup.fleet, setup.secret, seeds, {}
+        )  # fmt: skip
+        self.fleet = HollowFleet(
+            place,
+            setup.seed + number,
+            network,
+            lambda change: on_members(self, change),
+            self.usage["budgets"],
+        )
+        self.budgets = self._make_budgets(setup)
+        self.fleet.budgets = self.budgets
+        self.discovery = DiscoveryConnection(
+            setup.discovery[number % len(setup.discovery)],
+            Names((), tuple(sorted({one.site for one in setup.routers})), ("box", "parent", "origin"), ()),
+            setup.seed + number,
+            selector,
+            self.on_discovery,
+            on_list,
+            lambda: network.reaches_discovery(plan.name),
+        )
+        self.discovery.client.known({"rev": revision})
+        self.voter = plan.name in setup.voters
+        self.allocator = False
+        self.paused = False
+        self.ended = False
+        self.scheduled_us = NEVER_US  # when the process has been told to call
+        self.late_us = 0
+        self.marked_us = now_us()
+        self.leases: list[HeldLease] = []
+        self.counted: Counter[str] = Counter()
+
+    def _make_budgets(self, setup: Setup) -> BudgetService:
+        """The budgets' part of a router, as fleet/start.py makes it, with demand drawn by chance."""
+        found = [budget(one.name, one.whole, True, one.reserved_per_mille) for one in setup.budgets]
+        demand = Demand(
+            setup.budgets, len(setup.routers), self.plan.site, Random(setup.seed ^ self.plan.port)
+        )
+        service = BudgetService(
+            self.plan.name, self.fleet.part.me.start, setup.fleet, setup.tmp, found,
+            setup.voters, setup.voters, BudgetTerms(), self.fleet.codec, self.fleet.parcel,
+            self.fleet.address, self._hold,
+            lambda: service.set_demand(demand.draw(now_us()), service.node.holder.zero),
+        )  # fmt: skip
+        return service
+
+    # Its life
+
+    def start(self) -> None:
+        """Open all sockets and say the first words."""
+        self.fleet.exchanges.open()
+        self._watch()
+        self.marked_us = now_us()
+        self._timed("membership", lambda: self.fleet.do(self.fleet.call(self.fleet.part.start)))
+
+    def kill(self) -> None:
+        """End without a word; the kernel refuses what comes afterwards."""
+        now = now_us()
+        self._end_lease(now)
+        self._unwatch()
+        self.fleet.close()
+        self.fleet.exchanges.close()
+        self.discovery.close()
+        self.ended = True
+
+    def leave(self) -> None:
+        """Say that this router goes; it is killed a little later."""
+        self.fleet.do(self.fleet.call(self.fleet.part.leave))
+        self.budgets.leave()
+
+    def pause(self) -> None:
+        """Nothing is read or done until `resume`; the kernel keeps what comes."""
+        self.paused = True
+        self._unwatch()
+        self.discovery.pause()
+
+    def resume(self) -> None:
+        """Go on, all ticks late."""
+        self.paused = False
+        self._watch()
+        self.discovery.resume()
+        self.touch()
+
+    @property
+    def joined(self) -> bool:
+        """Whether it counts itself among the members."""
+        return self.fleet.part.me.state is State.ALIVE
+
+    # What drives it
+
+    @property
+    def wake_us(self) -> int:
+        """When `on_wake` is wanted, whatever comes before."""
+        fleet = self.fleet
+        times = (fleet.part.wake_us, self.budgets.next_us, fleet.exchanges.wake_us, self.discovery.wake_us)
+        return min(times)
+
+    def touch(self) -> None:
+        """Its wake time may have moved."""
+        self.on_touched(self)
+
+    def on_wake(self, now: int) -> None:
+        """Do what is due."""
+        self.late_us = max(self.late_us, now - self.scheduled_us)
+        self.scheduled_us = NEVER_US
+        if now >= self.fleet.part.wake_us:
+            self._timed("membership", lambda: self.fleet.step(b""))
+        if now >= self.budgets.next_us:
+            self._timed("budgets", self.budgets.step)
+            self.allocator = self.allocator or self.budgets.node.is_allocator(now)
+        if now >= self.fleet.exchanges.wake_us:
+            self.on_exchanges()
+        if now >= self.discovery.wake_us:
+            self._timed("discovery", lambda: self.discovery.on_wake(now))
+        self.touch()
+
+    def on_datagrams(self) -> None:
+        """Take what has come, a few at most."""
+        for _ in range(DATAGRAMS_AT_ONCE):
+            try:
+                raw = self.fleet.read()
+            except OSError:  # a refusal of something sent earlier
+                self.fleet.counts["errors"] += 1
+                continue
+            if not raw:
+                break
+            if raw[:1] == b"B":
+                self.usage["budgets"].bytes_in += len(raw)
+                self._timed("budgets", lambda raw=raw: self.fleet.step(raw))  # type: ignore[misc]
+            else:
+                self._timed("membership", lambda raw=raw: self.fleet.step(raw))  # type: ignore[misc]
+        self.touch()
+
+    def on_exchanges(self) -> None:
+        """Exchanges and probes of connections."""
+        self._timed("membership", lambda: self.fleet.exchanges.turn(0.0))
+        self.touch()
+
+    def on_discovery(self) -> None:
+        """The connection to discovery."""
+        self._timed("discovery", self.discovery.on_readable)
+        self.touch()
+
+    # What is measured
+
+    def mark(self) -> None:
+        """The measurement begins."""
+        self.marked_us = now_us()
+        self.late_us = 0
+        self.allocator = self.budgets.node.is_allocator(self.marked_us)
+        for usage in self.usage.values():
+            usage.cpu_ns = usage.bytes_in = usage.bytes_out = 0
+        self.counted = Counter(self._byte_counts())
+
+    def report(self) -> RouterReport:
+        """What was measured since the mark, or since its start."""
+        now = now_us()
+        self._end_lease(now)
+        counts = self._byte_counts()
+        counts.subtract(self.counted)
+        budgets, discovery, membership = (self.usage[n] for n in ("budgets", "discovery", "membership"))
+        discovery.bytes_in, discovery.bytes_out = counts["discovery.in"], counts["discovery.out"]
+        membership.bytes_in = counts["fleet.in"] - budgets.bytes_in + counts["exchanged.in"]
+        membership.bytes_out = counts["fleet.out"] - budgets.bytes_out + counts["exchanged.out"]
+        return RouterReport(
+            self.plan.name, now - self.marked_us, self.voter, self.allocator, membership, budgets, discovery,
+            self.late_us, tuple(self.leases),
+        )  # fmt: skip
+
+    def _byte_counts(self) -> Counter[str]:
+        fleet, exchanges = self.fleet.counts, self.fleet.exchanges.counts
+        return Counter(
+            {
+                "fleet.in": fleet["bytes.in"],
+                "fleet.out": fleet["bytes.out"],
+                "exchanged.in": exchanges["exchanged.in"],
+                "exchanged.out": exchanges["exchanged.out"],
+                "discovery.in": self.discovery.bytes_in,
+                "discovery.out": self.discovery.bytes_out,
+            }
+        )
+
+    def _hold(self, amounts: tuple[int, ...], until_us: int) -> None:
+        """What may be spent has changed: the old lease ends now, if it has not ended before. 0: for good."""
+        now = now_us()
+        held = tuple((n, units) for n, units in enumerate(amounts) if units)
+        until_us = until_us or NEVER_US
+        last = self.leases[-1] if self.leases else None
+        if last is not None and last.amounts == held and now <= last.until_us:
+            self.leases[-1] = HeldLease(last.from_us, until_us, held)
+            return
+        self._end_lease(now)
+        self.leases.append(HeldLease(now, until_us, held))
+
+    def _end_lease(self, now: int) -> None:
+        if self.leases and self.leases[-1].until_us > now:
+            last = self.leases[-1]
+            self.leases[-1] = HeldLease(last.from_us, now, last.amounts)
+
+    def _timed(self, part: str, what: Callable[[], Any]) -> None:
+        began = time.thread_time_ns()
+        what()
+        self.usage[part].cpu_ns += time.thread_time_ns() - began
+
+    def _watch(self) -> None:
+        self.selector.register(self.fleet.sock, selectors.EVENT_READ, self.on_datagrams)
+        self.selector.register(self.fleet.exchanges.selector, selectors.EVENT_READ, self.on_exchanges)
+
+    def _unwatch(self) -> None:
+        for one in (self.fleet.sock, self.fleet.exchanges.selector):
+            try:
+                self.selector.unregister(one)
+            except KeyError:
+                pass
--- /dev/null
+++ b/lupintack/scale/script.py
@@ -0,0 +1,109 @@
+"""The script of a scale run: faults at their times, read from TOML and checked before anything is started.
+
+[[fault]]
+at_s = 10.0
+kind = "kill"
+who = ["zone:z03"]
+for_s = 0.0
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from enum import Enum
+from pathlib import Path
+from random import Random
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from lupintack.scale.hollow_plan import RouterPlan, ScaleError
+from lupintack.settings.errors import ConfigError
+from lupintack.settings.files import read, record
+
+SELECTOR = r"^(region|zone|site|router|any):[A-Za-z0-9_.-]+$|^(allocator|voters|voter|all)$"
+
+
+class FaultKind(Enum):
+    """What a fault does to the routers that it names."""
+
+    KILL = "kill"  # processes end without a word; started again after for_s, or never where that is 0
+    RESTART = "restart"  # the same, started again at once where for_s is 0
+    LEAVE = "leave"  # processes say that they leave, and end; as `kill` otherwise
+    PAUSE = "pause"  # processes stand still for for_s; for good where that is 0
+    CUT = "cut"  # nothing passes between them and all others for for_s; for good where that is 0
+
+
+class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """One fault. `who`: region:NAME, zone:NAME, site:NAME, router:NAME, any:COUNT, allocator, voters, all."""
+
+    at_s: Annotated[float, Meta(ge=0.0, le=86_400.0)]
+    kind: FaultKind
+    who: Annotated[tuple[Annotated[str, Meta(pattern=SELECTOR)], ...], Meta(min_length=1)]
+    for_s: Annotated[float, Meta(ge=0.0, le=86_400.0)] = 0.0
+    discovery: bool = True  # of a cut: whether they are cut off from discovery as well
+
+
+class Script(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All faults of a run."""
+
+    fault: tuple[Fault, ...] = ()
+
+
+def read_script(path: Path, routers: Sequence[RouterPlan], seconds: float) -> Script:
+    """The script in this file; ScaleError where it can't be used for these routers and this time."""
+    try:
+        data = read(path)
+        if data is None:
+            raise ScaleError(f"--script: {path}: no such file")
+        script = record(Script, data, path.name)
+    except ConfigError as error:
+        raise ScaleError(f"--script: {error}") from None
+    for number, fault in enumerate(script.fault):
+        where = f"--script: {path.name}: fault[{number}]"
+        if fault.at_s >= seconds:
+            raise ScaleError(f"{where}: at_s: {fault.at_s} is not before the end, {seconds}")
+        for selector in fault.who:
+            check_selector(selector, routers, where)
+    return script
+
+
+def check_selector(selector: str, routers: Sequence[RouterPlan], where: str) -> None:
+    """Raise ScaleError where nobody can be meant."""
+    kind, _, name = selector.partition(":")
+    if kind == "any":
+        if not name.isdigit() or not 1 <= int(name) <= len(routers):
+            raise ScaleError(f"{where}: who: any:COUNT is wanted, 1 to {len(routers)}, not {selector!r}")
+    elif name and not matches(kind, name, routers):
+        raise ScaleError(f"{where}: who: {selector!r}: there is no such {kind}")
+
+
+def matches(kind: str, name: str, routers: Sequence[RouterPlan]) -> list[str]:
+    """The routers of a region, zone or site, or one by its name."""
+    attribute = "name" if kind == "router" else kind
+    return [one.name for one in routers if getattr(one, attribute) == name]
+
+
+def select(
+    who: Sequence[str],
+    routers: Sequence[RouterPlan],
+    voters: Sequence[str],
+    allocators: Sequence[str],
+    random: Random,
+) -> tuple[str, ...]:
+    """The routers that a fault names, each once, in the order of the plan."""
+    found: set[str] = set()
+    for selector in who:
+        kind, _, name = selector.partition(":")
+        if kind == "all":
+            found.update(one.name for one in routers)
+        elif kind in ("voters", "voter"):
+            found.update(voters if kind == "voters" else [random.choice(list(voters))])
+        elif kind == "allocator":
+            found.update(allocators)
+        elif kind == "any":
+            found.update(random.sample([one.name for one in routers], int(name)))
+        else:
+            found.update(matches(kind, name, routers))
+    return tuple(one.name for one in routers if one.name in found)
