--- a/lupintack/fleet/budgets.py
+++ b/lupintack/fleet/budgets.py
@@ -249,6 +249,10 @@
         """What the next asks say; from any thread, and at once."""
         self.in_use, self.demand = in_use, demand
 
+    def allocates(self, now: int) -> bool:
+        """Whether this process is the allocator of its own level now: its region's, or the only one's."""
+        return self.levels.holding.is_allocator(now)
+
     def leave(self) -> None:
         """The lease is given back, and the voters' words."""
         self.call(self.node.leave)
--- a/lupintack/scale/coordinator.py
+++ b/lupintack/scale/coordinator.py
@@ -65,6 +65,7 @@
     def __init__(
         self, module: str, log: Path, replies: queue.Queue[tuple[Child, messages.Reply | None]]
     ) -> None:
+        """Children of a run, none of them started yet."""
         self.log = log
         self.status: messages.Status | None = None
         self.finished = False  # it has told what it measured
@@ -117,6 +118,7 @@
     """One run. `close` ends all that it started, also after an error."""
 
     def __init__(self, options: Options, ports: Sequence[int] | None = None) -> None:
+        """A run of these options; nothing is started yet."""
         self.options = options
         self.secret = secrets.token_hex(8)
         self.discovery_cpu: list[float] = []
--- a/lupintack/scale/hollow_discovery.py
+++ b/lupintack/scale/hollow_discovery.py
@@ -34,6 +34,7 @@
         on_change: Callable[[Change], None],
         reachable: Callable[[], bool],
     ) -> None:
+        """A connection to discovery that is not open yet."""
         self.roster = Roster(PURGES_MATTER_MS)
         self.roster.tell = on_change
         self.client = Board(address(told, "discovery"), names, self.roster, seed)
--- a/lupintack/scale/hollow_messages.py
+++ b/lupintack/scale/hollow_messages.py
@@ -200,6 +200,7 @@
     """Cuts the bytes of a pipe into frames."""
 
     def __init__(self) -> None:
+        """Nothing has been read yet."""
         self.rest = bytearray()
 
     def cut(self, data: bytes) -> list[bytes]:
--- a/lupintack/scale/hollow_network.py
+++ b/lupintack/scale/hollow_network.py
@@ -19,6 +19,7 @@
     """What passes now. Each sender drops what would cross a cut, in both directions."""
 
     def __init__(self, ports: Mapping[str, int]) -> None:
+        """`ports`: of each router, by its name."""
         self.ports = ports
         self.rules: dict[int, CutRule] = {}
 
--- a/lupintack/scale/hollow_router.py
+++ b/lupintack/scale/hollow_router.py
@@ -38,6 +38,7 @@
     """Exchanges and probes of connections that don't cross a cut."""
 
     def __init__(self, exchanges: Exchanges, passes: Callable[[int], bool]) -> None:
+        """`passes`: whether a datagram to this port is let through."""
         super().__init__(exchanges.listener, exchanges.asked)
         exchanges.selector.close()
         self.passes = passes
@@ -59,6 +60,7 @@
     def __init__(
         self, place: Place, seed: int, network: Network, heard: Callable[[Change], None], usage: Usage
     ) -> None:
+        """A router whose sockets are open, and which has sent nothing yet."""
         self.network = network
         self.budget_usage = usage
         super().__init__(place, Terms(), seed, heard, lambda: True)
@@ -211,7 +213,7 @@
             self._timed("membership", lambda: self.fleet.step(b""))
         if now >= self.budgets.next_us:
             self._timed("budgets", self.budgets.step)
-            self.allocator = self.allocator or self.budgets.node.is_allocator(now)
+            self.allocator = self.allocator or self.budgets.allocates(now)
         if now >= self.fleet.exchanges.wake_us:
             self.on_exchanges()
         if now >= self.discovery.wake_us:
@@ -251,7 +253,7 @@
         """The measurement begins."""
         self.marked_us = now_us()
         self.late_us = 0
-        self.allocator = self.budgets.node.is_allocator(self.marked_us)
+        self.allocator = self.budgets.allocates(self.marked_us)
         for usage in self.usage.values():
             usage.cpu_ns = usage.bytes_in = usage.bytes_out = 0
         self.counted = Counter(self._byte_counts())
--- a/lupintack/scale/membership_world.py
+++ b/lupintack/scale/membership_world.py
@@ -46,6 +46,7 @@
     """Routers that all know one another when the run begins."""
 
     def __init__(self, seed: int, routers: int, script: Sequence[Fault], sites: int) -> None:
+        """A fleet of `routers` in `sites` that meets the faults of `script`."""
         super().__init__(seed, routers, Terms(), script=script, sites=sites)
         self.codec = Codec("slope", "a secret of this run")
         self.make = partial(membership, self.codec)
@@ -96,6 +97,7 @@
         self.clock.call(at_us, self.mark)
 
     def mark(self) -> None:
+        """Begin to measure: what was sent before does not count."""
         sent = sum(host.sent for host in self.hosts.values())
         totals = Totals(
             self.spent_ns / 1000, sent, self.datagrams, self.exchanges, len(self.result.detect_us)
--- a/lupintack/scale/role_allocator.py
+++ b/lupintack/scale/role_allocator.py
@@ -56,6 +56,7 @@
     """An allocator with all holders in its ledger, past the wait of a new epoch."""
 
     def __init__(self, parameters: Parameters) -> None:
+        """An allocator past its wait, with its ledger full."""
         self.size, self.budgets = parameters.size, parameters.budgets
         self.random = Random(parameters.seed)
         self.terms = Terms()
--- a/lupintack/scale/role_discovery.py
+++ b/lupintack/scale/role_discovery.py
@@ -24,6 +24,7 @@
     """A stand-in and its watchers."""
 
     def __init__(self, parameters: Parameters, idle_s: float = IDLE_S) -> None:
+        """`idle_s`: how long idle watchers are measured."""
         self.size = parameters.size
         self.number = 0
         stack = threading.stack_size(STACK_BYTES)
--- a/lupintack/scale/role_membership.py
+++ b/lupintack/scale/role_membership.py
@@ -37,6 +37,7 @@
     """Worlds of one size, one a repeat, each with a further seed."""
 
     def __init__(self, parameters: Parameters) -> None:
+        """A fleet of the size of `parameters`, before its first second."""
         self.size, self.seed = parameters.size, parameters.seed
         self.world: WarmWorld | None = None
         self.socket_us = datagram_us()
@@ -114,6 +115,7 @@
     """Totals over and above another phase's pace."""
 
     def __init__(self, cpu_us: float, sent: float, exchanges: float) -> None:
+        """What all routers together had used at one moment."""
         self.cpu_us, self.bytes, self.exchanges = cpu_us, sent, exchanges
 
 
@@ -121,6 +123,7 @@
     """What all routers spent between two marks."""
 
     def __init__(self, first: Mark, last: Mark, routers: int) -> None:
+        """What a router used in each second between two marks."""
         self.seconds = (last.at_us - first.at_us) / SECOND_US
         self.cpu_us = last.totals.cpu_us - first.totals.cpu_us
         self.bytes = last.totals.bytes - first.totals.bytes
--- a/lupintack/scale/role_purge.py
+++ b/lupintack/scale/role_purge.py
@@ -31,6 +31,7 @@
     """Discovery's reader, the member table and the core of one router; all on the calling thread."""
 
     def __init__(self, seed: int, copies: int = 0) -> None:
+        """A purge table, and `copies` of objects that purges meet."""
         known = Settings(classes=(ServiceClass(name="a", deadline=5000.0),), purge_settles=SETTLES_MS)
         self.roster = Roster(known.purge_settles)
         self.copies = Copies((COPY_BYTES + 600) * 4 * copies, LINK_BYTES_PER_S) if copies else None
@@ -55,6 +56,7 @@
     """One size."""
 
     def __init__(self, parameters: Parameters) -> None:
+        """The table of a router before its first purge."""
         self.size, self.seed = parameters.size, parameters.seed
         self.reader = Reader(self.seed)
 
--- a/lupintack/scale/role_reload.py
+++ b/lupintack/scale/role_reload.py
@@ -28,6 +28,7 @@
     """A router that is bound and not started: its turns run on the calling thread."""
 
     def __init__(self, parameters: Parameters) -> None:
+        """A configuration with as many members as `parameters` has."""
         self.folder = tempfile.TemporaryDirectory()
         self.file = Path(self.folder.name) / "config.json"
         self.environ = {"EDGE_CONFIG": str(self.file)}
--- a/lupintack/scale/role_request.py
+++ b/lupintack/scale/role_request.py
@@ -32,6 +32,7 @@
     """One router and its requests, one after another."""
 
     def __init__(self, members: list[i.Member], seed: int) -> None:
+        """A router that was told of these members."""
         self.members = members
         self.router = Router(settings(), seed)
         self.router.handle(0.0, [i.MemberList(i.ListKind.FULL, tuple(members))])
@@ -66,6 +67,7 @@
     """The three routers of one size."""
 
     def __init__(self, parameters: Parameters) -> None:
+        """A router with as many members as `parameters` has."""
         size, seed = parameters.size, parameters.seed
         self.own = Traffic(members(size, size, FEW_PARENTS), seed)
         self.elsewhere = Traffic(members(size, min(NEAR, size), FEW_PARENTS), seed)
--- a/lupintack/scale/watchers.py
+++ b/lupintack/scale/watchers.py
@@ -130,6 +130,7 @@
     """The process as its starter has it."""
 
     def __init__(self, address: tuple[str, int], count: int) -> None:
+        """`count` connections to one discovery process."""
         context = multiprocessing.get_context("spawn")
         self.link, theirs = context.Pipe()
         self.process = context.Process(target=run, args=(theirs,), name="watchers", daemon=True)
