--- a/lupintack/fleet/budgets.py
+++ b/lupintack/fleet/budgets.py
@@ -233,7 +233,7 @@
             raw = self.levels.encode(self.name, self.address, send)
             self.send(send.to, self.addresses.get(send.to, ""), raw)
         for one in out.events:
-            level = {"level": one.level.value} if len(self.vote_groups) > 1 else {}
+            level = {"budget_level": one.level.value} if len(self.vote_groups) > 1 else {}
             LOG.info(one.event, extra=fields(budgets=len(self.budgets), epoch=one.detail, **level))
 
     def store_promises(self, out: LevelActions) -> list[LevelSend]:
