Forget at its deadline what a request that is over has out still

Change: at the deadline such attempts end as others do; the module hears TIMEOUT for a request that it has forgotten. Measured: test_what_a_client_left_behind_is_forgotten_at_its_deadline fails without it (owed holds the record), passes with it; test_neither, keys, gone, serving, legacy, upgrade: 110 passed.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -394,19 +394,20 @@
         heapq.heappush(self.timers, (at_us, self.timer_number, what, number))
 
     def on_timers(self, events: list[Event]) -> None:
-        """The module's timers, and the requests whose time is up."""
+        """The module's timers, and the requests whose time is up, whether they are over or not."""
         while self.timers and self.timers[0][0] <= self.now:
             _, _, what, number = heapq.heappop(self.timers)
             if what == DUE_TOKEN:
                 events.append(TimerFired(number))
                 continue
             one = self.owed.get(number)
-            if one is None or one.over:
+            if one is None:
                 continue
-            if not one.live:
+            if not one.over and not one.live:
                 # Guards against a request that the module holds: its answer is due now, whatever it plans.
                 self.finish(number, one, Fail(number))
                 events.append(ClientGone(number))
+            # Also of a request that is over: what may not be cancelled, and never ends, would stay for good.
             for order in list(one.live.values()):
                 self.end(one, order, Ending.DEADLINE, events)
 
--- a/tests/test_neither.py
+++ b/tests/test_neither.py
@@ -13,10 +13,16 @@
 
 import pytest
 
+from lupintack.clock import now_us
+from lupintack.core.actor import Core
+from lupintack.core.messages import ClientRequest
+from lupintack.core.roster import Host, Roster
+from lupintack.interface import Fetch
 from lupintack.peers import actor
 from lupintack.policy import SOFT_LEAST_MS
 from lupintack.standins import deployment
 from lupintack.standins.audit import Audit, Place, Sent
+from tests import helpers as h
 from tests.scenario import Scenario
 
 PAGE = "/ops/pages/00000000000000ad"
@@ -99,6 +105,27 @@
     assert time.monotonic() - began >= 0.5 and play.node.core.counters["sent.pages"] == 1
 
 
+def test_what_a_client_left_behind_is_forgotten_at_its_deadline() -> None:
+    """Its attempt may not be cancelled, and its answer may never come: the record would stay for good."""
+    link = unittest.mock.Mock()
+    core = Core(
+        h.settings(second_copies=False, can_cancel=False), 7, Roster(6000.0), lambda number, host: link
+    )
+    ask = ClientRequest(
+        "0" * 16, h.SAFE, "0" * 16, 5, 0, 0, now_us() + 10_000_000, unittest.mock.Mock(), cls_name="a"
+    )
+    core.on_ask(ask, [])
+    core.hosts[11] = Host("s-1", ("127.0.0.1", 1))
+    core.act(Fetch(ask.number, 11, 21))
+    out = core.owed[ask.number].live[0]
+    core.left(ask)
+    assert core.owed[ask.number].over and core.owed[ask.number].live
+    with unittest.mock.patch("lupintack.core.actor.now_us", lambda: ask.deadline_us):
+        core.turn([])
+    assert not core.owed and not core.ids and not core.router.attempts
+    link.give_up.assert_called_once_with(out)
+
+
 def audited(**limits: Any) -> Audit:
     """A strict member's view of one read that its client has sent."""
     audit = Audit(neither(**limits), {"s-1": Place("box", "edge"), "s-2": Place("box", "edge")})
