Count what may not be cancelled among the attempts of its connection

Need: the pairs of limits and rules, gone through one by one: nothing held max-streams in the matrix. Read beside it: a never_mind that its member does not take (backlog, or refused by write) was told as given up all the same. Change: such attempts stand in Conn.abandoned until their answer comes or the connection ends, count in what it carries, and a connection that holds nothing else up to its limit is closed at the next tick. A never_mind that is awaited and not taken ends its connection before its end is told. The audit also holds a key's group, and any command but want, never_mind and there, to be a fault; the matrix has max-streams and max-retry-after as factors, and looks at Srv-Wait-Ms.

--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -144,6 +144,7 @@
         self.down: Ending | None = None
         self.open: dict[str, Order] = {}
         self.spent: deque[str] = deque(maxlen=SPENT)
+        self.abandoned: set[str] = set()  # ids that nobody waits for and that may not be cancelled: out still
         self.lock = threading.Lock()
         self.backlog = bytearray()  # the rest of what is begun; nothing new is written here before it is out
         self.used_us = now_us()
@@ -161,6 +162,14 @@
         """Whether the member has closed or reset it, seen by its thread or not."""
         return self.sock is not None and presence.left(self.sock)
 
+    def out(self) -> int:
+        """How many attempts are out on it at its member, those included that nobody here waits for."""
+        return len(self.open) + len(self.abandoned)
+
+    def used_up(self) -> bool:
+        """Whether it carries as many as it may, and nobody waits for any of them: only its end helps."""
+        return not self.open and len(self.abandoned) >= self.peer.terms.max_streams
+
     def rests(self) -> bool:
         """Whether it could be closed for another's sake: nothing is out on it, and it is not ending."""
         return self.up and self.down is None and not self.open and self.stays()
@@ -228,6 +237,7 @@
                     ending, answer = words.answer(parts, order.ask, reports)
                     if self.open.pop(wire_id, None) is order:
                         self.peer.tell(Ended(order, ending, answer))
+                self.abandoned.discard(wire_id)
                 if self.peer.crowded:
                     self.peer.post(Freed())
         except resp.FrameError as error:
@@ -375,14 +385,26 @@
             ending = Ending.WITHDRAWN  # no byte of it was written
         else:
             conn = next((c for c in self.conns if c.open.get(order.ask.wire_id) is order), None)
-            if conn is None or conn.open.pop(order.ask.wire_id, None) is not order:
+            if conn is None or not self.withdraw(conn, order, message.tell):
                 return  # it has ended, and its end was told
-            conn.spent.append(order.ask.wire_id)
-            if self.terms.cancelling:
-                conn.write(resp.command(b"never_mind", order.ask.wire_id.encode()))
         if message.tell:
             self.tell(Ended(order, ending))
 
+    def withdraw(self, conn: Conn, order: Order, awaited: bool) -> bool:
+        """Wait no more for what was written; False where it has ended meanwhile."""
+        wire_id = order.ask.wire_id
+        if not self.terms.cancelling:
+            conn.abandoned.add(wire_id)  # before it leaves the open ones, as its answer may come just now
+        if conn.open.pop(wire_id, None) is not order:
+            conn.abandoned.discard(wire_id)
+            return False
+        conn.spent.append(wire_id)
+        if self.terms.cancelling:
+            written = conn.write(resp.command(b"never_mind", wire_id.encode()))
+            if awaited and (conn.backlog or not written):
+                conn.close()  # its member takes nothing: only the connection's end gives it up now
+        return True
+
     def on_down(self, message: Down) -> None:
         """A connection has ended. When it never came up, what waits for one hears why."""
         if message.conn in self.conns:
@@ -440,10 +462,10 @@
             # connection with the least out would have every new want until it was found out.
             if not doubted and 0 < conn.quiet_us < since:
                 continue
-            out = len(conn.open)
+            out = conn.out()
             if out < least and conn.up and conn.down is None and not conn.backlog and conn.stays():
                 # Guards against a late answer to a given-up attempt being read as this one's: same id.
-                if wire_id in conn.open or wire_id in conn.spent:
+                if wire_id in conn.open or wire_id in conn.spent or wire_id in conn.abandoned:
                     continue
                 best, least = conn, out
                 if not out:
@@ -491,9 +513,10 @@
         return not self.conns and not self.waiting
 
     def close_idle(self) -> None:
-        """Close what has had nothing out for long, or all of that once retired."""
+        """Close what has had nothing out for long or is used up, or all that nobody waits on once retired."""
         limit = 0 if self.retired else int(self.terms.idle_us * IDLE_PART)
         now = now_us()
         for conn in self.conns:
-            if conn.up and conn.down is None and not conn.open and now - conn.used_us >= limit:
+            due = conn.used_up() or now - conn.used_us >= limit
+            if conn.up and conn.down is None and not conn.open and due:
                 conn.close()
--- a/lupintack/standins/audit.py
+++ b/lupintack/standins/audit.py
@@ -42,6 +42,7 @@
     wire_id: str
     member: str
     began: float
+    connection: int = 0  # over which it came; each has another number
     ended: float = 0.0  # its answer was written, it was given up, or its connection ended; 0: it is out
     how: str = OPEN
 
@@ -52,6 +53,7 @@
 
     kind: str
     site: str
+    cell: str = ""
     out_since: float = 0.0
 
 
@@ -65,6 +67,7 @@
     sent: dict[str, Sent] = field(default_factory=dict)
     runs: dict[str, list[Run]] = field(default_factory=dict)
     keyed: dict[str, list[Run]] = field(default_factory=dict)
+    out: dict[int, list[Run]] = field(default_factory=dict)  # by connection
     purged: dict[str, tuple[float, int]] = field(default_factory=dict)  # an object's: told when, its Unix ms
     seen: set[str] = field(default_factory=set)  # words, fields and flags that came by: a test's own check
     lock: threading.RLock = field(default_factory=threading.RLock)
@@ -96,14 +99,18 @@
 
     # What the members tell
 
-    def began(self, member: str, wire_id: str, told: Mapping[str, str], body: bytes) -> Run:
+    def began(
+        self, member: str, wire_id: str, told: Mapping[str, str], body: bytes, connection: int = 0
+    ) -> Run:
         """A want has come whole."""
-        run = Run(wire_id, member, time.time())
+        run = Run(wire_id, member, time.time(), connection)
         with self.lock:
             self.check_form(wire_id, told, body)
             self.check_places(run, told)
             self.check_repeats(run, told)
+            self.check_streams(run)
             self.runs.setdefault(wire_id, []).append(run)
+            self.out.setdefault(connection, []).append(run)
             if told.get("nonce"):
                 self.keyed.setdefault(told["nonce"], []).append(run)
         return run
@@ -113,6 +120,7 @@
         with self.lock:
             if not run.ended:
                 run.ended, run.how = time.time(), how
+                self.out[run.connection].remove(run)
                 self.check_beside(run)
 
     def close(self) -> None:
@@ -197,10 +205,28 @@
             if any(one.how not in NEVER_RAN for one in earlier):
                 self.fault(run.wire_id, "again, after an attempt that may have run")
         elif service["repeat"] == "guarded":
-            may = [one.began for one in self.keyed.get(told.get("nonce", ""), []) if one.how not in NEVER_RAN]
-            window = service["dedup-window"] / 1000.0 + SLACK_S
-            if may and run.began - may[0] > window:
-                self.fault(run.wire_id, f"under its key {run.began - may[0]:.2f} s after the first")
+            may = [one for one in self.keyed.get(told.get("nonce", ""), []) if one.how not in NEVER_RAN]
+            if may:
+                self.check_key(run, may[0], service)
+
+    def check_key(self, run: Run, first: Run, service: Mapping[str, Any]) -> None:
+        """An attempt under the key of one that may have run: in time, and where the repeat is dropped."""
+        after = run.began - first.began
+        if after > service["dedup-window"] / 1000.0 + SLACK_S:
+            self.fault(run.wire_id, f"under its key {after:.2f} s after the first")
+        if not self.together(service["group"], first.member, run.member):
+            self.fault(run.wire_id, f"under its key at {run.member}, no group of {first.member}")
+
+    def together(self, group: str, first: str, then: str) -> bool:
+        """Whether two members are in one group, and so drop one another's repeats."""
+        one, other = self.places[first], self.places[then]
+        same = {"all": True, "zone": one.site == other.site, "cell": one.cell == other.cell}
+        return same[group]
+
+    def check_streams(self, run: Run) -> None:
+        """Attempts that are out on one connection, as far as the settings let it carry them."""
+        if len(self.out.get(run.connection, [])) >= self.limits["max-streams"]:
+            self.fault(run.wire_id, f"over {self.limits['max-streams']} out on a connection to {run.member}")
 
     def check_beside(self, run: Run) -> None:
         """Attempts that came while this one, which has just ended, was out, where the settings bar it.
--- a/lupintack/standins/fleet.py
+++ b/lupintack/standins/fleet.py
@@ -90,6 +90,7 @@
         self.connections.append(sock)
         reader = resp.Reader(sock)
         audit, runs = self.fleet.audit, list[Run]()
+        connection = next(self.fleet.numbers)
         ends: dict[str, Callable[[], None]] = {}  # of what is out on this connection, where they are watched
 
         def over(wire_id: str) -> None:
@@ -123,16 +124,23 @@
                         dropped.add(bytes(parts[1]).decode())
                     if audit is not None:
                         audit.never_mind(self.name, bytes(parts[1]).decode())
+                elif word != b"want":
+                    raise resp.FrameError(f"a command {word!r}, which no router of this deployment may send")
                 else:
                     wire_id, told, body = bytes(parts[1]).decode(), resp.pairs(parts[2]), bytes(parts[3])
-                    run = audit.began(self.name, wire_id, told, body) if audit is not None else None
+                    run = None
                     runs = [one for one in runs if not one.ended]
-                    runs += [run] if run is not None else []
+                    if audit is not None:
+                        run = audit.began(self.name, wire_id, told, body, connection)
+                        runs.append(run)
                     dropped.discard(wire_id)
                     if self.fleet.watch is not None:
                         ends[wire_id] = self.fleet.watch(self.name, told)
                     self.want(wire_id, told, body, reply, cut, run)
-        except (OSError, EOFError, resp.FrameError):
+        except resp.FrameError as error:
+            if audit is not None:
+                audit.fault("-", f"to {self.name}: {error}")
+        except (OSError, EOFError):
             pass
         finally:
             self.connections.remove(sock)
@@ -249,6 +257,7 @@
             places = {name: Place(kind, sites.get(kind, "hub")) for name, kind in hosts.items()}
             self.audit = Audit(self.settings, places)
         self.keys: dict[str, float] = {}
+        self.numbers = itertools.count(1)  # of the members' connections
         self.later = Later()
         self.lock = threading.Lock()
         self.ran: Counter[str] = Counter()  # how often each alert-ack ran, by its object
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -37,6 +37,8 @@
     "second-copies": (False, True),
     "cancelling": (True, False),
     "try-limit": (6, 2, 1),
+    "max-streams": (32, 2),
+    "max-retry-after": (400.0, 2000.0),
     "retry-after": (True, False),
     "via": ("answers", "none", "probe"),
     "says": ("all", "hit", "none"),
@@ -78,7 +80,8 @@
     post = deployment.BOARDS[2] | {key: row[key] for key in ("repeat", "group", "dedup-window")}
     base = deployment.SECOND
     domain = {key: row[key] for key in ("says", "joins", "straight", "sideways", "notice-time")}
-    allowed = ("second-copies", "cancelling", "try-limit", "may-probe", "retry-after")
+    allowed = ["second-copies", "cancelling", "try-limit", "max-streams"]
+    allowed += ["may-probe", "retry-after", "max-retry-after"]
     limits = {key: row[key] for key in allowed}
     rules = {key: row[key] for key in ("drain-grace", "fall-multiple")}
     fields = ["cpu_share", "x0"] if row["via"] != "none" else []
@@ -135,6 +138,9 @@
             self.answers.append((cls, int(first.split()[1]), (time.monotonic() - began) * 1000))
             if "srv-wait-ms" in headers:
                 assert self.row["retry-after"], "a time to come back that the settings bar"
+                assert int(headers["srv-wait-ms"]) <= self.row["max-retry-after"], (
+                    "over the longest that counts"
+                )
         return headers.get("connection", "").lower() != "close"
 
     def client(self, number: int) -> None:
--- a/tests/test_neither.py
+++ b/tests/test_neither.py
@@ -15,15 +15,18 @@
 
 from lupintack.clock import now_us
 from lupintack.core.actor import Core
-from lupintack.core.messages import ClientRequest
+from lupintack.core.ending import Ending
+from lupintack.core.messages import ClientRequest, Ended
 from lupintack.core.roster import Host, Roster
 from lupintack.interface import Fetch
 from lupintack.peers import actor
+from lupintack.peers.actor import Conn, Freed, Peer, Terms
 from lupintack.policy import SOFT_LEAST_MS
 from lupintack.standins import deployment
 from lupintack.standins.audit import Audit, Place, Sent
 from tests import helpers as h
 from tests.scenario import Scenario
+from tests.test_keys import order
 
 PAGE = "/ops/pages/00000000000000ad"
 PAST_SOFT_MS = int(3 * SOFT_LEAST_MS)  # an attempt for a page is long overdue then
@@ -126,6 +129,60 @@
     link.give_up.assert_called_once_with(out)
 
 
+def out_on(limits: Terms) -> tuple[Peer, Conn, list[Ended], list[bytes]]:
+    """A member, its connection with the want of one request out on it, what was told and what was written."""
+    told: list[Ended] = []
+    one = Peer("s-1", ("127.0.0.1", 1), limits, told.append, lambda run, name: None)
+    conn = Conn(one)
+    conn.up = True
+    written: list[bytes] = []
+
+    def write(data: bytes) -> bool:
+        written.append(data)
+        return True
+
+    conn.write = write  # type: ignore[method-assign]
+    conn.close = unittest.mock.Mock()  # type: ignore[method-assign]
+    one.conns.append(conn)
+    return one, conn, told, written
+
+
+def test_what_may_not_be_cancelled_takes_its_place_on_the_connection_until_it_ends() -> None:
+    one, conn, told, written = out_on(Terms(2, 400_000, 15_000_000, (), cancelling=False))
+    orders = [order() for _ in range(3)]
+    for n, attempt in enumerate(orders):
+        attempt.ask.wire_id = f"{n:016x}"
+        one.send(attempt)
+    assert set(conn.open) == {"0" * 16, "0" * 15 + "1"} and len(one.waiting) == 1
+    for attempt in orders[:2]:
+        one.give_up(attempt)
+    one.post(Freed())
+    assert not conn.open and conn.out() == 2 and list(one.waiting) == orders[2:] and len(written) == 2
+    conn.close.assert_not_called()  # type: ignore[attr-defined]
+    one.tick()
+    conn.close.assert_called_once_with()  # type: ignore[attr-defined]
+    conn.abandoned.discard("0" * 16)  # its answer has come
+    one.post(Freed())
+    assert list(conn.open.values()) == orders[2:] and conn.out() == 2 and not told
+
+
+@pytest.mark.parametrize(("backlog", "taken"), [(b"", True), (b"stuck", True), (b"", False)])
+def test_a_cancel_that_its_member_does_not_take_ends_the_connection_before_its_end_is_told(
+    backlog: bytes, taken: bool
+) -> None:
+    one, conn, told, written = out_on(Terms(32, 400_000, 15_000_000, ()))
+    attempt = order()
+    one.send(attempt)
+    conn.backlog += backlog
+    if not taken:
+        conn.write = lambda data: False  # type: ignore[method-assign]
+    ended: list[int] = []
+    conn.close = lambda: ended.append(len(told))  # type: ignore[method-assign]
+    one.give_up(attempt, tell=True)
+    assert [end.ending for end in told] == [Ending.GIVEN_UP]
+    assert ended == ([] if taken and not backlog else [0])
+
+
 def audited(**limits: Any) -> Audit:
     """A strict member's view of one read that its client has sent."""
     audit = Audit(neither(**limits), {"s-1": Place("box", "edge"), "s-2": Place("box", "edge")})
