--- a/lupintack/cli/scale_run.py
+++ b/lupintack/cli/scale_run.py
@@ -29,6 +29,7 @@
 @click.option("--processes", type=int, default=0, help="Of hollow routers; 0: what suits the machine.")
 @click.option("--real", type=int, default=0, show_default=True, help="Real routers beside the hollow ones.")
 @click.option("--site-budgets", is_flag=True, help="A budget for each site, beside those of all.")
+@click.option("--two-levels", is_flag=True, help="Each region has an allocator of its own.")
 @click.option("--purges-per-s", type=float, default=25.0, show_default=True, help="Published to all.")
 @click.option("--changes-per-day", type=float, default=11_000.0, show_default=True, help="List and settings.")
 @click.option("--json", "as_json", is_flag=True, help="The result as one line of JSON.")
@@ -43,6 +44,7 @@
     processes: int,
     real: int,
     site_budgets: bool,
+    two_levels: bool,
     purges_per_s: float,
     changes_per_day: float,
     as_json: bool,
@@ -71,7 +73,9 @@
             faults = read_script(script, plan_routers(size, range(routers)), seconds)
     except ScaleError as error:
         raise Unusable(str(error)) from None
-    options = Options(size, planned, seconds, seed, faults, site_budgets, purges_per_s, changes_per_day)
+    options = Options(
+        size, planned, seconds, seed, faults, site_budgets, two_levels, purges_per_s, changes_per_day
+    )
     signal.signal(signal.SIGTERM, interrupted)
     coordinator = Coordinator(options)
     try:
--- a/lupintack/fleet/exchange.py
+++ b/lupintack/fleet/exchange.py
@@ -100,7 +100,9 @@
         """When a turn is due though nothing is ready; 0 where something waits to be begun."""
         if self.work:
             return 0
-        return min((line.until_us for line in self.lines.values()), default=NEVER_US)
+        if not self.lines:
+            return NEVER_US
+        return min(line.until_us for line in self.lines.values())
 
     def close(self) -> None:
         """End all connections, and listen no more."""
--- a/lupintack/scale/coordinator.py
+++ b/lupintack/scale/coordinator.py
@@ -21,7 +21,7 @@
 
 from lupintack.clock import now_us
 from lupintack.scale import hollow_messages as messages
-from lupintack.scale.hollow_plan import FleetSize, plan_budgets, plan_routers, plan_voters
+from lupintack.scale.hollow_plan import FleetSize, plan_budgets, plan_regions, plan_routers, plan_voters
 from lupintack.scale.report import CutTime, DownKind, Downtime, History, result_line
 from lupintack.scale.resources import Processes
 from lupintack.scale.script import Fault, FaultKind, Script, select
@@ -55,6 +55,7 @@
     seed: int
     script: Script
     site_budgets: bool = False
+    two_levels: bool = False
     purges_per_s: float = 25.0
     changes_per_day: float = 11_000.0
 
@@ -65,6 +66,7 @@
     def __init__(
         self, module: str, log: Path, replies: queue.Queue[tuple[Child, messages.Reply | None]]
     ) -> None:
+        """Start the module; what it replies goes into `replies`, None at its end."""
         self.log = log
         self.status: messages.Status | None = None
         self.finished = False  # it has told what it measured
@@ -117,12 +119,14 @@
     """One run. `close` ends all that it started, also after an error."""
 
     def __init__(self, options: Options, ports: Sequence[int] | None = None) -> None:
+        """Nothing is started yet; `ports`: for the routers, else free ones are looked for."""
         self.options = options
         self.secret = secrets.token_hex(8)
         self.discovery_cpu: list[float] = []
         self.routers = plan_routers(options.size, ports or free_ports(options.size.routers))
         self.voters = plan_voters(self.routers)
         self.budgets = plan_budgets(self.routers, options.site_budgets)
+        self.regions = plan_regions(self.routers) if options.two_levels else ()
         self.random = Random(options.seed)
         self.tmp = Path(tempfile.mkdtemp(prefix="lupintack-scale-"))
         self.replies: queue.Queue[tuple[Child, messages.Reply | None]] = queue.Queue()
@@ -148,7 +152,13 @@
         self.play()
         self.finish()
         return result_line(
-            options.size, processes.total, processes.real, self.budgets, self.history, self.finished
+            options.size,
+            processes.total,
+            processes.real,
+            2 if self.regions else 1,
+            self.budgets,
+            self.history,
+            self.finished,
         )
 
     def close(self) -> None:
@@ -190,7 +200,7 @@
         return messages.Setup(
             self.options.seed, f"scale-{self.options.seed}", self.secret, self.routers, mine,
             tuple(one.name for one in self.voters), self.budgets, addresses, str(self.tmp),
-            str(self.settings_file),
+            str(self.settings_file), self.regions,
         )  # fmt: skip
 
     def settle(self) -> None:
@@ -217,6 +227,7 @@
         views = {view for one in told for view in one.views}
         watching = sum(one.watching for one in told)
         allocating = any(one.allocators for one in told)
+        allocating = allocating and sum(one.region_allocators for one in told) >= len(self.regions)
         return counted == {members} and len(views) == 1 and watching == count and allocating
 
     # The measurement
--- a/lupintack/scale/hollow_demand.py
+++ b/lupintack/scale/hollow_demand.py
@@ -15,6 +15,7 @@
     """The demand of one router of a site."""
 
     def __init__(self, budgets: Sequence[BudgetPlan], routers: int, site: str, random: Random) -> None:
+        """`routers`: of the whole fleet, among which budgets without a site are wanted."""
         self.budgets, self.routers, self.site, self.random = tuple(budgets), routers, site, random
         self.drawn: tuple[int, ...] = ()
         self.until_us = 0
--- a/lupintack/scale/hollow_discovery.py
+++ b/lupintack/scale/hollow_discovery.py
@@ -34,6 +34,7 @@
         on_change: Callable[[Change], None],
         reachable: Callable[[], bool],
     ) -> None:
+        """`told`: host:port; `on_ready`: registered with the selector; `on_change`: as Roster.tell."""
         self.roster = Roster(PURGES_MATTER_MS)
         self.roster.tell = on_change
         self.client = Board(address(told, "discovery"), names, self.roster, seed)
--- a/lupintack/scale/hollow_messages.py
+++ b/lupintack/scale/hollow_messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lupintack.scale.hollow_plan import BudgetPlan, RouterPlan
+from lupintack.scale.hollow_plan import BudgetPlan, RegionSetup, RouterPlan
 
 LENGTH = struct.Struct(">I")
 
@@ -28,6 +28,7 @@
     discovery: tuple[str, ...]  # addresses; a router's is given by its number
     tmp: str
     settings_file: str
+    regions: tuple[RegionSetup, ...] = ()  # that allocate for their routers; none: budgets have one level
 
 
 class Start(msgspec.Struct, frozen=True, tag=True):
@@ -113,7 +114,8 @@
     most_members: int
     views: tuple[int, ...]  # the different view ids, a few at most
     watching: int  # routers whose connection to discovery has told something
-    allocators: tuple[str, ...]
+    allocators: tuple[str, ...]  # of the fleet
+    region_allocators: int
     removals: int  # members that were told to be gone, at all its routers together
     behind: int
 
@@ -157,6 +159,7 @@
     measured_us: int
     voter: bool
     allocator: bool
+    region_allocator: bool
     membership: Usage
     budgets: Usage
     discovery: Usage
@@ -200,6 +203,7 @@
     """Cuts the bytes of a pipe into frames."""
 
     def __init__(self) -> None:
+        """No bytes yet."""
         self.rest = bytearray()
 
     def cut(self, data: bytes) -> list[bytes]:
--- a/lupintack/scale/hollow_network.py
+++ b/lupintack/scale/hollow_network.py
@@ -19,6 +19,7 @@
     """What passes now. Each sender drops what would cross a cut, in both directions."""
 
     def __init__(self, ports: Mapping[str, int]) -> None:
+        """`ports`: of each router by its name; nothing is cut."""
         self.ports = ports
         self.rules: dict[int, CutRule] = {}
 
@@ -33,6 +34,8 @@
 
     def passes(self, sender: str, port: int) -> bool:
         """Whether what a router sends to a port arrives."""
+        if not self.rules:
+            return True
         return all((sender in rule.names) == (port in rule.ports) for rule in self.rules.values())
 
     def reaches_discovery(self, name: str) -> bool:
--- a/lupintack/scale/hollow_plan.py
+++ b/lupintack/scale/hollow_plan.py
@@ -9,6 +9,7 @@
 import msgspec
 
 VOTERS = 5
+REGION_VOTERS = 3
 ROUTERS_MOST = 3_000
 STORE_FILLS_PER_ROUTER = 4  # units of the whole for each router
 COLD_PARENT_SLOTS = 64
@@ -64,6 +65,14 @@
     reserved_per_mille: int = RESERVED_PER_MILLE
 
 
+class RegionSetup(msgspec.Struct, frozen=True):
+    """A region with an allocator of its own: who votes for it, and its sites."""
+
+    name: str
+    voters: tuple[str, ...]
+    sites: tuple[str, ...]
+
+
 def plan_routers(size: FleetSize, ports: Sequence[int]) -> tuple[RouterPlan, ...]:
     """The routers of a run, dealt out evenly; `ports`: one for each."""
     found = []
@@ -81,6 +90,17 @@
     return tuple(routers[:count])
 
 
+def plan_regions(routers: Sequence[RouterPlan]) -> tuple[RegionSetup, ...]:
+    """All regions for budgets of two levels: the first routers of each vote there."""
+    found = []
+    for region in sorted({one.region for one in routers}):
+        inside = [one for one in routers if one.region == region]
+        count = REGION_VOTERS if len(inside) >= REGION_VOTERS else 1
+        voters = tuple(one.name for one in inside[:count])
+        found.append(RegionSetup(region, voters, tuple(sorted({one.site for one in inside}))))
+    return tuple(found)
+
+
 def plan_budgets(routers: Sequence[RouterPlan], site_budgets: bool) -> tuple[BudgetPlan, ...]:
     """Two budgets of the whole fleet and, where wanted, one for each site."""
     found = [
@@ -90,7 +110,7 @@
     if site_budgets:
         counts = Counter(one.site for one in routers)
         found += [
-            BudgetPlan(f"cold-caches.{site}", COLD_CACHE_SLOTS_PER_ROUTER * count, site, 0)
+            BudgetPlan(f"cold-caches.{site}", COLD_CACHE_SLOTS_PER_ROUTER * count, site)
             for site, count in sorted(counts.items())
         ]
     return tuple(found)
--- a/lupintack/scale/hollow_process.py
+++ b/lupintack/scale/hollow_process.py
@@ -295,7 +295,8 @@
             max(members, default=0),
             tuple(sorted({view.id for view in views})[:VIEWS_MOST]),
             sum(one.discovery.bytes_in > 0 for one in self.routers.values()),
-            tuple(n for n, one in self.routers.items() if one.budgets.node.is_allocator(now)),
+            tuple(name for name, one in self.routers.items() if one.allocates(now)),
+            sum(one.allocates_region(now) for one in self.routers.values()),
             sum(len(one.names) for one in self.removals),
             sum(one.late_us > BEHIND_US for one in self.routers.values()),
         )
--- a/lupintack/scale/hollow_real_process.py
+++ b/lupintack/scale/hollow_real_process.py
@@ -24,7 +24,8 @@
     wholes = {one.name: one.whole for one in setup.budgets}
     percent = setup.budgets[0].reserved_per_mille // 10
     budgets = {"enabled": True, "voters": list(setup.voters), "at_once": wholes, "floor_percent": percent}
-    return membership, {"budgets": budgets}
+    regions = {one.name: {"voters": list(one.voters), "sites": list(one.sites)} for one in setup.regions}
+    return membership, {"budgets": budgets | ({"regions": regions} if regions else {})}
 
 
 def main() -> None:
--- a/lupintack/scale/hollow_router.py
+++ b/lupintack/scale/hollow_router.py
@@ -13,10 +13,12 @@
 from random import Random
 from typing import Any
 
+from lupintack.budgets.regions import Region, plan_region, region_of_site
 from lupintack.budgets.terms import Terms as BudgetTerms
 from lupintack.clock import now_us
 from lupintack.config import Names
 from lupintack.core.roster import Change as ListChange
+from lupintack.fleet.budget_levels import TwoLevels
 from lupintack.fleet.budgets import BudgetService, budget
 from lupintack.fleet.exchange import Exchanges
 from lupintack.fleet.talk import Fleet, Place
@@ -38,6 +40,7 @@
     """Exchanges and probes of connections that don't cross a cut."""
 
     def __init__(self, exchanges: Exchanges, passes: Callable[[int], bool]) -> None:
+        """Take over a listener from `exchanges`, not yet open; `passes`: whether a port is reached."""
         super().__init__(exchanges.listener, exchanges.asked)
         exchanges.selector.close()
         self.passes = passes
@@ -59,6 +62,7 @@
     def __init__(
         self, place: Place, seed: int, network: Network, heard: Callable[[Change], None], usage: Usage
     ) -> None:
+        """`heard`: changes among the members; `usage`: of the budgets, whose bytes are counted apart."""
         self.network = network
         self.budget_usage = usage
         super().__init__(place, Terms(), seed, heard, lambda: True)
@@ -125,7 +129,7 @@
         )
         self.discovery.client.known({"rev": revision})
         self.voter = plan.name in setup.voters
-        self.allocator = False
+        self.allocator = self.region_allocator = False  # at some time since the mark
         self.paused = False
         self.ended = False
         self.scheduled_us = NEVER_US  # when the process has been told to call
@@ -137,14 +141,20 @@
     def _make_budgets(self, setup: Setup) -> BudgetService:
         """The budgets' part of a router, as fleet/start.py makes it, with demand drawn by chance."""
         found = [budget(one.name, one.whole, True, one.reserved_per_mille) for one in setup.budgets]
-        demand = Demand(
-            setup.budgets, len(setup.routers), self.plan.site, Random(setup.seed ^ self.plan.port)
-        )
+        plan = None
+        if setup.regions:
+            regions = [Region(one.name, one.voters, one.sites) for one in setup.regions]
+            plan = plan_region(found, regions, region_of_site(regions, self.plan.site))
+            found = list(plan.budgets)
+        numbers = {one.name: number for number, one in enumerate(setup.budgets)}
+        self.budget_numbers = tuple(numbers[one.name] for one in found)
+        wanted = [setup.budgets[number] for number in self.budget_numbers]
+        demand = Demand(wanted, len(setup.routers), self.plan.site, Random(setup.seed ^ self.plan.port))
         service = BudgetService(
             self.plan.name, self.fleet.part.me.start, setup.fleet, setup.tmp, found,
             setup.voters, setup.voters, BudgetTerms(), self.fleet.codec, self.fleet.parcel,
             self.fleet.address, self._hold,
-            lambda: service.set_demand(demand.draw(now_us()), service.node.holder.zero),
+            lambda: service.set_demand(demand.draw(now_us()), service.node.holder.zero), plan,
         )  # fmt: skip
         return service
 
@@ -185,6 +195,16 @@
         self.discovery.resume()
         self.touch()
 
+    def allocates(self, now: int) -> bool:
+        """Whether it is the fleet's allocator."""
+        levels = self.budgets.levels
+        return (levels.node.fleet if isinstance(levels, TwoLevels) else levels.holding).is_allocator(now)
+
+    def allocates_region(self, now: int) -> bool:
+        """Whether it is its region's allocator."""
+        levels = self.budgets.levels
+        return isinstance(levels, TwoLevels) and levels.holding.is_allocator(now)
+
     @property
     def joined(self) -> bool:
         """Whether it counts itself among the members."""
@@ -211,7 +231,8 @@
             self._timed("membership", lambda: self.fleet.step(b""))
         if now >= self.budgets.next_us:
             self._timed("budgets", self.budgets.step)
-            self.allocator = self.allocator or self.budgets.node.is_allocator(now)
+            self.allocator = self.allocator or self.allocates(now)
+            self.region_allocator = self.region_allocator or self.allocates_region(now)
         if now >= self.fleet.exchanges.wake_us:
             self.on_exchanges()
         if now >= self.discovery.wake_us:
@@ -243,7 +264,8 @@
     def on_discovery(self) -> None:
         """The connection to discovery."""
         self._timed("discovery", self.discovery.on_readable)
-        self.touch()
+        if self.discovery.lines is None:  # else what it waits for is later than before
+            self.touch()
 
     # What is measured
 
@@ -251,7 +273,8 @@
         """The measurement begins."""
         self.marked_us = now_us()
         self.late_us = 0
-        self.allocator = self.budgets.node.is_allocator(self.marked_us)
+        self.allocator = self.allocates(self.marked_us)
+        self.region_allocator = self.allocates_region(self.marked_us)
         for usage in self.usage.values():
             usage.cpu_ns = usage.bytes_in = usage.bytes_out = 0
         self.counted = Counter(self._byte_counts())
@@ -267,7 +290,8 @@
         membership.bytes_in = counts["fleet.in"] - budgets.bytes_in + counts["exchanged.in"]
         membership.bytes_out = counts["fleet.out"] - budgets.bytes_out + counts["exchanged.out"]
         return RouterReport(
-            self.plan.name, now - self.marked_us, self.voter, self.allocator, membership, budgets, discovery,
+            self.plan.name, now - self.marked_us, self.voter, self.allocator, self.region_allocator,
+            membership, budgets, discovery,
             self.late_us, tuple(self.leases),
         )  # fmt: skip
 
@@ -287,7 +311,7 @@
     def _hold(self, amounts: tuple[int, ...], until_us: int) -> None:
         """What may be spent has changed: the old lease ends now, if it has not ended before. 0: for good."""
         now = now_us()
-        held = tuple((n, units) for n, units in enumerate(amounts) if units)
+        held = tuple((n, units) for n, units in zip(self.budget_numbers, amounts, strict=True) if units)
         until_us = until_us or NEVER_US
         last = self.leases[-1] if self.leases else None
         if last is not None and last.amounts == held and now <= last.until_us:
--- a/lupintack/scale/report.py
+++ b/lupintack/scale/report.py
@@ -24,6 +24,7 @@
 
     ROUTER = "router"
     VOTER = "voter"
+    REGION_ALLOCATOR = "region_allocator"
     ALLOCATOR = "allocator"
     DISCOVERY = "discovery"
 
@@ -104,6 +105,8 @@
     """The most that a router did."""
     if report.allocator:
         return Role.ALLOCATOR
+    if report.region_allocator:
+        return Role.REGION_ALLOCATOR
     return Role.VOTER if report.voter else Role.ROUTER
 
 
@@ -218,6 +221,7 @@
     size: FleetSize,
     processes: int,
     real: int,
+    levels: int,
     budgets: Sequence[BudgetPlan],
     history: History,
     finished: Sequence[Finished],
@@ -248,6 +252,7 @@
         "zones": size.zones,
         "sites": size.sites,
         "budgets": len(budgets),
+        "levels": levels,
         "seconds": round(length_s, 1),
         "settled": history.settled,
         "settle_s": round(history.settle_s, 1),
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -69,18 +69,22 @@
 # Runs
 
 
-def test_sixty_hollow_routers_join_share_budgets_and_hear_of_purges_and_changes() -> None:
+@pytest.mark.parametrize("levels", [1, 2])
+def test_sixty_hollow_routers_join_share_budgets_and_hear_of_purges_and_changes(levels: int) -> None:
     words = ["--routers", "60", "--regions", "3", "--zones", "6", "--sites", "12", "--seconds", "4"]
     words += ["--seed", "5", "--processes", "3", "--site-budgets", "--changes-per-day", "172800", "--json"]
+    words += ["--two-levels"] * (levels == 2)
     done = subprocess.run(command(*words), cwd=ROOT, capture_output=True, text=True, timeout=300)
     assert done.returncode == 0, done.stderr
     (line,) = done.stdout.splitlines()
     found = json.loads(line)
     assert found.keys() >= PROMISED
     assert (found["routers"], found["hollow"], found["budgets"]) == (60, 60, 14)
+    assert found["levels"] == levels
     assert found["processes"] == 3 + 1 + 1
     assert found["settled"] and found["oversum"] == 0 and found["faults"] == 0
-    assert set(found["cpu_share_p50"]) == {"router", "voter", "allocator", "discovery"}
+    roles = {"router", "voter", "allocator", "discovery"} | ({"region_allocator"} if levels == 2 else set())
+    assert set(found["cpu_share_p50"]) == roles
     assert found["purges"] > 0 and found["changes"] > 0 and found["bytes_per_s_p50"] > 0
     assert found["overloaded"] == (found["behind"] > 0)
     assert all(part > 0 for part in found["bytes_per_s_parts_p50"].values())
@@ -441,14 +445,21 @@
 def test_a_router_that_missed_its_ticks_makes_the_run_overloaded() -> None:
     usage = messages.Usage(1_000_000, 500, 500)
     routers = tuple(
-        messages.RouterReport(name, 1_000_000, name == "v", name == "w", usage, usage, usage, late_us, ())
+        messages.RouterReport(
+            name, 1_000_000, name == "v", name == "w", name == "x", usage, usage, usage, late_us, ()
+        )
         for name, late_us in (("v", 0), ("w", 10), ("x", 500_000), ("y", 500_001))
     )
     done = messages.Finished(routers, (), {3: 2, 9: 1}, {}, 0, 0, 0, 0)
     history = History(0, 1_000_000, settled=True)
-    line = report.result_line(FleetSize(4, 1, 1, 1), 3, 0, (), history, [done])
+    line = report.result_line(FleetSize(4, 1, 1, 1), 3, 0, 2, (), history, [done])
     assert (line["behind"], line["overloaded"]) == (1, True)
-    assert line["cpu_share_p50"] == {"router": 0.003, "voter": 0.003, "allocator": 0.003}
+    assert line["cpu_share_p50"] == {
+        "router": 0.003,
+        "voter": 0.003,
+        "region_allocator": 0.003,
+        "allocator": 0.003,
+    }
     assert (line["bytes_per_s_p50"], line["purge_p50_s"], line["purge_max_s"]) == (3000, 0.003, 0.009)
     assert line["detect_p50_s"] is None and json.dumps(line)
     assert os.linesep not in json.dumps(line)
