--- a/lupintack/scale/coordinator.py
+++ b/lupintack/scale/coordinator.py
@@ -32,7 +32,7 @@
 SECOND_US = 1_000_000
 DAY_S = 86_400
 SAMPLE_US = 1_000_000  # between two looks at the memory of all processes
-SETTLE_LEAST_S = 30.0  # for all to join and agree before the measurement
+SETTLE_LEAST_S = 90.0  # for all to join and agree before the measurement
 SETTLE_PER_ROUTER_S = 0.15
 FINISH_S = 120.0  # for all processes to tell what they measured
 END_S = 5.0  # for a process to end by itself
@@ -324,7 +324,7 @@
     def strike(self, fault: Fault) -> None:
         """One fault begins; its end is put on the agenda."""
         voters = [one.name for one in self.voters]
-        names = select(fault.who, self.routers, voters, self._allocators(), self.random)
+        names = select(fault.who, self.routers, voters, self.allocators, self.random)
         since_s = (now_us() - self.history.began_us) / 1e6
         match fault.kind:
             case FaultKind.KILL | FaultKind.RESTART:
@@ -369,7 +369,9 @@
         """How many members were told to be gone, at all routers together, since the measurement began."""
         return sum(child.status.removals for child in self.hollow if child.status is not None)
 
-    def _allocators(self) -> list[str]:
+    @property
+    def allocators(self) -> list[str]:
+        """Who is the fleet's allocator, as far as is known: a process tells it twice a second."""
         return [name for child in self.hollow if child.status is not None for name in child.status.allocators]
 
     # What the processes say
--- a/lupintack/scale/hollow_router.py
+++ b/lupintack/scale/hollow_router.py
@@ -198,12 +198,13 @@
     def allocates(self, now: int) -> bool:
         """Whether it is the fleet's allocator."""
         levels = self.budgets.levels
-        return (levels.node.fleet if isinstance(levels, TwoLevels) else levels.holding).is_allocator(now)
+        if isinstance(levels, TwoLevels):
+            return levels.node.fleet.is_allocator(now)
+        return self.budgets.allocates(now)
 
     def allocates_region(self, now: int) -> bool:
         """Whether it is its region's allocator."""
-        levels = self.budgets.levels
-        return isinstance(levels, TwoLevels) and levels.holding.is_allocator(now)
+        return isinstance(self.budgets.levels, TwoLevels) and self.budgets.allocates(now)
 
     @property
     def joined(self) -> bool:
