Measure the membership through a region's cut, a seed's exchange, and a reference loop

Need: cut-off regions are among the failures planned for, and the lab's run with a cut took ten times the processor time of one without; figures taken on a busy machine could not be compared with later ones.

Change: the membership's slope plays the cut of one region of 27 and its end, and tells the pace during both, whether all views are one at the end, and what the answer to a router that joins costs a seed. Each point has the time of a fixed loop of additions beside its own.

--- a/lupintack/scale/role_membership.py
+++ b/lupintack/scale/role_membership.py
@@ -1,8 +1,8 @@
 """What membership costs one router a second in a fleet of N, in the lab's world (`membership_world`).
 
 `cpu_us`, `bytes` and `messages` are for a router and second while nothing happens. Restarts, kills and
-machines that fall silent follow, a few of each; the details say what one restart costs each of the others
-and how long each kind takes to be told.
+machines that fall silent follow, a few of each, then a cut of one region and its end; the details say what
+one restart costs each of the others, how long each kind takes to be told, and the pace during the cut.
 """
 
 from __future__ import annotations
@@ -16,16 +16,19 @@
 from lupintack.fleet.talk import Place
 from lupintack.lab.faults import Fault
 from lupintack.membership.member import Membership
+from lupintack.membership.messages import Whole
 from lupintack.scale.membership_world import SECOND_US, Mark, WarmWorld
 from lupintack.scale.slope import Parameters, Role, Sample, deep_bytes
 
-SITES_MOST = 140
-ROUTERS_PER_SITE = 21
+REGIONS = 27  # the lab's sites stand for them: one is cut off as a whole
+ROUTERS_PER_REGION = 2  # at the least
 IDLE_FROM_S, IDLE_TO_S = 6, 14
 RESTARTS_TO_S = 30
 KILLS_TO_S = 44
 SILENT_TO_S = 64
-PHASES_S = (IDLE_FROM_S, IDLE_TO_S, RESTARTS_TO_S, KILLS_TO_S, SILENT_TO_S)
+CUT_TO_S = 94
+HEALED_TO_S = 114
+PHASES_S = (IDLE_FROM_S, IDLE_TO_S, RESTARTS_TO_S, KILLS_TO_S, SILENT_TO_S, CUT_TO_S, HEALED_TO_S)
 RESTARTS, KILLS, SILENT = 4, 2, 2
 EVENTS_S = 1.0  # between two events of one kind
 DATAGRAMS = 2000
@@ -44,8 +47,8 @@
     def build(self) -> WarmWorld:
         """A world that is joined, and its marks."""
         names = [f"n{number}" for number in range(self.size)]
-        sites = max(1, min(SITES_MOST, self.size // ROUTERS_PER_SITE))
-        world = WarmWorld(self.seed, self.size, script(names), sites)
+        regions = max(1, min(REGIONS, self.size // ROUTERS_PER_REGION))
+        world = WarmWorld(self.seed, self.size, script(names, regions), regions)
         self.seed += 1
         world.begin_joined()
         for fault in world.faults:
@@ -58,8 +61,10 @@
         """One run."""
         self.world = None  # the one before is freed first
         world = self.world = self.build()
-        world.run_to(SILENT_TO_S * SECOND_US)
-        idle, restarts, _, _ = [Phase(one, other, self.size) for one, other in pairwise(world.marks)]
+        world.run_to(HEALED_TO_S * SECOND_US)
+        idle, restarts, _, _, cut, healing = [
+            Phase(one, other, self.size) for one, other in pairwise(world.marks)
+        ]
         found = world.result
         detections = [mark.totals.detections for mark in world.marks]
         per_restart = 1.0 / (RESTARTS * self.size)
@@ -70,11 +75,18 @@
             "exchanges_per_restart": restarts.over(idle).exchanges / RESTARTS,
             "kill_told_p50_s": told_s(found.detect_us[detections[2] : detections[3]], median),
             "kill_told_max_s": told_s(found.detect_us[detections[2] : detections[3]], max),
-            "silent_told_p50_s": told_s(found.detect_us[detections[3] :], median),
-            "silent_told_max_s": told_s(found.detect_us[detections[3] :], max),
+            "silent_told_p50_s": told_s(found.detect_us[detections[3] : detections[4]], median),
+            "silent_told_max_s": told_s(found.detect_us[detections[3] : detections[4]], max),
+            "cut_cpu_us_per_s": cut.cpu_us_per_s,
+            "cut_bytes_per_s": cut.bytes_per_s,
+            "healing_cpu_us_per_s": healing.cpu_us_per_s,
+            "healing_bytes_per_s": healing.bytes_per_s,
+            "healing_exchanges": float(healing.exchanges),
+            "views_at_end": float(len({world.view_id(host) for host in world.running()})),
             "false_removals": float(found.false_removals),
         }
         details |= status_page(running_part(world))
+        details |= full_exchange(world, running_part(world))
         rounded = {name: round(value, 3) for name, value in details.items()}
         return Sample(
             round(idle.cpu_us_per_s, 3), round(idle.bytes_per_s, 1), round(idle.messages_per_s, 2), rounded
@@ -110,6 +122,19 @@
         fleet.close()
 
 
+def full_exchange(world: WarmWorld, part: Membership) -> dict[str, float]:
+    """What a router that joins costs the seed that it asks: its frame read, the answer with all records."""
+    me = (part.name, part.me.start, part.me.incarnation, int(part.me.state), part.me.site, part.me.address)
+    asked = world.codec.word(Whole(me, 0, []))
+    began = thread_time_ns()
+    answer, _ = part.offer(world.codec.read_whole(asked), world.clock.now)
+    raw = world.codec.word(answer)
+    return {
+        "exchange_cpu_us": (thread_time_ns() - began) / 1000,
+        "exchange_bytes": float(len(asked) + len(raw)),
+    }
+
+
 class Spent:
     """Totals over and above another phase's pace."""
 
@@ -148,8 +173,10 @@
     return (max(times_us) if of is max else median(times_us)) / SECOND_US
 
 
-def script(names: list[str]) -> list[Fault]:
-    """Restarts, kills and silences, of routers that are no seeds, as far as there are so many."""
+def script(names: list[str], regions: int) -> list[Fault]:
+    """Restarts, kills and silences, of routers that are no seeds, as far as there are so many; and the cut
+    of a region, where there is more than one.
+    """
     victims = iter(names[3:])
     found = []
     plans = (("restart", RESTARTS, IDLE_TO_S), ("kill", KILLS, RESTARTS_TO_S), ("vanish", SILENT, KILLS_TO_S))
@@ -158,6 +185,9 @@
             name = next(victims, None)
             if name is not None:
                 found.append(Fault(int((from_s + number * EVENTS_S) * SECOND_US) + 1, kind, 0, (name,)))
+    if regions > 1:
+        length_us = (CUT_TO_S - SILENT_TO_S) * SECOND_US
+        found.append(Fault(SILENT_TO_S * SECOND_US, "site", length_us, (f"site{regions - 1}",)))
     return found
 
 
--- a/lupintack/scale/slope.py
+++ b/lupintack/scale/slope.py
@@ -12,10 +12,12 @@
 import sys
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from time import thread_time_ns
 from types import FrameType, FunctionType, ModuleType
 from typing import Any, NamedTuple, Protocol
 
 REPEATS = 5
+REFERENCE_ADDITIONS = 100_000
 SHARED_TYPES = (type, ModuleType, FunctionType)  # belong to the program, not to the state of one role
 
 
@@ -68,7 +70,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SlopePoint:
-    """The figures of one size. Processor time is the median of the repeats, with the least and the most."""
+    """The figures of one size. Processor time is the median of the repeats, with the least and the most.
+
+    `reference_us` is the processor time of a fixed loop of additions, taken beside the repeats: on a machine
+    that others use, cores are shared by two threads, and all times grow by what this one shows.
+    """
 
     role: str
     size: int
@@ -82,6 +88,7 @@
     bytes: float
     state_bytes: int
     messages: float
+    reference_us: float
     details: Mapping[str, float]
 
 
@@ -100,14 +107,28 @@
     """All repeats of one size; what the subject opened is closed, also after an error."""
     subject = role.make(parameters)
     try:
-        samples = [subject.sample() for _ in range(repeats)]
+        samples, references = [], []
+        for _ in range(repeats):
+            samples.append(subject.sample())
+            references.append(reference_us())
         state_bytes = subject.state_bytes()
     finally:
         subject.close()
-    return point(role, parameters, samples, state_bytes)
+    return point(role, parameters, samples, state_bytes, middle(references))
+
+
+def reference_us() -> float:
+    """Processor time of a fixed loop."""
+    total = 0
+    began = thread_time_ns()
+    for number in range(REFERENCE_ADDITIONS):
+        total += number
+    return (thread_time_ns() - began) / 1000
 
 
-def point(role: Role, parameters: Parameters, samples: Sequence[Sample], state_bytes: int) -> SlopePoint:
+def point(
+    role: Role, parameters: Parameters, samples: Sequence[Sample], state_bytes: int, reference: float
+) -> SlopePoint:
     """The repeats of one size as one point."""
     times = [sample.cpu_us for sample in samples]
     names = dict.fromkeys(name for sample in samples for name in sample.details)
@@ -125,6 +146,7 @@
         bytes=middle([sample.bytes for sample in samples]),
         state_bytes=state_bytes,
         messages=middle([sample.messages for sample in samples]),
+        reference_us=reference,
         details=details,
     )
 
--- a/lupintack/scale/slope_chart.py
+++ b/lupintack/scale/slope_chart.py
@@ -12,7 +12,7 @@
 
 FIELDS = (
     "role", "size", "budgets", "per", "cpu_us", "cpu_us_min", "cpu_us_max", "repeats", "seed", "bytes",
-    "state_bytes", "messages",
+    "state_bytes", "messages", "reference_us",
 )  # fmt: skip
 
 
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -211,6 +211,7 @@
             assert 0 < one["cpu_us_min"] <= one["cpu_us"] <= one["cpu_us_max"]
             assert one["repeats"] == 2
             assert one["state_bytes"] > 0
+            assert one["reference_us"] > 0
             assert one["per"]
 
     def test_a_chart_and_its_figures(self, tmp_path: Path) -> None:
