Tell the pace of routers that are cut off apart from the others'

Need: the mean over all routers hid that those of a region that is cut off spend most of the processor time.

Change: the membership's slope counts processor time and bytes by region.

--- a/lupintack/scale/membership_world.py
+++ b/lupintack/scale/membership_world.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from functools import partial
 from random import Random
 from time import thread_time_ns
@@ -25,21 +24,20 @@
 
 
 class Totals(NamedTuple):
-    """What all routers have spent so far."""
+    """What some routers have spent so far."""
 
     cpu_us: float
     bytes: int
-    datagrams: int
-    exchanges: int
-    detections: int
 
 
-@dataclass(frozen=True, slots=True)
-class Mark:
-    """The totals at a moment."""
+class Mark(NamedTuple):
+    """What there was at a moment; the totals are by region, the lab's site."""
 
     at_us: int
-    totals: Totals
+    by_region: dict[str, Totals]
+    datagrams: int
+    exchanges: int
+    detections: int
 
 
 class WarmWorld(World):
@@ -49,7 +47,7 @@
         super().__init__(seed, routers, Terms(), script=script, sites=sites)
         self.codec = Codec("slope", "a secret of this run")
         self.make = partial(membership, self.codec)
-        self.spent_ns = 0
+        self.spent_ns = dict.fromkeys(self.names, 0)
         self.datagrams = 0
         self.exchanges = 0
         self.marks: list[Mark] = []
@@ -96,11 +94,14 @@
         self.clock.call(at_us, self.mark)
 
     def mark(self) -> None:
-        sent = sum(host.sent for host in self.hosts.values())
-        totals = Totals(
-            self.spent_ns / 1000, sent, self.datagrams, self.exchanges, len(self.result.detect_us)
-        )
-        self.marks.append(Mark(self.clock.now, totals))
+        """The totals now."""
+        by_region: dict[str, Totals] = {}
+        for host in self.hosts.values():
+            before = by_region.get(host.site, Totals(0.0, 0))
+            cpu_us = before.cpu_us + self.spent_ns[host.name] / 1000
+            by_region[host.site] = Totals(cpu_us, before.bytes + host.sent)
+        detections = len(self.result.detect_us)
+        self.marks.append(Mark(self.clock.now, by_region, self.datagrams, self.exchanges, detections))
 
     # What the lab does for each router, timed
 
@@ -111,14 +112,14 @@
         self.steps += 1
         began = thread_time_ns()
         out = what(*words, self.clock.now)
-        self.spent_ns += thread_time_ns() - began
+        self.spent_ns[host.name] += thread_time_ns() - began
         self.out(host, out)
 
     def send(self, host: Host, name: str, address: str, message: Message) -> None:
         """A datagram, worded as on the wire."""
         began = thread_time_ns()
         raw = self.codec.word(message)
-        self.spent_ns += thread_time_ns() - began
+        self.spent_ns[host.name] += thread_time_ns() - began
         host.sent += len(raw)
         self.datagrams += 1
         other = self.hosts.get(address.partition(":")[0])
@@ -133,7 +134,7 @@
             return
         began = thread_time_ns()
         message = self.codec.read(raw)
-        self.spent_ns += thread_time_ns() - began
+        self.spent_ns[host.name] += thread_time_ns() - began
         self.call(host, host.part.receive, len(raw), message)
 
     def exchange(self, host: Host, address: str, told: Whole) -> None:
--- a/lupintack/scale/role_membership.py
+++ b/lupintack/scale/role_membership.py
@@ -62,23 +62,28 @@
         self.world = None  # the one before is freed first
         world = self.world = self.build()
         world.run_to(HEALED_TO_S * SECOND_US)
-        idle, restarts, _, _, cut, healing = [
-            Phase(one, other, self.size) for one, other in pairwise(world.marks)
-        ]
+        pairs = list(pairwise(world.marks))
+        idle, restarts, _, _, _, healing = [Phase(one, other, world) for one, other in pairs]
+        region = world.faults[-1].who[0] if world.faults[-1].kind == "site" else ""
+        away = Phase(*pairs[4], world, region)
+        rest = Phase(*pairs[4], world, region, away=not region)
         found = world.result
-        detections = [mark.totals.detections for mark in world.marks]
+        detections = [mark.detections for mark in world.marks]
         per_restart = 1.0 / (RESTARTS * self.size)
+        idle_times = restarts.seconds / idle.seconds
         details = {
             "socket_us_per_datagram": self.socket_us,
-            "restart_bytes_per_router": restarts.over(idle).bytes * per_restart,
-            "restart_cpu_us_per_router": restarts.over(idle).cpu_us * per_restart,
-            "exchanges_per_restart": restarts.over(idle).exchanges / RESTARTS,
+            "restart_bytes_per_router": (restarts.bytes - idle.bytes * idle_times) * per_restart,
+            "restart_cpu_us_per_router": (restarts.cpu_us - idle.cpu_us * idle_times) * per_restart,
+            "exchanges_per_restart": (restarts.exchanges - idle.exchanges * idle_times) / RESTARTS,
             "kill_told_p50_s": told_s(found.detect_us[detections[2] : detections[3]], median),
             "kill_told_max_s": told_s(found.detect_us[detections[2] : detections[3]], max),
             "silent_told_p50_s": told_s(found.detect_us[detections[3] : detections[4]], median),
             "silent_told_max_s": told_s(found.detect_us[detections[3] : detections[4]], max),
-            "cut_cpu_us_per_s": cut.cpu_us_per_s,
-            "cut_bytes_per_s": cut.bytes_per_s,
+            "cut_off_cpu_us_per_s": away.cpu_us_per_s,
+            "cut_off_bytes_per_s": away.bytes_per_s,
+            "cut_rest_cpu_us_per_s": rest.cpu_us_per_s,
+            "cut_rest_bytes_per_s": rest.bytes_per_s,
             "healing_cpu_us_per_s": healing.cpu_us_per_s,
             "healing_bytes_per_s": healing.bytes_per_s,
             "healing_exchanges": float(healing.exchanges),
@@ -135,35 +140,25 @@
     }
 
 
-class Spent:
-    """Totals over and above another phase's pace."""
-
-    def __init__(self, cpu_us: float, sent: float, exchanges: float) -> None:
-        self.cpu_us, self.bytes, self.exchanges = cpu_us, sent, exchanges
-
-
 class Phase:
-    """What all routers spent between two marks."""
+    """What some routers spent between two marks: of one region, of the others, or of all."""
 
-    def __init__(self, first: Mark, last: Mark, routers: int) -> None:
+    def __init__(
+        self, first: Mark, last: Mark, world: WarmWorld, region: str = "", away: bool = True
+    ) -> None:
+        def counts(name: str) -> bool:
+            return not region or (name == region) == away
+
+        routers = sum(counts(host.site) for host in world.hosts.values())
         self.seconds = (last.at_us - first.at_us) / SECOND_US
-        self.cpu_us = last.totals.cpu_us - first.totals.cpu_us
-        self.bytes = last.totals.bytes - first.totals.bytes
-        self.datagrams = last.totals.datagrams - first.totals.datagrams
-        self.exchanges = last.totals.exchanges - first.totals.exchanges
+        chosen = [name for name in last.by_region if counts(name)]
+        self.cpu_us = sum(last.by_region[n].cpu_us - first.by_region[n].cpu_us for n in chosen)
+        self.bytes = sum(last.by_region[n].bytes - first.by_region[n].bytes for n in chosen)
+        self.exchanges = last.exchanges - first.exchanges
         share = 1.0 / (routers * self.seconds)
         self.cpu_us_per_s = self.cpu_us * share
         self.bytes_per_s = self.bytes * share
-        self.messages_per_s = self.datagrams * share
-
-    def over(self, idle: Phase) -> Spent:
-        """What this phase took beyond an idle one of its length."""
-        times = self.seconds / idle.seconds
-        return Spent(
-            self.cpu_us - idle.cpu_us * times,
-            self.bytes - idle.bytes * times,
-            self.exchanges - idle.exchanges * times,
-        )
+        self.messages_per_s = (last.datagrams - first.datagrams) * share  # means something for all alone
 
 
 def told_s(times_us: list[int], of: object) -> float:
