--- a/lupintack/scale/membership_world.py
+++ b/lupintack/scale/membership_world.py
@@ -44,6 +44,7 @@
     """Routers that all know one another when the run begins."""
 
     def __init__(self, seed: int, routers: int, script: Sequence[Fault], sites: int) -> None:
+        """A fleet of `routers` in `sites` that meets the faults of `script`."""
         super().__init__(seed, routers, Terms(), script=script, sites=sites)
         self.codec = Codec("slope", "a secret of this run")
         self.make = partial(membership, self.codec)
--- a/lupintack/scale/role_membership.py
+++ b/lupintack/scale/role_membership.py
@@ -40,6 +40,7 @@
     """Worlds of one size, one a repeat, each with a further seed."""
 
     def __init__(self, parameters: Parameters) -> None:
+        """A fleet of the size of `parameters`, before its first second."""
         self.size, self.seed = parameters.size, parameters.seed
         self.world: WarmWorld | None = None
         self.socket_us = datagram_us()
@@ -146,6 +147,8 @@
     def __init__(
         self, first: Mark, last: Mark, world: WarmWorld, region: str = "", away: bool = True
     ) -> None:
+        """Empty `region`: all routers. `away`: those of the region, else all others."""
+
         def counts(name: str) -> bool:
             return not region or (name == region) == away
 
