Measure a cut-off region as a slope of its own: scale slope cut

Need: the routers of a region that is cut off spend far more than the others, and the cut made the membership's slope too slow to be taken at larger sizes.

Change: scale/role_cut.py; the membership's slope ends before the cut, as at first. A role has a least size.

--- a/lupintack/cli/scale_slope.py
+++ b/lupintack/cli/scale_slope.py
@@ -27,7 +27,7 @@
 def slope_command(
     role: str, sizes: str, budgets: int, repeats: int, seed: int, as_json: bool, plot: Path | None
 ) -> None:
-    """Measure ROLE at each size: request, purge, reload, discovery, membership or allocator."""
+    """Measure ROLE at each size: request, purge, reload, discovery, membership, cut or allocator."""
     from lupintack.scale import roles, slope_chart
 
     try:
--- a/lupintack/scale/membership_world.py
+++ b/lupintack/scale/membership_world.py
@@ -21,6 +21,8 @@
 from lupintack.membership.view import Record, State
 
 SECOND_US = 1_000_000
+REGIONS = 27  # the lab's sites stand for them
+ROUTERS_PER_REGION = 2  # at the least
 
 
 class Totals(NamedTuple):
@@ -86,14 +88,17 @@
         """The seeds that a router is configured with."""
         return [f"{seed}:1" for seed in self.seeds if seed != host.name]
 
+    def schedule(self, marks_s: Sequence[int]) -> None:
+        """The script's faults, and marks at these seconds."""
+        for fault in self.faults:
+            self.clock.call(fault.at_us, self.begin, fault)
+        for at_s in marks_s:
+            self.clock.call(at_s * SECOND_US, self.mark)
+
     def run_to(self, until_us: int) -> None:
         """Play on."""
         self.clock.run(until_us)
 
-    def mark_at(self, at_us: int) -> None:
-        """Note the totals at a moment."""
-        self.clock.call(at_us, self.mark)
-
     def mark(self) -> None:
         """The totals now."""
         by_region: dict[str, Totals] = {}
@@ -147,3 +152,31 @@
 def membership(codec: Codec, me: Record, terms: Terms, random: Random, seeds: Sequence[str]) -> Membership:
     """The program's own, with datagrams measured by the codec."""
     return Membership(me, terms, random, seeds, codec.size)
+
+
+def regions_of(routers: int) -> int:
+    """How many regions a fleet of so many routers is played with."""
+    return max(1, min(REGIONS, routers // ROUTERS_PER_REGION))
+
+
+class Phase:
+    """What some routers spent between two marks: of one region, of the others, or of all."""
+
+    def __init__(
+        self, first: Mark, last: Mark, world: WarmWorld, region: str = "", away: bool = True
+    ) -> None:
+        """Empty `region`: all routers. `away`: those of the region, else all others."""
+
+        def counts(name: str) -> bool:
+            return not region or (name == region) == away
+
+        routers = sum(counts(host.site) for host in world.hosts.values())
+        self.seconds = (last.at_us - first.at_us) / SECOND_US
+        chosen = [name for name in last.by_region if counts(name)]
+        self.cpu_us = sum(last.by_region[n].cpu_us - first.by_region[n].cpu_us for n in chosen)
+        self.bytes = sum(last.by_region[n].bytes - first.by_region[n].bytes for n in chosen)
+        self.exchanges = last.exchanges - first.exchanges
+        share = 1.0 / (routers * self.seconds)
+        self.cpu_us_per_s = self.cpu_us * share
+        self.bytes_per_s = self.bytes * share
+        self.messages_per_s = (last.datagrams - first.datagrams) * share  # means something for all alone
--- /dev/null
+++ b/lupintack/scale/role_cut.py
@@ -0,0 +1,87 @@
+"""What membership costs the routers of a region that is cut off from all others, in a fleet of N.
+
+`cpu_us` and `bytes` are for a router of that region and second, over the cut; the details have the others in
+the same time, both after the cut's end, and whether all views are one again.
+"""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+from lupintack.lab.faults import Fault
+from lupintack.scale.membership_world import (
+    REGIONS,
+    ROUTERS_PER_REGION,
+    SECOND_US,
+    Phase,
+    WarmWorld,
+    regions_of,
+)
+from lupintack.scale.role_membership import ENTRY_BYTES, running_part
+from lupintack.scale.slope import Parameters, Role, Sample, deep_bytes
+
+IDLE_FROM_S = 4
+CUT_FROM_S = 8
+CUT_TO_S = 38
+HEALED_TO_S = 58
+PHASES_S = (IDLE_FROM_S, CUT_FROM_S, CUT_TO_S, HEALED_TO_S)
+
+
+class CutSubject:
+    """Worlds of one size, one a repeat, each with a further seed."""
+
+    def __init__(self, parameters: Parameters) -> None:
+        """A fleet of the size of `parameters`."""
+        self.size, self.seed = parameters.size, parameters.seed
+        self.regions = regions_of(self.size)
+        self.world: WarmWorld | None = None
+
+    def sample(self) -> Sample:
+        """One run."""
+        self.world = None  # the one before is freed first
+        region = f"site{self.regions - 1}"
+        length_us = (CUT_TO_S - CUT_FROM_S) * SECOND_US
+        cut = Fault(CUT_FROM_S * SECOND_US, "site", length_us, (region,))
+        world = self.world = WarmWorld(self.seed, self.size, [cut], self.regions)
+        self.seed += 1
+        world.begin_joined()
+        world.schedule(PHASES_S)
+        world.run_to(HEALED_TO_S * SECOND_US)
+        idle, during, after = pairwise(world.marks)
+        off, rest = Phase(*during, world, region), Phase(*during, world, region, away=False)
+        healing_off, healing_rest = Phase(*after, world, region), Phase(*after, world, region, away=False)
+        details = {
+            "routers_cut_off": float(sum(host.site == region for host in world.hosts.values())),
+            "idle_cpu_us": Phase(*idle, world).cpu_us_per_s,
+            "rest_cpu_us": rest.cpu_us_per_s,
+            "rest_bytes": rest.bytes_per_s,
+            "healing_cpu_us": healing_off.cpu_us_per_s,
+            "healing_bytes": healing_off.bytes_per_s,
+            "healing_rest_cpu_us": healing_rest.cpu_us_per_s,
+            "healing_rest_bytes": healing_rest.bytes_per_s,
+            "healing_exchanges": float(healing_off.exchanges),
+            "views_at_end": float(len({world.view_id(host) for host in world.running()})),
+            "false_removals": float(world.result.false_removals),
+        }
+        rounded = {name: round(value, 3) for name, value in details.items()}
+        return Sample(round(off.cpu_us_per_s, 3), round(off.bytes_per_s, 1), 0.0, rounded)
+
+    def state_bytes(self) -> int:
+        """Of one router's view and verdicts."""
+        assert self.world is not None
+        part = running_part(self.world)
+        return deep_bytes(part.view, part.verdicts, part.detector.subjects)
+
+    def close(self) -> None:
+        """Nothing is open."""
+        self.world = None
+
+
+ROLE = Role(
+    name="cut",
+    per=f"router-second in a cut-off region of {REGIONS}",
+    size_is="routers",
+    make=CutSubject,
+    memory_bytes=lambda parameters: 60_000_000 + ENTRY_BYTES * parameters.size**2,
+    least_size=2 * ROUTERS_PER_REGION,
+)
--- a/lupintack/scale/role_membership.py
+++ b/lupintack/scale/role_membership.py
@@ -1,8 +1,8 @@
 """What membership costs one router a second in a fleet of N, in the lab's world (`membership_world`).
 
 `cpu_us`, `bytes` and `messages` are for a router and second while nothing happens. Restarts, kills and
-machines that fall silent follow, a few of each, then a cut of one region and its end; the details say what
-one restart costs each of the others, how long each kind takes to be told, and the pace during the cut.
+machines that fall silent follow, a few of each; the details say what one restart costs each of the others
+and how long each kind takes to be told. `role_cut` has the cut of a region.
 """
 
 from __future__ import annotations
@@ -17,18 +17,14 @@
 from lupintack.lab.faults import Fault
 from lupintack.membership.member import Membership
 from lupintack.membership.messages import Whole
-from lupintack.scale.membership_world import SECOND_US, Mark, WarmWorld
+from lupintack.scale.membership_world import SECOND_US, Phase, WarmWorld, regions_of
 from lupintack.scale.slope import Parameters, Role, Sample, deep_bytes
 
-REGIONS = 27  # the lab's sites stand for them: one is cut off as a whole
-ROUTERS_PER_REGION = 2  # at the least
 IDLE_FROM_S, IDLE_TO_S = 6, 14
 RESTARTS_TO_S = 30
 KILLS_TO_S = 44
 SILENT_TO_S = 64
-CUT_TO_S = 94
-HEALED_TO_S = 114
-PHASES_S = (IDLE_FROM_S, IDLE_TO_S, RESTARTS_TO_S, KILLS_TO_S, SILENT_TO_S, CUT_TO_S, HEALED_TO_S)
+PHASES_S = (IDLE_FROM_S, IDLE_TO_S, RESTARTS_TO_S, KILLS_TO_S, SILENT_TO_S)
 RESTARTS, KILLS, SILENT = 4, 2, 2
 EVENTS_S = 1.0  # between two events of one kind
 DATAGRAMS = 2000
@@ -48,26 +44,18 @@
     def build(self) -> WarmWorld:
         """A world that is joined, and its marks."""
         names = [f"n{number}" for number in range(self.size)]
-        regions = max(1, min(REGIONS, self.size // ROUTERS_PER_REGION))
-        world = WarmWorld(self.seed, self.size, script(names, regions), regions)
+        world = WarmWorld(self.seed, self.size, script(names), regions_of(self.size))
         self.seed += 1
         world.begin_joined()
-        for fault in world.faults:
-            world.clock.call(fault.at_us, world.begin, fault)
-        for at_s in PHASES_S:
-            world.mark_at(at_s * SECOND_US)
+        world.schedule(PHASES_S)
         return world
 
     def sample(self) -> Sample:
         """One run."""
         self.world = None  # the one before is freed first
         world = self.world = self.build()
-        world.run_to(HEALED_TO_S * SECOND_US)
-        pairs = list(pairwise(world.marks))
-        idle, restarts, _, _, _, healing = [Phase(one, other, world) for one, other in pairs]
-        region = world.faults[-1].who[0] if world.faults[-1].kind == "site" else ""
-        away = Phase(*pairs[4], world, region)
-        rest = Phase(*pairs[4], world, region, away=not region)
+        world.run_to(SILENT_TO_S * SECOND_US)
+        idle, restarts, _, _ = [Phase(one, other, world) for one, other in pairwise(world.marks)]
         found = world.result
         detections = [mark.detections for mark in world.marks]
         per_restart = 1.0 / (RESTARTS * self.size)
@@ -79,16 +67,8 @@
             "exchanges_per_restart": (restarts.exchanges - idle.exchanges * idle_times) / RESTARTS,
             "kill_told_p50_s": told_s(found.detect_us[detections[2] : detections[3]], median),
             "kill_told_max_s": told_s(found.detect_us[detections[2] : detections[3]], max),
-            "silent_told_p50_s": told_s(found.detect_us[detections[3] : detections[4]], median),
-            "silent_told_max_s": told_s(found.detect_us[detections[3] : detections[4]], max),
-            "cut_off_cpu_us_per_s": away.cpu_us_per_s,
-            "cut_off_bytes_per_s": away.bytes_per_s,
-            "cut_rest_cpu_us_per_s": rest.cpu_us_per_s,
-            "cut_rest_bytes_per_s": rest.bytes_per_s,
-            "healing_cpu_us_per_s": healing.cpu_us_per_s,
-            "healing_bytes_per_s": healing.bytes_per_s,
-            "healing_exchanges": float(healing.exchanges),
-            "views_at_end": float(len({world.view_id(host) for host in world.running()})),
+            "silent_told_p50_s": told_s(found.detect_us[detections[3] :], median),
+            "silent_told_max_s": told_s(found.detect_us[detections[3] :], max),
             "false_removals": float(found.false_removals),
         }
         details |= status_page(running_part(world))
@@ -141,29 +121,6 @@
     }
 
 
-class Phase:
-    """What some routers spent between two marks: of one region, of the others, or of all."""
-
-    def __init__(
-        self, first: Mark, last: Mark, world: WarmWorld, region: str = "", away: bool = True
-    ) -> None:
-        """Empty `region`: all routers. `away`: those of the region, else all others."""
-
-        def counts(name: str) -> bool:
-            return not region or (name == region) == away
-
-        routers = sum(counts(host.site) for host in world.hosts.values())
-        self.seconds = (last.at_us - first.at_us) / SECOND_US
-        chosen = [name for name in last.by_region if counts(name)]
-        self.cpu_us = sum(last.by_region[n].cpu_us - first.by_region[n].cpu_us for n in chosen)
-        self.bytes = sum(last.by_region[n].bytes - first.by_region[n].bytes for n in chosen)
-        self.exchanges = last.exchanges - first.exchanges
-        share = 1.0 / (routers * self.seconds)
-        self.cpu_us_per_s = self.cpu_us * share
-        self.bytes_per_s = self.bytes * share
-        self.messages_per_s = (last.datagrams - first.datagrams) * share  # means something for all alone
-
-
 def told_s(times_us: list[int], of: object) -> float:
     """A figure of the times from an event to each router that was told of it; 0 where there were none."""
     if not times_us:
@@ -171,10 +128,8 @@
     return (max(times_us) if of is max else median(times_us)) / SECOND_US
 
 
-def script(names: list[str], regions: int) -> list[Fault]:
-    """Restarts, kills and silences, of routers that are no seeds, as far as there are so many; and the cut
-    of a region, where there is more than one.
-    """
+def script(names: list[str]) -> list[Fault]:
+    """Restarts, kills and silences, of routers that are no seeds, as far as there are so many."""
     victims = iter(names[3:])
     found = []
     plans = (("restart", RESTARTS, IDLE_TO_S), ("kill", KILLS, RESTARTS_TO_S), ("vanish", SILENT, KILLS_TO_S))
@@ -183,9 +138,6 @@
             name = next(victims, None)
             if name is not None:
                 found.append(Fault(int((from_s + number * EVENTS_S) * SECOND_US) + 1, kind, 0, (name,)))
-    if regions > 1:
-        length_us = (CUT_TO_S - SILENT_TO_S) * SECOND_US
-        found.append(Fault(SILENT_TO_S * SECOND_US, "site", length_us, (f"site{regions - 1}",)))
     return found
 
 
--- a/lupintack/scale/roles.py
+++ b/lupintack/scale/roles.py
@@ -7,6 +7,7 @@
 
 from lupintack.scale import (
     role_allocator,
+    role_cut,
     role_discovery,
     role_membership,
     role_purge,
@@ -17,7 +18,15 @@
 
 ROLES: dict[str, Role] = {
     module.ROLE.name: module.ROLE
-    for module in (role_request, role_purge, role_reload, role_discovery, role_membership, role_allocator)
+    for module in (
+        role_request,
+        role_purge,
+        role_reload,
+        role_discovery,
+        role_membership,
+        role_cut,
+        role_allocator,
+    )
 }
 MEMORY_SHARE = 0.5  # of what is available: others use the machine, too
 MEMORY_FILE = Path("/proc/meminfo")
@@ -40,7 +49,9 @@
 
 
 def check(wanted: Role, parameters: Parameters) -> None:
-    """SlopeError where the machine has too little memory or too few descriptors for this size."""
+    """SlopeError where the role means nothing at this size, or the machine lacks memory or descriptors."""
+    if parameters.size < wanted.least_size:
+        raise SlopeError(f"--sizes: {parameters.size}: {wanted.least_size} at the least for {wanted.name}")
     needed, spare = wanted.memory_bytes(parameters), available_bytes() * MEMORY_SHARE
     if needed > spare:
         raise SlopeError(
