--- a/lupintack/scale/role_membership.py
+++ b/lupintack/scale/role_membership.py
@@ -2,7 +2,7 @@
 
 `cpu_us`, `bytes` and `messages` are for a router and second while nothing happens. Restarts, kills and
 machines that fall silent follow, a few of each; the details say what one restart costs each of the others
-and how long each kind takes to be told.
+and how long each kind takes to be told. `role_cut` has the cut of a region.
 """
 
 from __future__ import annotations
@@ -16,11 +16,10 @@
 from lupintack.fleet.talk import Place
 from lupintack.lab.faults import Fault
 from lupintack.membership.member import Membership
-from lupintack.scale.membership_world import SECOND_US, Mark, WarmWorld
+from lupintack.membership.messages import Whole
+from lupintack.scale.membership_world import SECOND_US, Phase, WarmWorld, regions_of
 from lupintack.scale.slope import Parameters, Role, Sample, deep_bytes
 
-SITES_MOST = 140
-ROUTERS_PER_SITE = 21
 IDLE_FROM_S, IDLE_TO_S = 6, 14
 RESTARTS_TO_S = 30
 KILLS_TO_S = 44
@@ -45,14 +44,10 @@
     def build(self) -> WarmWorld:
         """A world that is joined, and its marks."""
         names = [f"n{number}" for number in range(self.size)]
-        sites = max(1, min(SITES_MOST, self.size // ROUTERS_PER_SITE))
-        world = WarmWorld(self.seed, self.size, script(names), sites)
+        world = WarmWorld(self.seed, self.size, script(names), regions_of(self.size))
         self.seed += 1
         world.begin_joined()
-        for fault in world.faults:
-            world.clock.call(fault.at_us, world.begin, fault)
-        for at_s in PHASES_S:
-            world.mark_at(at_s * SECOND_US)
+        world.schedule(PHASES_S)
         return world
 
     def sample(self) -> Sample:
@@ -60,15 +55,16 @@
         self.world = None  # the one before is freed first
         world = self.world = self.build()
         world.run_to(SILENT_TO_S * SECOND_US)
-        idle, restarts, _, _ = [Phase(one, other, self.size) for one, other in pairwise(world.marks)]
+        idle, restarts, _, _ = [Phase(one, other, world) for one, other in pairwise(world.marks)]
         found = world.result
-        detections = [mark.totals.detections for mark in world.marks]
+        detections = [mark.detections for mark in world.marks]
         per_restart = 1.0 / (RESTARTS * self.size)
+        idle_times = restarts.seconds / idle.seconds
         details = {
             "socket_us_per_datagram": self.socket_us,
-            "restart_bytes_per_router": restarts.over(idle).bytes * per_restart,
-            "restart_cpu_us_per_router": restarts.over(idle).cpu_us * per_restart,
-            "exchanges_per_restart": restarts.over(idle).exchanges / RESTARTS,
+            "restart_bytes_per_router": (restarts.bytes - idle.bytes * idle_times) * per_restart,
+            "restart_cpu_us_per_router": (restarts.cpu_us - idle.cpu_us * idle_times) * per_restart,
+            "exchanges_per_restart": (restarts.exchanges - idle.exchanges * idle_times) / RESTARTS,
             "kill_told_p50_s": told_s(found.detect_us[detections[2] : detections[3]], median),
             "kill_told_max_s": told_s(found.detect_us[detections[2] : detections[3]], max),
             "silent_told_p50_s": told_s(found.detect_us[detections[3] :], median),
@@ -76,6 +72,7 @@
             "false_removals": float(found.false_removals),
         }
         details |= status_page(running_part(world))
+        details |= full_exchange(world, running_part(world))
         rounded = {name: round(value, 3) for name, value in details.items()}
         return Sample(
             round(idle.cpu_us_per_s, 3), round(idle.bytes_per_s, 1), round(idle.messages_per_s, 2), rounded
@@ -111,37 +108,17 @@
         fleet.close()
 
 
-class Spent:
-    """Totals over and above another phase's pace."""
-
-    def __init__(self, cpu_us: float, sent: float, exchanges: float) -> None:
-        """What all routers together had used at one moment."""
-        self.cpu_us, self.bytes, self.exchanges = cpu_us, sent, exchanges
-
-
-class Phase:
-    """What all routers spent between two marks."""
-
-    def __init__(self, first: Mark, last: Mark, routers: int) -> None:
-        """What a router used in each second between two marks."""
-        self.seconds = (last.at_us - first.at_us) / SECOND_US
-        self.cpu_us = last.totals.cpu_us - first.totals.cpu_us
-        self.bytes = last.totals.bytes - first.totals.bytes
-        self.datagrams = last.totals.datagrams - first.totals.datagrams
-        self.exchanges = last.totals.exchanges - first.totals.exchanges
-        share = 1.0 / (routers * self.seconds)
-        self.cpu_us_per_s = self.cpu_us * share
-        self.bytes_per_s = self.bytes * share
-        self.messages_per_s = self.datagrams * share
-
-    def over(self, idle: Phase) -> Spent:
-        """What this phase took beyond an idle one of its length."""
-        times = self.seconds / idle.seconds
-        return Spent(
-            self.cpu_us - idle.cpu_us * times,
-            self.bytes - idle.bytes * times,
-            self.exchanges - idle.exchanges * times,
-        )
+def full_exchange(world: WarmWorld, part: Membership) -> dict[str, float]:
+    """What a router that joins costs the seed that it asks: its frame read, the answer with all records."""
+    me = (part.name, part.me.start, part.me.incarnation, int(part.me.state), part.me.site, part.me.address)
+    asked = world.codec.word(Whole(me, 0, []))
+    began = thread_time_ns()
+    answer, _ = part.offer(world.codec.read_whole(asked), world.clock.now)
+    raw = world.codec.word(answer)
+    return {
+        "exchange_cpu_us": (thread_time_ns() - began) / 1000,
+        "exchange_bytes": float(len(asked) + len(raw)),
+    }
 
 
 def told_s(times_us: list[int], of: object) -> float:
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -177,6 +177,7 @@
             (("purge", "--sizes", "3,x"), "not 'x'"),
             (("purge", "--sizes", ""), "not ''"),
             (("membership", "--sizes", "9000000"), "MiB are needed"),
+            (("cut", "--sizes", "40,3"), "4 at the least"),
             (("discovery", "--sizes", "3", "--plot", "/no/such/folder/a.png"), "--plot: no folder"),
         ],
     )
@@ -211,6 +212,7 @@
             assert 0 < one["cpu_us_min"] <= one["cpu_us"] <= one["cpu_us_max"]
             assert one["repeats"] == 2
             assert one["state_bytes"] > 0
+            assert one["reference_us"] > 0
             assert one["per"]
 
     def test_a_chart_and_its_figures(self, tmp_path: Path) -> None:
