--- a/lupintack/cli/lab.py
+++ b/lupintack/cli/lab.py
@@ -13,6 +13,7 @@
 from typing import Any, TypeVar
 
 from lupintack.lab import budget_check as searches
+from lupintack.lab import budget_levels
 from lupintack.lab import budgets as budget_worlds
 from lupintack.lab.baselines import heartbeats, swim
 from lupintack.lab.budget_bugs import FLAWS, by_search, by_seeds
@@ -128,9 +129,16 @@
     }
 
 
-def budgets(routers: int, seeds: str, jobs: int) -> dict[str, Any]:
-    """The figures of all runs of fleets with budgets."""
-    return budget_worlds.figures(spread(partial(budget_run, routers=routers), seeds_of(seeds), jobs))
+def budgets(routers: int, seeds: str, jobs: int, regions: int = 0, levels: int = 2) -> dict[str, Any]:
+    """The figures of all runs of fleets with budgets; `regions` 0: a fleet without them."""
+    if not regions:
+        return budget_worlds.figures(spread(partial(budget_run, routers=routers), seeds_of(seeds), jobs))
+    if regions * budget_levels.REGION_VOTERS > routers:
+        raise LabError(
+            f"--regions {regions}: each has {budget_levels.REGION_VOTERS} voters; more routers are wanted"
+        )
+    play = partial(budget_levels.play, regions=regions, routers=routers, levels=levels)
+    return budget_levels.level_figures(spread(play, seeds_of(seeds), jobs))
 
 
 def budget_run(seed: int, routers: int) -> budget_worlds.Result:
--- a/lupintack/cli/main.py
+++ b/lupintack/cli/main.py
@@ -191,14 +191,20 @@
 @lab.command("budgets")
 @click.option("--routers", default=200, show_default=True, type=click.IntRange(3, 2000))
 @click.option("--seeds", default="0-19", show_default=True, help="A-B, both ends played.")
+@click.option(
+    "--regions", default=0, show_default=True, type=click.IntRange(0, 27), help="Budgets of two levels."
+)
+@click.option(
+    "--levels", default=2, show_default=True, type=click.IntRange(1, 2), help="1: regions, one level."
+)
 @click.option("--jobs", default=1, show_default=True, type=click.IntRange(1, 256), help="Processes.")
 @click.option("--json", "as_json", is_flag=True, help="One line.")
-def lab_budgets(routers: int, seeds: str, jobs: int, as_json: bool) -> None:
+def lab_budgets(routers: int, seeds: str, regions: int, levels: int, jobs: int, as_json: bool) -> None:
     """Budgets of ROUTERS routers through drawn faults; ends with 1 if a sum was ever over its whole."""
     from lupintack.cli.lab import LabError, budgets
 
     try:
-        found = budgets(routers, seeds, jobs)
+        found = budgets(routers, seeds, jobs, regions, levels)
     except LabError as error:
         click.echo(str(error), err=True)
         sys.exit(2)
--- /dev/null
+++ b/lupintack/lab/budget_levels.py
@@ -0,0 +1,307 @@
+"""Fleets of several regions on the virtual clock, with budgets of two levels or, for comparison, of one.
+
+Regions have voters of their own; the fleet's voters stand in different regions. Demand moves between regions.
+Beside the faults of one level: a region's or the fleet's allocator is killed or paused, and a region is cut
+off from all others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+from statistics import median
+from typing import Any, NamedTuple
+
+from lupintack.budgets.hierarchy import Level, LevelActions, TwoLevelNode
+from lupintack.budgets.invariant import BudgetState, RegionAmounts, RegionBounds
+from lupintack.budgets.messages import LeaseGrant, LeaseRequest
+from lupintack.budgets.node import Actions, BudgetNode
+from lupintack.budgets.regions import Region, RegionPlan, plan_region
+from lupintack.budgets.spending import Budget, BudgetKind
+from lupintack.budgets.terms import Terms
+from lupintack.lab.budgets import KINDS, SECOND, Host, Node, Result, World, figures
+from lupintack.lab.faults import Fault
+
+LEVEL_KINDS = ("fleet-allocator", "region-allocator", "region-cut")
+PLAIN_KINDS = tuple(kind for kind in KINDS if kind != "divider")
+REGION_VOTERS = 3
+FLEET_VOTERS = 5
+SITES = 2  # a region
+PAUSE_US = 30 * SECOND
+DEMAND_US = 6 * SECOND  # how long one pattern of demand among the regions lasts
+DEMAND_FACTORS = (1, 1, 2, 8)
+WHOLE_AGAIN = 1.0  # a region holds more than this part of its reserve
+
+
+@dataclass(slots=True)
+class Cut:
+    """What a region did while it was cut off, and after."""
+
+    region: str
+    from_us: int
+    until_us: int
+    reserve_share: list[float] = field(default_factory=list)  # of its reserve, leased while it had that alone
+    own_share: list[float] = field(default_factory=list)  # of its own sites' budgets, leased at that time
+    whole_again_us: int = -1  # from the cut's end until it has more than its reserve
+
+
+def region_of(name: str) -> str:
+    """The region of a host or site: names begin with it."""
+    return name.partition("-")[0]
+
+
+class LevelsWorld(World):
+    """One run of a fleet of several regions."""
+
+    def __init__(
+        self,
+        seed: int,
+        regions: int = 3,
+        routers: int = 18,
+        terms: Terms | None = None,
+        kinds: Sequence[str] = PLAIN_KINDS + LEVEL_KINDS,
+        whole: int = 600,
+        own_whole: int = 60,
+        script: Sequence[Fault] | None = None,
+        levels: int = 2,
+    ) -> None:
+        """`whole`: of the one fleet-wide budget; `own_whole`: of the budget of each region's first site.
+
+        With one level the same seed plays the same fleet, faults and demand, without the sites' budgets.
+        """
+        self.levels = levels
+        names = [f"r{n % regions}-n{n // regions}" for n in range(max(routers, regions * REGION_VOTERS))]
+        where = {name: f"r{n % regions}-s{n // regions % SITES}" for n, name in enumerate(names)}
+        self.region_names = [f"r{n}" for n in range(regions)]
+        self.set_up(seed, where, terms or Terms())
+        self.voters = self.choose_fleet_voters()
+        self.plans = self.make_plans(whole, own_whole)
+        plan = self.plans["r0"]
+        self.wholes = tuple(whole + sum(one.region_pool[0] for one in self.plans.values())
+                            for whole in plan.fleet_allocatable)  # fmt: skip
+        self.demand_random = Random(seed)
+        self.factors = dict.fromkeys(self.region_names, 1)
+        self.cuts: list[Cut] = []
+        self.plan_faults(kinds, script)
+
+    def choose_fleet_voters(self) -> list[str]:
+        """Routers of different regions as far as there are so many; an odd number."""
+        count = (
+            min(FLEET_VOTERS, len(self.hosts)) if len(self.region_names) >= FLEET_VOTERS else REGION_VOTERS
+        )
+        found: list[str] = []
+        for n in range(count):
+            region = self.region_names[n % len(self.region_names)]
+            found.append(
+                self.random.choice([h for h in self.hosts if region_of(h) == region and h not in found])
+            )
+        return found
+
+    def make_plans(self, whole: int, own_whole: int) -> dict[str, RegionPlan]:
+        """The regions' plans for one fleet-wide budget and one of a site in each region."""
+        regions = []
+        for name in self.region_names:
+            voters = [host for host in self.hosts if region_of(host) == name][:REGION_VOTERS]
+            sites = sorted({site for site in self.network.sites.values() if region_of(site) == name})
+            regions.append(Region(name, tuple(voters), tuple(sites)))
+        budgets = [Budget("fills", whole, BudgetKind.CONCURRENT)]
+        budgets += [Budget(f"cold.{name}-s0", own_whole, BudgetKind.CONCURRENT) for name in self.region_names]
+        return {region.name: plan_region(budgets, regions, region) for region in regions}
+
+    def draw_faults(self, kinds: Sequence[str]) -> list[Fault]:
+        """The faults of one level, and some of the levels' own."""
+        plain = [kind for kind in kinds if kind not in LEVEL_KINDS]
+        found = super().draw_faults(plain) if plain else []
+        for kind in LEVEL_KINDS:
+            if kind in kinds and self.random.random() < 0.6:
+                at = 8 * SECOND + self.random.randrange(10 * SECOND)
+                length = self.random.choice((5, 15, 40)) * SECOND
+                if kind != "region-cut":
+                    length = PAUSE_US if self.random.random() < 0.3 else 0
+                who = () if kind == "fleet-allocator" else (self.random.choice(self.region_names),)
+                found.append(Fault(at, kind, length, who))
+        return found
+
+    # Processes
+
+    def make_node(self, host: Host, random: Random, now: int) -> Node:
+        """With two levels a node of both; with one a node of the fleet's, which leases the same sum."""
+        if self.levels == 1:
+            stored = host.stored.get(Level.FLEET)
+            return BudgetNode(
+                host.name, host.starts, self.voters, self.wholes, self.terms, random, now, stored
+            )
+        plan = self.plans[region_of(host.name)]
+        return TwoLevelNode(
+            host.name,
+            host.starts,
+            self.voters,
+            plan,
+            self.terms,
+            random,
+            now,
+            votes=True,
+            stored=host.stored.get,
+        )
+
+    def want(self, host: Host) -> None:
+        """More than there is for all; how much more differs by region, and changes."""
+        assert host.node is not None
+        region = region_of(host.name)
+        routers = len(self.hosts) // len(self.region_names)
+        factor = self.factors[region] * self.random.choice((2, 4))
+        demand = [self.wholes[0] * factor // len(self.hosts) + 1]
+        if self.levels == 2:
+            demand += [amount * 2 // routers + 1 for amount in self.plans[region].region_pool[1:]]
+        host.node.set_demand(demand)
+
+    def move_demand(self) -> None:
+        """Another pattern of demand among the regions."""
+        for region in self.region_names:
+            self.factors[region] = self.demand_random.choice(DEMAND_FACTORS)
+        self.clock.call(self.clock.now + DEMAND_US, self.move_demand)
+
+    def carry_out(self, host: Host, actions: Actions | LevelActions) -> None:
+        """What a call asked for, of either kind of node."""
+        if isinstance(actions, Actions):
+            super().carry_out(host, actions)
+            return
+        for stored in actions.promises:
+            host.stored[stored.level] = stored.promise
+        for send in actions.sends:
+            self.send(host, send.to, send.level, send.message)
+            if send.level is Level.FLEET and isinstance(send.message, LeaseRequest | LeaseGrant):
+                self.check_promise()  # what is booked for a region has changed, or is about to
+        for event in actions.events:
+            fleet = event.level is Level.FLEET
+            self.happened(host, event.event if fleet else f"region {event.event}", event.detail)
+
+    def run(self) -> Result:
+        self.move_demand()
+        return super().run()
+
+    # What must hold
+
+    def state(self) -> BudgetState:
+        """All that lives now, at both levels."""
+        live = [RegionAmounts(region_of(host.name), host.amounts) for host in self.live()]
+        if self.levels == 1:
+            return BudgetState(self.wholes, tuple(RegionBounds(r, (0,)) for r in self.region_names), live)
+        bounds = tuple(
+            RegionBounds(name, plan.region_pool[: plan.fleet_wide], plan.region_pool[plan.fleet_wide :])
+            for name, plan in self.plans.items()
+        )
+        whole = self.plans[self.region_names[0]].fleet_allocatable
+        return BudgetState(whole, bounds, live, self.parent_leases(), self.bookings())
+
+    def parent_leases(self) -> list[RegionAmounts]:
+        """What each process that acts for a region holds of the fleet's allocator."""
+        found = []
+        for host in self.hosts.values():
+            if isinstance(host.node, TwoLevelNode) and host.node.fleet.holds:
+                held = host.node.fleet.held(host.local(self.clock.now))
+                found.append(RegionAmounts(region_of(host.name), held))
+        return found
+
+    def bookings(self) -> list[RegionAmounts] | None:
+        """The ledger of a fleet's allocator whose term holds, and that has waited for older ones."""
+        for host in self.hosts.values():
+            now = host.local(self.clock.now)
+            if isinstance(host.node, TwoLevelNode) and host.node.fleet.is_allocator(now):
+                allocator = host.node.fleet.allocator
+                if allocator is not None and now >= allocator.ready_us:
+                    ledger = allocator.ledger.items()
+                    return [RegionAmounts(key[0], one.amounts) for key, one in ledger if now < one.until_us]
+        return None
+
+    def can_elect(self) -> bool:
+        """Whether a majority of voters lives, of the fleet's and of each region's."""
+        if self.levels == 1:
+            return super().can_elect()
+        regions = all(self.majority_lives(plan.region.voters) for plan in self.plans.values())
+        return regions and super().can_elect()
+
+    def look(self) -> None:
+        super().look()
+        for cut in self.cuts:
+            self.look_at_cut(cut)
+
+    def look_at_cut(self, cut: Cut) -> None:
+        """How a region works while it is cut off, from when its parent lease is surely over, and after."""
+        now = self.clock.now
+        plan = self.plans[cut.region]
+        leases = [host.amounts for host in self.live() if region_of(host.name) == cut.region]
+        amount = sum(amounts[0] for amounts in leases)
+        if cut.from_us + 2 * self.terms.lease_us <= now < cut.until_us:
+            cut.reserve_share.append(amount / plan.region_pool[0])
+            own = plan.region_pool[plan.fleet_wide :]
+            if own and self.levels == 2:
+                cut.own_share.append(sum(amounts[1] for amounts in leases) / own[0])
+        if now >= cut.until_us and cut.whole_again_us < 0 and amount > WHOLE_AGAIN * plan.region_pool[0]:
+            cut.whole_again_us = now - cut.until_us
+
+    # Faults
+
+    def begin(self, fault: Fault) -> None:
+        """Faults of the levels; with one level an allocator's of a region hits the region's first voter."""
+        if fault.kind == "fleet-allocator":
+            self.hit([host for host in self.hosts.values() if self.allocates(host)], fault)
+        elif fault.kind == "region-allocator":
+            self.hit(self.region_allocators(fault.who[0]), fault)
+        elif fault.kind == "region-cut":
+            self.cuts.append(Cut(fault.who[0], fault.at_us, fault.until()))
+            pairs = self.pairs_across(fault.who[0])
+            self.network.cut_pairs.update(pairs)
+            self.clock.call(fault.until(), self.network.cut_pairs.difference_update, pairs)
+        else:
+            super().begin(fault)
+
+    def pairs_across(self, region: str) -> set[tuple[str, str]]:
+        """All pairs, either way, of a router in the region and one outside."""
+        inside = [name for name in self.hosts if region_of(name) == region]
+        outside = [name for name in self.hosts if region_of(name) != region]
+        found = {(one, other) for one in inside for other in outside}
+        return found | {(other, one) for one, other in found}
+
+    def allocates(self, host: Host) -> bool:
+        """Whether this process is the fleet's allocator, or takes itself for it."""
+        if isinstance(host.node, TwoLevelNode):
+            return host.node.fleet.allocator is not None
+        return super().allocates(host)
+
+    def region_allocators(self, region: str) -> list[Host]:
+        """Processes that are a region's allocator, or take themselves for it."""
+        hosts = [host for host in self.hosts.values() if region_of(host.name) == region]
+        if self.levels == 1:
+            return [host for host in hosts[:1] if host.node is not None]
+        return [h for h in hosts if isinstance(h.node, TwoLevelNode) and h.node.region.allocator is not None]
+
+
+class LevelsResult(NamedTuple):
+    """What one run came to, and how its regions worked while they were cut off."""
+
+    result: Result
+    cuts: list[Cut]
+
+
+def play(seed: int, regions: int, routers: int, levels: int) -> LevelsResult:
+    """One run; a function of its own, so that another process can be given it."""
+    world = LevelsWorld(seed, regions, routers, levels=levels)
+    return LevelsResult(world.run(), world.cuts)
+
+
+def level_figures(found: Sequence[LevelsResult]) -> dict[str, Any]:
+    """One line's worth: those of one level, and what was seen at regions that were cut off."""
+    cuts = [cut for one in found for cut in one.cuts]
+    reserve = [share for cut in cuts for share in cut.reserve_share]
+    own = [share for cut in cuts for share in cut.own_share]
+    again = [cut.whole_again_us for cut in cuts if cut.whole_again_us >= 0]
+    return figures([one.result for one in found]) | {
+        "cuts": len(cuts),
+        "cut_reserve_share": round(sum(reserve) / len(reserve), 3) if reserve else None,
+        "cut_own_share": round(sum(own) / len(own), 3) if own else None,
+        "whole_again_p50_s": round(median(again) / SECOND, 2) if again else None,
+        "whole_again_max_s": round(max(again) / SECOND, 2) if again else None,
+        "not_whole_again": len(cuts) - len(again),
+    }
--- a/lupintack/lab/budgets.py
+++ b/lupintack/lab/budgets.py
@@ -10,7 +10,8 @@
 from random import Random
 from typing import Any
 
-from lupintack.budgets.messages import Message
+from lupintack.budgets.hierarchy import Level, TwoLevelNode
+from lupintack.budgets.invariant import BudgetState, single_level, violations
 from lupintack.budgets.node import Actions, BudgetNode
 from lupintack.budgets.terms import MILLION, Terms
 from lupintack.budgets.voter import Promise
@@ -29,6 +30,9 @@
 FAULTS_US = 12 * SECOND  # drawn faults come so much later
 
 
+Node = BudgetNode | TwoLevelNode
+
+
 @dataclass(slots=True)
 class Host:
     """One router: its process, its clock, and what its disk keeps."""
@@ -37,11 +41,11 @@
     site: str
     offset: int
     rate: float
-    node: BudgetNode | None = None
+    node: Node | None = None
     starts: int = 0
-    kept: Promise | None = None
+    stored: dict[Level, Promise] = field(default_factory=dict)  # what its voter promised
     paused: int = 0
-    inbox: list[tuple[Callable[..., Actions], tuple[Any, ...]]] = field(default_factory=list)
+    inbox: list[tuple[Callable[..., Any], tuple[Any, ...]]] = field(default_factory=list)
     planned: int = -1
     ends: float = 0.0  # of its lease, in true time
     amounts: tuple[int, ...] = ()
@@ -86,34 +90,48 @@
         script: Sequence[Fault] | None = None,
         node: type[BudgetNode] = BudgetNode,
     ) -> None:
-        self.random = Random(seed)
-        self.clock = Clock()
-        self.terms = terms or Terms()
         self.wholes, self.make = tuple(wholes), node
         names = [f"n{n}" for n in range(routers)]
         sites = max(1, min(8, routers // 3))
         where = {name: f"site{n % sites}" for n, name in enumerate(names)}
-        self.network = Network(self.random, where)
         self.voters = names[:VOTERS] if routers >= VOTERS else names[:3]
-        drift = self.terms.drift_ppm / MILLION
+        self.set_up(seed, where, terms or Terms())
+        self.plan_faults(kinds, script)
+
+    def set_up(self, seed: int, where: dict[str, str], terms: Terms) -> None:
+        """Hosts at their sites, each with a clock of its own, and the network between them."""
+        self.random = Random(seed)
+        self.clock = Clock()
+        self.terms = terms
+        self.network = Network(self.random, where)
+        drift = terms.drift_ppm / MILLION
         self.hosts = {
             name: Host(name, where[name], self.random.randrange(1 << 40),
                        self.random.choice((1.0 - drift, 1.0, 1.0 + drift)))
-            for name in names
+            for name in where
         }  # fmt: skip
-        self.result = Result(seed, routers)
+        self.result = Result(seed, len(where))
         self.digest = hashlib.blake2b(digest_size=8)
-        plain = [kind for kind in kinds if kind != "divider"]
-        self.faults = list(script) if script is not None else draw(self.random, names, where, plain)
-        if script is None and "divider" in kinds:
-            at = 8 * SECOND + self.random.randrange(10 * SECOND)
-            self.faults.append(Fault(at, "divider", 30 * SECOND if self.random.random() < 0.3 else 0))
-        if script is None:
-            self.faults = [replace(fault, at_us=fault.at_us + FAULTS_US) for fault in self.faults]
+
+    def plan_faults(self, kinds: Sequence[str], script: Sequence[Fault] | None) -> None:
+        """Take the script's faults, or draw some of these kinds."""
+        if script is not None:
+            self.faults = list(script)
+        else:
+            self.faults = [replace(one, at_us=one.at_us + FAULTS_US) for one in self.draw_faults(kinds)]
         self.last_us = max((fault.until() for fault in self.faults), default=8 * SECOND)
         self.first_us = min((fault.at_us for fault in self.faults), default=8 * SECOND)
         self.end_us = self.last_us + SETTLE_US
 
+    def draw_faults(self, kinds: Sequence[str]) -> list[Fault]:
+        """Faults by the seed, from the world's beginning on."""
+        plain = [kind for kind in kinds if kind != "divider"]
+        found = draw(self.random, list(self.hosts), self.network.sites, plain)
+        if "divider" in kinds:
+            at = 8 * SECOND + self.random.randrange(10 * SECOND)
+            found.append(Fault(at, "divider", 30 * SECOND if self.random.random() < 0.3 else 0))
+        return found
+
     def run(self) -> Result:
         for name in self.hosts:
             self.launch(name)
@@ -121,11 +139,18 @@
             self.clock.call(fault.at_us, self.begin, fault)
         self.clock.call(START_US, self.look)
         self.clock.run(self.end_us)
-        lives = sum(self.hosts[name].node is not None for name in self.voters)
-        self.result.votes = lives * 2 > len(self.voters)
+        self.result.votes = self.can_elect()
         self.result.hash = self.digest.hexdigest()
         return self.result
 
+    def can_elect(self) -> bool:
+        """Whether a majority of the voters lives."""
+        return self.majority_lives(self.voters)
+
+    def majority_lives(self, names: Sequence[str]) -> bool:
+        """Whether more than half of these have a process."""
+        return sum(self.hosts[name].node is not None for name in names) * 2 > len(names)
+
     # Processes
 
     def launch(self, name: str) -> None:
@@ -134,15 +159,17 @@
         host.starts += 1
         now = host.local(self.clock.now)
         if self.random.random() < 0.25:
-            host.kept = None
-        host.node = self.make(
-            name, host.starts, self.voters, self.wholes, self.terms, Random(self.random.getrandbits(64)), now,
-            host.kept,
-        )  # fmt: skip
+            host.stored = {}
+        host.node = self.make_node(host, Random(self.random.getrandbits(64)), now)
         host.amounts, host.ends, host.bare_us = (), 0.0, self.clock.now
         self.want(host)
         self.plan(host)
 
+    def make_node(self, host: Host, random: Random, now: int) -> Node:
+        """The part in the budgets of a process that starts now."""
+        stored = host.stored.get(Level.FLEET)
+        return self.make(host.name, host.starts, self.voters, self.wholes, self.terms, random, now, stored)
+
     def want(self, host: Host) -> None:
         """More than its node, and now and then much more: demand moves between sites."""
         assert host.node is not None
@@ -153,7 +180,7 @@
     def end(self, host: Host) -> None:
         host.node, host.inbox, host.amounts, host.ends = None, [], (), 0.0
 
-    def call(self, host: Host, node: BudgetNode, what: Callable[..., Actions], *words: Any) -> None:
+    def call(self, host: Host, node: Node, what: Callable[..., Any], *words: Any) -> None:
         """Into a process, or into its inbox while it stands still."""
         if host.node is not node:
             return
@@ -161,17 +188,24 @@
             if len(host.inbox) < 500:
                 host.inbox.append((what, words))
             return
-        out = what(*words, host.local(self.clock.now))
-        if out.promise is not None:
-            host.kept = out.promise
-        for to, message in out.sends:
-            self.send(host, to, message)
-        for what_, why in out.events:
-            self.result.epochs += what_ == "won"
-            self.digest.update(f"{self.clock.now} {host.name} {what_} {why}".encode())
+        self.carry_out(host, what(*words, host.local(self.clock.now)))
         self.count(host, node)
         self.plan(host)
 
+    def carry_out(self, host: Host, actions: Actions) -> None:
+        """What a call asked for: the promise is stored before anything is sent."""
+        if actions.promise is not None:
+            host.stored[Level.FLEET] = actions.promise
+        for to, message in actions.sends:
+            self.send(host, to, message)
+        for event, detail in actions.events:
+            self.happened(host, event, detail)
+
+    def happened(self, host: Host, event: str, detail: str) -> None:
+        """An event goes into the run's figures."""
+        self.result.epochs += event == "won"
+        self.digest.update(f"{self.clock.now} {host.name} {event} {detail}".encode())
+
     def plan(self, host: Host) -> None:
         node = host.node
         if node is not None and host.planned != node.wake_us:
@@ -179,7 +213,7 @@
             if node.wake_us < 1 << 61:
                 self.clock.call(host.true(node.wake_us), self.tick, host, node, node.wake_us)
 
-    def tick(self, host: Host, node: BudgetNode, wanted: int) -> None:
+    def tick(self, host: Host, node: Node, wanted: int) -> None:
         if host.node is node and host.planned == wanted:
             if host.paused:
                 return
@@ -188,19 +222,20 @@
                 self.want(host)
             self.call(host, node, node.tick)
 
-    def send(self, host: Host, to: str, message: Message) -> None:
+    def send(self, host: Host, to: str, *words: Any) -> None:
+        """`words`: what the node's `receive` takes beside the sender and the time."""
         self.result.messages += 1
         other = self.hosts[to]
         for way in self.network.ways(host.name, to):
-            self.clock.call(self.clock.now + way, self.arrive, other, host.name, message)
+            self.clock.call(self.clock.now + way, self.arrive, other, host.name, *words)
 
-    def arrive(self, host: Host, sender: str, message: Message) -> None:
+    def arrive(self, host: Host, sender: str, *words: Any) -> None:
         if host.node is not None:
-            self.call(host, host.node, host.node.receive, sender, message)
+            self.call(host, host.node, host.node.receive, sender, *words)
 
     # What must hold
 
-    def count(self, host: Host, node: BudgetNode) -> None:
+    def count(self, host: Host, node: Node) -> None:
         """The sum can grow only where a process takes a grant."""
         now = host.local(self.clock.now)
         held = node.held(now)
@@ -211,26 +246,31 @@
         if all(held):
             host.bare_us = -1
         self.digest.update(f"{host.name} {held}".encode())
-        for n, (sum_, whole) in enumerate(zip(self.sums(), self.wholes, strict=True)):
-            if sum_ > whole:
-                self.result.oversum += 1
-                if len(self.result.where) < 5:
-                    self.result.where.append(
-                        f"{self.clock.now / SECOND:.3f} s: {sum_} of {whole} of budget {n}"
-                    )
-
-    def sums(self) -> list[int]:
-        """What all that live, also those that stand still, may spend now."""
-        now, found = self.clock.now, [0] * len(self.wholes)
-        for host in self.hosts.values():
-            if host.node is not None and now < host.ends:
-                for n, amount in enumerate(host.amounts):
-                    found[n] += amount
-        return found
+        self.check_promise()
+
+    def check_promise(self) -> None:
+        """Count each bound that is passed now."""
+        for violation in violations(self.state()):
+            self.result.oversum += 1
+            if len(self.result.where) < 5:
+                self.result.where.append(f"{self.clock.now / SECOND:.3f} s: {violation}")
+
+    def live(self) -> list[Host]:
+        """Hosts whose process lives, also where it stands still, and has a lease that has not run out."""
+        now = self.clock.now
+        return [host for host in self.hosts.values() if host.node is not None and now < host.ends]
+
+    def state(self) -> BudgetState:
+        """All that lives now."""
+        return single_level(self.wholes, [host.amounts for host in self.live()])
+
+    def used_share(self) -> float:
+        """How much of the first budget is leased now."""
+        return sum(host.amounts[0] for host in self.live()) / self.wholes[0]
 
     def look(self) -> None:
         now = self.clock.now
-        share = self.sums()[0] / self.wholes[0]
+        share = self.used_share()
         self.result.used.append(share)
         if now < self.first_us:
             self.result.calm.append(share)
@@ -264,15 +304,7 @@
                     self.clock.call(at, self.stop, host, fault.kind == "rolling")
                     self.clock.call(at + 300_000, self.launch, host.name)
             case "divider":
-                found = [
-                    h for h in self.hosts.values() if h.node is not None and h.node.allocator is not None
-                ]
-                for host in found:
-                    if fault.for_us:
-                        self.pause([host], fault.until())
-                    else:
-                        self.end(host)
-                        self.clock.call(now + 2 * SECOND, self.launch, host.name)
+                self.hit([host for host in self.hosts.values() if self.allocates(host)], fault)
             case "pause":
                 self.pause(hosts, fault.until())
             case _:
@@ -281,6 +313,19 @@
                 if done is not None:
                     self.clock.call(fault.until(), done)
 
+    def allocates(self, host: Host) -> bool:
+        """Whether this process is the fleet's allocator, or takes itself for it."""
+        return isinstance(host.node, BudgetNode) and host.node.allocator is not None
+
+    def hit(self, hosts: Sequence[Host], fault: Fault) -> None:
+        """Pause processes for the fault's time, or kill them and start them again two seconds later."""
+        if fault.for_us:
+            self.pause(hosts, fault.until())
+            return
+        for host in hosts:
+            self.end(host)
+            self.clock.call(self.clock.now + 2 * SECOND, self.launch, host.name)
+
     def stop(self, host: Host, leaving: bool) -> None:
         if host.node is not None and leaving and not host.paused:
             self.call(host, host.node, host.node.leave)
--- /dev/null
+++ b/tests/test_hierarchy.py
@@ -0,0 +1,103 @@
+"""Budgets of two levels: the promise in seeded fleets of several regions, and a region that is cut off."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+
+import pytest
+from click.testing import CliRunner
+
+from lupintack.budgets.invariant import (
+    FLEET,
+    BudgetState,
+    RegionAmounts,
+    RegionBounds,
+    Violation,
+    single_level,
+    violations,
+)
+from lupintack.budgets.terms import Terms
+from lupintack.cli.main import main
+from lupintack.lab.budget_levels import LevelsWorld
+from lupintack.lab.budgets import SECOND
+from lupintack.lab.faults import Fault
+
+HOUR_US = 3600 * SECOND
+LONG_TERMS = Terms(  # four times as long as usual: an hour is still over a hundred leases
+    promise_us=12 * SECOND, lease_us=32 * SECOND, renew_interval_us=4 * SECOND, request_interval_us=6 * SECOND
+)
+BOUNDS = (RegionBounds("west", (2,), (5,)), RegionBounds("east", (1,), ()))
+KEPT = BudgetState(
+    (10,),
+    BOUNDS,
+    [RegionAmounts("west", (4, 2)), RegionAmounts("west", (3, 3)), RegionAmounts("east", (6,))],
+    [RegionAmounts("west", (5,)), RegionAmounts("west", (3,)), RegionAmounts("east", (5,))],
+    [RegionAmounts("west", (5,)), RegionAmounts("east", (5,))],
+)
+
+
+def test_the_promise_holds_up_to_each_of_its_bounds() -> None:
+    assert not violations(KEPT)
+    assert not violations(single_level((5, 7), [(2, 7), (3, 0)]))
+    assert violations(single_level((5, 7), [(2, 7), (4, 0)])) == [
+        Violation(FLEET, "leases of routers", 0, 6, 5)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("changed", "found"),
+    [
+        (
+            replace(KEPT, leases=[*KEPT.leases, RegionAmounts("east", (1,))], bookings=None),
+            Violation(FLEET, "leases of routers", 0, 14, 13),
+        ),
+        (
+            replace(KEPT, parent_leases=[*KEPT.parent_leases, RegionAmounts("east", (6,))]),
+            Violation(FLEET, "parent leases", 0, 11, 10),
+        ),
+        (
+            replace(KEPT, leases=[*KEPT.leases, RegionAmounts("west", (0, 1))]),
+            Violation("west", "leases of its own", 1, 6, 5),
+        ),
+        (
+            replace(KEPT, bookings=[RegionAmounts("west", (4,)), RegionAmounts("east", (6,))]),
+            Violation("west", "leases beyond booking", 0, 7, 6),
+        ),
+    ],
+)
+def test_each_bound_is_looked_at_alone(changed: BudgetState, found: Violation) -> None:
+    assert violations(changed) == [found]
+
+
+@pytest.mark.parametrize("first", range(0, 8, 2))
+def test_no_sum_is_passed_in_seeded_fleets_of_three_regions(first: int) -> None:
+    for seed in range(first, first + 2):
+        result = LevelsWorld(seed).run()
+        assert not result.oversum, result.where
+
+
+def test_a_region_cut_off_for_an_hour_works_on_its_reserve_and_its_own_sites_budgets() -> None:
+    """All of the reserve but what moves between its routers, and none of what is the other regions'."""
+    cut = Fault(60 * SECOND, "region-cut", HOUR_US, ("r1",))
+    world = LevelsWorld(5, routers=9, script=[cut], terms=LONG_TERMS)
+    result = world.run()
+    assert not result.oversum, result.where
+    (seen,) = world.cuts
+    assert len(seen.reserve_share) > 10_000  # looks, four a second
+    assert min(seen.reserve_share) >= 0.8 and max(seen.reserve_share) == 1.0
+    assert min(seen.own_share) >= 0.8
+    assert 0 <= seen.whole_again_us < 2 * LONG_TERMS.lease_us
+
+
+def test_a_seed_is_the_same_run_anywhere() -> None:
+    assert LevelsWorld(3, routers=9).run() == LevelsWorld(3, routers=9).run()
+
+
+def test_the_command_plays_regions_on_one_line() -> None:
+    asked = ["lab", "budgets", "--regions", "3", "--routers", "9", "--seeds", "0-1", "--json"]
+    run = CliRunner().invoke(main, asked)
+    assert run.exit_code == 0, run.output
+    assert json.loads(run.output)["oversum"] == 0
+    run = CliRunner().invoke(main, ["lab", "budgets", "--regions", "9", "--routers", "9", "--json"])
+    assert run.exit_code == 2 and "routers" in run.output
