End with one line and code 2 where a router can't take its place in the fleet

Cause: only a router that knows its name and site can tell that its site stands in no region, or that it votes in another one. The ConfigError came out of Node(...), where __main__.py caught OSError alone: a traceback, code 1. Change: __main__.py words a ConfigError there as it does one of the files.

--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -49,6 +49,9 @@
     except (OSError, socket.gaierror) as error:
         print(f"lupintack: can't listen: {error}", file=sys.stderr)
         return 2
+    except config.ConfigError as error:  # what only a router with its name, site and port can tell
+        print(f"lupintack: {error}", file=sys.stderr)
+        return 2
     node.start()
     spent.append(time.process_time())
     parts = "/".join(f"{(b - a) * 1000:.0f}" for a, b in zip(spent, spent[1:], strict=False))
--- a/tests/test_two_levels.py
+++ b/tests/test_two_levels.py
@@ -438,6 +438,32 @@
         play.close()
 
 
+@pytest.mark.parametrize(
+    ("table", "wrong"),
+    [
+        (
+            PLAYED | {"regions": {"far": {"voters": ["n0"], "sites": ["elsewhere"]}}},
+            "site 'site0' stands in 0",
+        ),
+        (
+            PLAYED
+            | {"regions": PLAYED["regions"] | {"region1": {"voters": ["n1", "n2"], "sites": ["site1"]}}},
+            "[budgets.regions.region1] voters: an odd number",
+        ),
+    ],
+)
+def test_a_router_that_can_t_take_its_place_ends_at_once_with_one_line(
+    tmp_path: Path, table: dict[str, Any], wrong: str
+) -> None:
+    play = Routers(tmp_path, 1, tables=lambda name: {"budgets": table})
+    try:
+        play.launch("n0")
+        assert play.running["n0"].wait(PATIENCE_S) == 2
+        assert wrong in play.log("n0") and play.log("n0").count("\n") == 1
+    finally:
+        play.close()
+
+
 def cut_off(book: TwoLevelBook, names: list[str]) -> bool:
     """Whether the allocator of these routers' region has no parent lease any more."""
     allocator = book.region_allocator(REGION_OF[names[0]])
