--- a/lupintack/budgets/invariant.py
+++ b/lupintack/budgets/invariant.py
@@ -53,6 +53,7 @@
     bound: int
 
     def __str__(self) -> str:
+        """One line for people."""
         return f"{self.scope}: {self.rule} of budget {self.budget}: {self.sum} of {self.bound}"
 
 
