--- a/lupintack/budgets/allocator.py
+++ b/lupintack/budgets/allocator.py
@@ -16,6 +16,8 @@
 from lupintack.budgets.share_table import EqualShareTable, ShareTable, WeightedShareTable
 from lupintack.budgets.terms import Terms
 
+COVER_WAIT_PART = 4  # a new tenure waits for its parent lease for this part of a lease's time
+
 
 def equal_weight(name: str) -> int:
     """Every holder has the same weight."""
@@ -120,17 +122,39 @@
         # this holder either.
         if in_use != self.zero:
             keep = largest(keep, in_use)
-        given = self._target(key, request, old is None, now)
+        if old is None and request.name in self.shared_names:
+            self.forget_demand(request.name)
+        target = given = self._target(key, request, old is None, now)
         if not ready:
             given = limited(given, request.held)
         if ready or self.ceiling is not None:
             given = self.limited_to_available(key, given)
-        mine = LedgerEntry(
-            request.sequence, request.demand, largest(keep, given), booked_until, given, ends, ends - now
-        )
+        amounts = largest(keep, given)
+        if self._waits_for_cover(now) and self.lacks_cover(target, request.held, given):
+            unanswered = LedgerEntry(request.sequence, request.demand, amounts, booked_until, self.zero)
+            self.ledger.book(key, unanswered)
+            return None
+        mine = LedgerEntry(request.sequence, request.demand, amounts, booked_until, given, ends, ends - now)
         self.ledger.book(key, mine)
         return self.grant(request, mine)
 
+    def _waits_for_cover(self, now: int) -> bool:
+        """Whether a new tenure may still get its first parent lease."""
+        return self.ceiling is not None and now < self.elected_us + self.terms.lease_us // COVER_WAIT_PART
+
+    def lacks_cover(self, target: Amounts, held: Amounts, given: Amounts) -> bool:
+        """Whether less than what a holder has of an older tenure is given only for lack of a parent lease.
+
+        For a while such a request is better left unanswered: its holder keeps its lease and asks again.
+        """
+        return any(min(t, h) > g for t, h, g in zip(target, held, given, strict=True))
+
+    def forget_demand(self, name: str) -> None:
+        """A new holder of a shared name takes the place of the older ones: these ask for nothing more."""
+        for key, entry in self.ledger.sharing.get(name, {}).items():
+            entry.demand = self.zero
+            self.shares.update(key, self.zero, max(1, self.weight_of(name)))
+
     def grant(self, request: LeaseRequest, entry: LedgerEntry) -> LeaseGrant | SubLeaseGrant:
         """The answer to a request, as booked."""
         told = (self.epoch, request.name, request.start, request.sequence, entry.granted)
--- a/tests/reference_allocator.py
+++ b/tests/reference_allocator.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from lupintack.budgets.allocator import COVER_WAIT_PART
 from lupintack.budgets.messages import Epoch, LeaseGrant, LeaseRequest, SubLeaseGrant
 from lupintack.budgets.shares import Demand, max_min_fair
 from lupintack.budgets.terms import Terms
@@ -111,6 +112,8 @@
             self.ledger[key] = LedgerEntry(request.sequence, self.zero, left, booked_until, self.zero)
             self.shares_computed_us = -1
             return None
+        if old is None and request.name in self.shared_names:
+            self.forget_demand(request.name)
         mine = self.ledger[key] = LedgerEntry(
             request.sequence,
             request.demand,
@@ -133,9 +136,18 @@
         if now >= self.ready_us or self.ceiling is not None:
             given = tuple(max(0, min(t, f)) for t, f in zip(given, self.available_to(key), strict=True))
         mine.amounts = tuple(map(max, keep, given))
+        if self.ceiling is not None and now < self.elected_us + self.terms.lease_us // COVER_WAIT_PART:
+            if any(min(t, h) > g for t, h, g in zip(target, request.held, given, strict=True)):
+                return None
         mine.granted, mine.granted_until_us, mine.granted_lease_us = given, ends, ends - now
         return self.grant(request, mine)
 
+    def forget_demand(self, name: str) -> None:
+        """A new holder of a shared name takes the place of the older ones."""
+        for (other, _), entry in self.ledger.items():
+            if other == name:
+                entry.demand = self.zero
+
     def grant(self, request: LeaseRequest, entry: LedgerEntry) -> LeaseGrant | SubLeaseGrant:
         """The answer to a request, as booked."""
         told = (self.epoch, request.name, request.start, request.sequence, entry.granted)
