--- a/lupintack/budgets/hierarchy.py
+++ b/lupintack/budgets/hierarchy.py
@@ -11,12 +11,13 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 from operator import gt
 from typing import TYPE_CHECKING
 
 from lupintack.budgets.allocator import Allocator
 from lupintack.budgets.lease import LeaseHolder
-from lupintack.budgets.messages import Epoch, Message
+from lupintack.budgets.messages import Epoch, LeaseRequest, Message
 from lupintack.budgets.node import Actions, BudgetNode
 from lupintack.budgets.parent_lease import ParentLease
 from lupintack.budgets.regions import RegionPlan
@@ -129,6 +130,10 @@
         )
         self.tenure: Epoch | None = None  # of the region, while this process allocates there
         self.parent = ParentLease(self.fleet.holder)
+        self.unanswered: list[
+            tuple[str, LeaseRequest]
+        ] = []  # senders and requests, until a parent lease comes
+        self.retried_grant = 0  # the grant of the fleet's allocator that these were last looked at with
 
     # What it is called with
 
@@ -172,6 +177,8 @@
         actions = LevelActions()
         node = self.fleet if level is Level.FLEET else self.region
         self._call(actions, level, lambda at: node.receive(sender, message, at), now)
+        if level is Level.REGION and isinstance(message, LeaseRequest):
+            self._keep_if_unanswered(sender, message)
         return actions
 
     def leave(self, now: int) -> LevelActions:
@@ -192,6 +199,24 @@
         self._connect_levels(now)
         actions.add(level, what(now))
         self._connect_levels(now)
+        if self.unanswered and self.retried_grant != self.parent.seen_grant:
+            self._retry_unanswered(actions, now)
+
+    def _keep_if_unanswered(self, sender: str, request: LeaseRequest) -> None:
+        """Keep a request that waits for the parent lease: its sender would ask again only after a while."""
+        allocator = self.region.allocator
+        if allocator is not None and allocator.left_unanswered(request):
+            self.unanswered.append((sender, request))
+
+    def _retry_unanswered(self, actions: LevelActions, now: int) -> None:
+        """Look again at what waits, with a parent lease that has changed; what still lacks it waits on."""
+        waiting, self.unanswered = self.unanswered, []
+        self.retried_grant = self.parent.seen_grant
+        for sender, request in waiting:
+            allocator = self.region.allocator
+            if allocator is not None and allocator.left_unanswered(request):
+                self._call(actions, Level.REGION, partial(self.region.receive, sender, request), now)
+                self._keep_if_unanswered(sender, request)
 
     def _connect_levels(self, now: int) -> None:
         """Hold a lease of the fleet's while this process allocates in its region, and grant by it."""
@@ -222,7 +247,8 @@
         if last is None or not holder.answered:
             return
         returned = any(map(gt, last.in_use, holder.amounts))
-        if returned or now < allocator.ready_us:
+        wanting = any(map(gt, last.demand, holder.amounts))
+        if returned or wanting or now < allocator.ready_us:
             soon = holder.requested_us + self.terms.retry_us
             self.fleet.next_request_us = min(self.fleet.next_request_us, soon)
 
--- a/lupintack/cli/lab.py
+++ b/lupintack/cli/lab.py
@@ -13,10 +13,12 @@
 from typing import Any, TypeVar
 
 from lupintack.lab import budget_check as searches
+from lupintack.lab import budget_level_check as level_searches
 from lupintack.lab import budget_levels
 from lupintack.lab import budgets as budget_worlds
 from lupintack.lab.baselines import heartbeats, swim
 from lupintack.lab.budget_bugs import FLAWS, by_search, by_seeds
+from lupintack.lab.budget_level_bugs import LEVEL_FLAWS, caught_by_script, caught_by_search, caught_by_seeds
 from lupintack.lab.faults import KINDS, Fault, ScriptError, read
 from lupintack.lab.members import Maker, Result, World, membership
 from lupintack.lab.plant import PLANTS, catch
@@ -146,10 +148,14 @@
     return budget_worlds.World(seed, routers).run()
 
 
-def check(depth: int, states: int, jobs: int) -> dict[str, Any]:
-    """A search with each setting of the three clocks."""
-    play = partial(search, searches.Bounds(depth=depth, states=states))
-    found = spread(play, searches.clocks(), jobs)
+def check(depth: int, states: int, jobs: int, levels: int = 1) -> dict[str, Any]:
+    """A search of one level or of two with each setting of the three clocks."""
+    if levels == 2:
+        level_bounds = level_searches.LevelBounds(depth=depth, states=states)
+        found = spread(partial(level_searches.search, level_bounds), level_searches.clocks(), jobs)
+    else:
+        play = partial(search, searches.Bounds(depth=depth, states=states))
+        found = spread(play, searches.clocks(), jobs)
     broken = next((one for one in found if one.script), None)
     return {
         "oversum": broken is not None,
@@ -169,7 +175,8 @@
 
 def planted() -> dict[str, str]:
     """Names and texts."""
-    return {n: b.text for n, b in PLANTS.items()} | {n: f.text for n, f in FLAWS.items()}
+    flaws = {**FLAWS, **LEVEL_FLAWS}
+    return {n: b.text for n, b in PLANTS.items()} | {n: f.text for n, f in flaws.items()}
 
 
 def plant(name: str, seeds: int) -> dict[str, Any]:
@@ -178,7 +185,18 @@
         script, rates = by_search(name)
         at = by_seeds(name, seeds)
         return {"name": name, "caught_at": at, "by": script, "rates": list(rates), "seeds": seeds}
+    if name in LEVEL_FLAWS:
+        return plant_in_levels(name, seeds)
     if name not in PLANTS:
         raise LabError(f"no bug {name!r}; wanted is one of {', '.join(planted())}")
     seed, by = catch(name, seeds)
     return {"name": name, "caught_at": seed, "by": by, "seeds": seeds}
+
+
+def plant_in_levels(name: str, seeds: int) -> dict[str, Any]:
+    """Where a bug in budgets of two levels is caught: at a seed, else by its script."""
+    script, rates = caught_by_search(name)
+    shown = caught_by_script(name)
+    at: int | str | None = caught_by_seeds(name, seeds) if not shown else "script"
+    by = script or [text for text in (shown,) if text]
+    return {"name": name, "caught_at": at, "by": by, "rates": list(rates or ()), "seeds": seeds}
--- a/lupintack/cli/main.py
+++ b/lupintack/cli/main.py
@@ -215,14 +215,15 @@
 @lab.command("check")
 @click.argument("what", type=click.Choice(["budgets"]))
 @click.option("--depth", default=8, show_default=True, type=click.IntRange(1, 40))
+@click.option("--levels", default=1, show_default=True, type=click.IntRange(1, 2), help="Of allocation.")
 @click.option("--states", default=2_000_000, show_default=True, type=click.IntRange(1), help="At most.")
 @click.option("--jobs", default=1, show_default=True, type=click.IntRange(1, 256), help="Processes.")
 @click.option("--json", "as_json", is_flag=True, help="One line.")
-def lab_check(what: str, depth: int, states: int, jobs: int, as_json: bool) -> None:
-    """All interleavings of three processes to DEPTH; ends with 1 and the script if the promise breaks."""
+def lab_check(what: str, depth: int, levels: int, states: int, jobs: int, as_json: bool) -> None:
+    """All interleavings of a few processes to DEPTH; ends with 1 and the script if the promise breaks."""
     from lupintack.cli.lab import check
 
-    found = check(depth, states, jobs)
+    found = check(depth, states, jobs, levels)
     click.echo(json.dumps(found) if as_json else lines(found))
     sys.exit(1 if found["oversum"] else 0)
 
