--- a/lupintack/lab/budget_levels.py
+++ b/lupintack/lab/budget_levels.py
@@ -167,11 +167,12 @@
         host.node.set_demand(demand)
 
     def move_demand(self) -> None:
-        """Another pattern of demand among the regions."""
+        """Another pattern of demand among the regions; the last one stays when all faults are over."""
         for region in self.region_names:
             drawn = self.demand_random.choice(DEMAND_EIGHTHS)
             self.factors[region] = drawn if self.moving else max(DEMAND_EIGHTHS)
-        self.clock.call(self.clock.now + DEMAND_US, self.move_demand)
+        if self.clock.now + DEMAND_US < self.last_us:
+            self.clock.call(self.clock.now + DEMAND_US, self.move_demand)
 
     def carry_out(self, host: Host, actions: Actions | LevelActions) -> None:
         """What a call asked for, of either kind of node."""
