--- a/lupintack/budgets/allocator.py
+++ b/lupintack/budgets/allocator.py
@@ -98,7 +98,8 @@
             ends = min(ends, self.expires_by_us)
         if ends <= now:
             return None
-        ready = now >= self.ready_us
+        ready_us = self.ready_us
+        ready = now >= ready_us
         in_use = request.in_use if len(request.in_use) == len(self.allocatable) else self.zero
         # What it says it holds is the most it can have of earlier grants, for it takes none of them any more.
         # Of this tenure's own it never holds more than is booked.
@@ -108,9 +109,9 @@
         elif ready and old is not None and keep != old.granted:
             keep = limited(keep, old.amounts)
         # What was granted before lasts until its own end, also where this grant ends sooner or gets lost.
-        booked_until = max(
-            ends, old.until_us if old is not None else 0, min(self.ready_us, now + self.terms.lease_us)
-        )
+        booked_until = max(ends, min(ready_us, now + self.terms.lease_us))
+        if old is not None:
+            booked_until = max(booked_until, old.until_us)
         if request.leaving:
             self.shares.update(key, self.zero, 1)
             self.shares_computed_us = -1
--- a/lupintack/budgets/amounts.py
+++ b/lupintack/budgets/amounts.py
@@ -1,6 +1,6 @@
 """Amounts of all budgets side by side: one tuple, a number for each budget.
 
-Most amounts do not change from one request of a holder to its next. So tuples are compared whole, in calls
+Most amounts do not change from one request of a holder to its next. So tuples are compared in calls
 that run through them without a step of the interpreter for each budget, and only what differs is worked on.
 """
 
@@ -18,19 +18,25 @@
     return compress(count(), map(ne, before, after))
 
 
+def exceeding_budgets(amounts: Amounts, limits: Amounts) -> Iterable[int]:
+    """The numbers of the budgets whose amounts are above the limits."""
+    return compress(count(), map(gt, amounts, limits))
+
+
+def replaced(amounts: Amounts, budgets: Iterable[int], by: Amounts) -> Amounts:
+    """The amounts, but for some budgets those of the other tuple."""
+    found: list[int] | None = None
+    for budget in budgets:
+        found = found if found is not None else list(amounts)
+        found[budget] = by[budget]
+    return tuple(found) if found is not None else amounts
+
+
 def limited(amounts: Amounts, limits: Amounts) -> Amounts:
     """Each amount, at most its limit."""
-    if amounts == limits or not any(map(gt, amounts, limits)):
-        return amounts
-    return tuple([a if a <= b else b for a, b in zip(amounts, limits, strict=True)])
+    return amounts if amounts == limits else replaced(amounts, exceeding_budgets(amounts, limits), limits)
 
 
 def largest(first: Amounts, second: Amounts) -> Amounts:
     """The larger of two amounts for each budget."""
-    if first == second:
-        return first
-    found = list(first)
-    for budget in changed_budgets(first, second):
-        if second[budget] > first[budget]:
-            found[budget] = second[budget]
-    return tuple(found)
+    return first if first == second else replaced(first, exceeding_budgets(second, first), second)
--- a/lupintack/budgets/ledger.py
+++ b/lupintack/budgets/ledger.py
@@ -8,7 +8,7 @@
 from functools import reduce
 from heapq import heappop, heappush
 
-from lupintack.budgets.amounts import Amounts, changed_budgets, largest
+from lupintack.budgets.amounts import Amounts, changed_budgets, exceeding_budgets, largest
 
 HolderKey = tuple[str, int]  # a holder's name and its start
 
@@ -114,7 +114,7 @@
         own = self.booking(key)
         found: list[int] | None = None
         # Where a sum keeps its limit, a holder can be given what is booked for it already.
-        for budget in {*self.overbooked, *changed_budgets(own, amounts)}:
+        for budget in {*self.overbooked, *exceeding_budgets(amounts, own)}:
             available = max(0, self.limits[budget] - self.sums[budget] + own[budget])
             if amounts[budget] > available:
                 found = found if found is not None else list(amounts)
--- a/lupintack/budgets/share_table.py
+++ b/lupintack/budgets/share_table.py
@@ -37,7 +37,7 @@
         """
 
     def target(self, key: HolderKey) -> Amounts:
-        """Return a holder's shares by the last snapshot; the holder must have been known then."""
+        """Return a holder's shares by the last snapshot; zeros if the holder came after it."""
 
     def total_demand(self) -> Amounts:
         """Return the sum of what all holders ask for now."""
@@ -78,7 +78,7 @@
 
     def target(self, key: HolderKey) -> Amounts:
         """Return a holder's shares by the last snapshot."""
-        return self.targets[key]
+        return self.targets.get(key, (0,) * len(self.wholes))
 
     def total_demand(self) -> Amounts:
         """Return the sum of what all holders ask for now."""
@@ -98,6 +98,7 @@
 
     place: int  # rises in the order in which holders came
     demand: Amounts
+    came_in: int  # the last snapshot before it came
     wants: list[tuple[int, int]]  # of `demand`: each budget that it wants, and the amount
     changed_in: int = -1  # the last snapshot after which the demand changed
     wants_then: list[tuple[int, int]] | None = None  # what it wanted at that snapshot
@@ -108,6 +109,14 @@
 
     level: int
     one_more_from: tuple[int, int] | None  # an amount and a place: from here on one unit above the level
+    rotates: bool  # the place is one after the rotation
+
+
+class Surplus(NamedTuple):
+    """A budget of which there is more than is asked for, and a unit for each holder."""
+
+    each: int  # lent to each holder, above its need
+    one_more_below: int  # and one more to holders with places below this
 
 
 class EqualShareTable:
@@ -121,6 +130,7 @@
     def __init__(self, wholes: Amounts) -> None:
         """Begin without holders."""
         self.wholes = wholes
+        self.zero = (0,) * len(wholes)
         self.holders: dict[HolderKey, HolderDemand] = {}
         self.places: list[int] = []  # of all holders, rising
         self.next_place = 0
@@ -131,19 +141,18 @@
         self.snapshot = 0
         self.first = 0  # the holder, by its rank, with which a rotation begins
         self.first_place = 0
-        self.lent = [0] * len(wholes)  # to each holder, above its need
-        self.rotates = [False] * len(wholes)
-        self.lent_one_more_below = [0] * len(wholes)  # to holders with places, rotated, below this
         self.shortages: list[Shortage | None] = [None] * len(wholes)
-        # What is lent to a holder is the same from one of these places to the next: worked out when asked for
-        self.lent_steps: tuple[list[int], list[int]] = ([], [])
-        self.lent_rows: dict[tuple[int, int], list[int]] = {}
+        self.surpluses: dict[int, Surplus] = {}  # of budgets with a unit or more for each holder
+        # Of budgets with fewer units than holders: one is lent to holders with places, rotated, below this.
+        self.lent_one_below: dict[int, int] = {}
+        self.lent_one_steps: list[int] = []  # the places above, rising: all that are between two get the same
+        self.lent_one_rows: dict[int, list[int]] = {}  # of a holder, by the step that it is on
 
     def update(self, key: HolderKey, demand: Amounts, weight: int) -> None:
         """Set what a holder asks for. All weights are equal here."""
         holder = self.holders.get(key)
         if holder is None:
-            holder = self.holders[key] = HolderDemand(self.next_place, (0,) * len(self.wholes), [])
+            holder = self.holders[key] = HolderDemand(self.next_place, self.zero, self.snapshot, [])
             self.places.append(self.next_place)
             self.next_place += 1
             self.holders_changed = True
@@ -180,30 +189,34 @@
         if self.holders_changed or first != self.first:
             budgets = set(range(len(self.wholes)))
             self.first, self.first_place = first, self.places[first] if count else 0
+        lent_one_before = self.lent_one_below.copy()
         for budget in budgets:
             self._work_out(budget, count)
-        if budgets:
-            self._forget_lent_rows()
+        if self.lent_one_below != lent_one_before:
+            self.lent_one_steps = sorted(set(self.lent_one_below.values()))
+            self.lent_one_rows = {}
         self.stale_budgets = set()
         self.holders_changed = False
 
     def target(self, key: HolderKey) -> Amounts:
         """Return a holder's shares by the last snapshot."""
         holder = self.holders[key]
+        if holder.came_in == self.snapshot:
+            return self.zero
         wants = holder.wants
         if holder.changed_in == self.snapshot and holder.wants_then is not None:
             wants = holder.wants_then
         place = holder.place
-        places = (place, place if place >= self.first_place else place + WRAPPED)
-        target = self._lent_to(places).copy()
+        rotated_place = place if place >= self.first_place else place + WRAPPED
+        target = self._lent_to(place, rotated_place)
         for budget, amount in wants:
             shortage = self.shortages[budget]
             if shortage is None or amount <= shortage.level:
                 target[budget] += amount
                 continue
-            target[budget] += shortage.level
-            from_demand = shortage.one_more_from
-            if from_demand is not None and (amount, places[self.rotates[budget]]) >= from_demand:
+            target[budget] = shortage.level
+            own = (amount, rotated_place if shortage.rotates else place)
+            if shortage.one_more_from is not None and own >= shortage.one_more_from:
                 target[budget] += 1
         return tuple(target)
 
@@ -218,11 +231,10 @@
         other.places = self.places.copy()
         other.indexes = [index.clone() for index in self.indexes]
         other.stale_budgets = self.stale_budgets.copy()
-        other.lent = self.lent.copy()
-        other.rotates = self.rotates.copy()
-        other.lent_one_more_below = self.lent_one_more_below.copy()
         other.shortages = self.shortages.copy()
-        other.lent_rows = self.lent_rows.copy()
+        other.surpluses = self.surpluses.copy()
+        other.lent_one_below = self.lent_one_below.copy()
+        other.lent_one_rows = self.lent_one_rows.copy()
         return other
 
     def _change_index(self, budget: int, old: int, new: int, place: int) -> None:
@@ -236,43 +248,43 @@
     def _work_out(self, budget: int, count: int) -> None:
         whole, index = self.wholes[budget], self.indexes[budget]
         # Units rotate only where some holder has none: each move leaves them idle for a request or two.
-        rotates = self.rotates[budget] = whole < count
-        self.lent[budget] = self.lent_one_more_below[budget] = 0
+        rotates = whole < count
+        self.surpluses.pop(budget, None)
+        self.lent_one_below.pop(budget, None)
         if whole <= 0 or not count:
-            self.shortages[budget] = Shortage(0, None)
-            return
-        if index.total <= whole:
+            self.shortages[budget] = Shortage(0, None, rotates)
+        elif index.total > whole:
+            self.shortages[budget] = self._shortage(whole, index, rotates)
+        else:
             self.shortages[budget] = None
-            lent, one_more = divmod(whole - index.total, count)
-            self.lent[budget] = lent
-            self.lent_one_more_below[budget] = self._rotated_place(one_more, rotates)
-            return
-        level, left = index.water_level(whole)
-        if not left:
-            self.shortages[budget] = Shortage(level, None)
-            return
+            each, rest = divmod(whole - index.total, count)
+            below = self._rotated_place(rest, rotates)
+            if not rotates:
+                self.surpluses[budget] = Surplus(each, below)
+            elif rest:
+                self.lent_one_below[budget] = below
+
+    def _shortage(self, whole: int, index: DemandIndex, rotates: bool) -> Shortage:
+        level, rest = index.water_level(whole)
+        if not rest:
+            return Shortage(level, None, rotates)
         first_place = self.first_place if rotates else 0
-        amount, place = index.rank_from_top(left, first_place)
-        self.shortages[budget] = Shortage(level, (amount, place if place >= first_place else place + WRAPPED))
-
-    def _forget_lent_rows(self) -> None:
-        """What was lent has changed: set anew from which places on a holder is lent less."""
-        steps: tuple[set[int], set[int]] = (set(), set())
-        for rotates, below in zip(self.rotates, self.lent_one_more_below, strict=True):
-            steps[rotates].add(below)
-        self.lent_steps = (sorted(steps[False]), sorted(steps[True]))
-        self.lent_rows = {}
-
-    def _lent_to(self, places: tuple[int, int]) -> list[int]:
-        """What is lent to a holder with this place, and this place after the rotation."""
-        plain_steps, rotated_steps = self.lent_steps
-        step = (bisect_right(plain_steps, places[0]), bisect_right(rotated_steps, places[1]))
-        row = self.lent_rows.get(step)
+        amount, place = index.rank_from_top(rest, first_place)
+        rotated = place if place >= first_place else place + WRAPPED
+        return Shortage(level, (amount, rotated), rotates)
+
+    def _lent_to(self, place: int, rotated_place: int) -> list[int]:
+        """Return what is lent to a holder of each budget, above its need."""
+        step = bisect_right(self.lent_one_steps, rotated_place)
+        row = self.lent_one_rows.get(step)
         if row is None:
-            lent = zip(self.lent, self.rotates, self.lent_one_more_below, strict=True)
-            row = [amount + (places[rotates] < below) for amount, rotates, below in lent]
-            self.lent_rows[step] = row
-        return row
+            row = self.lent_one_rows[step] = [0] * len(self.wholes)
+            for budget, below in self.lent_one_below.items():
+                row[budget] = int(rotated_place < below)
+        lent = row.copy()
+        for budget, surplus in self.surpluses.items():
+            lent[budget] = surplus.each + (place < surplus.one_more_below)
+        return lent
 
     def _rotated_place(self, rank: int, rotates: bool) -> int:
         """The place, such as `target` compares it, of the holder of this rank."""
--- a/tests/test_allocator.py
+++ b/tests/test_allocator.py
@@ -188,6 +188,17 @@
     assert both.grants > 600
 
 
+def test_units_go_round_among_holders_that_stay_and_ask_for_the_same() -> None:
+    """Nothing changes but the turn: holders that had none get one, and those that are lent one change."""
+    both = SideBySide((3, 3), TERMS)
+    had: set[str] = set()
+    for step in range(80):
+        name = "abcde"[step % 5]
+        both.take(Step(7, name, (4, 0)))
+        had |= {name} if any(both.held[name, 1]) else set()
+    assert had == set("abcde")
+
+
 HOLDERS = st.dictionaries(
     st.tuples(st.sampled_from("abcdefghijkl"), st.integers(1, 2)),
     st.one_of(st.just(0), st.integers(0, 12), st.integers(0, 1 << 60)),
@@ -218,6 +229,10 @@
         weighted.set_wholes((whole,))
         table.take_snapshot(turn)
         weighted.take_snapshot(turn)
+        for table_or_other in (table, weighted):  # it comes after the snapshot
+            table_or_other.update(("new", 1), (5,), 1)
+            assert table_or_other.target(("new", 1)) == (0,)
+            table_or_other.remove(("new", 1))
         demands = [Demand(key, amount) for key, amount in order.items()]
         expected = max_min_fair(whole, demands, turn if whole < len(demands) else 0)
         assert {key: table.target(key)[0] for key in order} == expected
