Keep the folders of interrupted scale runs within the test's own

Need: the test that kills a coordinator with SIGKILL left its folder in the temporary directory (nine stood there). Change: TMPDIR is the test's; after SIGINT and SIGTERM the folder must be gone as well, which was not asked before.

--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -146,10 +146,10 @@
 
 
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
-def test_an_interrupted_run_leaves_no_process_behind(number: signal.Signals) -> None:
+def test_an_interrupted_run_leaves_no_process_behind(number: signal.Signals, tmp_path: Path) -> None:
     process = subprocess.Popen(
         command("--routers", "8", "--processes", "2", "--seconds", "600"), cwd=ROOT,
-        stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
+        stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, env=os.environ | {"TMPDIR": str(tmp_path)},
     )  # fmt: skip
     until(lambda: len(children_of(process.pid)) == 3, "three processes run")
     children = children_of(process.pid)
@@ -157,6 +157,7 @@
     assert process.wait(PATIENCE_S) != 0
     assert process.stdout is not None and process.stdout.read() == b""
     until(lambda: not any(running(pid) for pid in children), f"of {children} some run on")
+    assert number is signal.SIGKILL or not list(tmp_path.iterdir())
 
 
 def running(pid: int) -> bool:
