--- a/lupintack/budgets/__init__.py
+++ b/lupintack/budgets/__init__.py
@@ -1,3 +1,3 @@
-"""Budgets of the whole fleet, divided among its routers by leases and epochs. No I/O: docs/budgets.md has the
+"""Budgets of the whole fleet, allocated to its routers by leases and epochs. No I/O: docs/budgets.md has the
 promise.
 """
