--- a/lupintack/fleet/budget_levels.py
+++ b/lupintack/fleet/budget_levels.py
@@ -120,6 +120,7 @@
     """The region's allocator leases to each router of the region, and holds a lease of the fleet's."""
 
     def __init__(self, router: Router, plan: RegionPlan, codec: Codec, now: int) -> None:
+        """A router of this plan's region."""
         self.budgets, self.plan = plan.budgets, plan
         voter = router.name in plan.region.voters
         self.reservations = plan.name_reservations if voter else (0,) * len(plan.budgets)
--- a/lupintack/lab/budget_check.py
+++ b/lupintack/lab/budget_check.py
@@ -40,6 +40,7 @@
     allocator: Allocator | None = None
 
     def local(self, true: int) -> int:
+        """What this process's clock shows at a true time."""
         return true * self.rate_ppm // MILLION
 
     def clone(self) -> Process:
@@ -203,6 +204,7 @@
 
 
 def voted(one: Process, told: VoteReply, now: int) -> None:
+    """Take a reply to an election; with a majority the process allocates."""
     if one.standing is not None and one.standing.handle_reply(told, now) and one.allocator is None:
         one.allocator = Allocator(one.standing.epoch, (WHOLE,), TERMS, now)
 
--- a/lupintack/lab/budget_level_check.py
+++ b/lupintack/lab/budget_level_check.py
@@ -71,6 +71,7 @@
     at_us: int = 0
 
     def __str__(self) -> str:
+        """A line of a script."""
         return "\t".join(map(str, (self.kind, self.name, self.letter or "", self.at_us)))
 
 
--- a/lupintack/lab/budget_levels.py
+++ b/lupintack/lab/budget_levels.py
@@ -190,6 +190,7 @@
             self.happened(host, event.event if fleet else f"region {event.event}", event.detail)
 
     def run(self) -> Result:
+        """Play the run, and return what it came to."""
         self.move_demand()
         return super().run()
 
@@ -235,6 +236,7 @@
         return regions and super().can_elect()
 
     def look(self) -> None:
+        """Measure what is leased now, and look again later."""
         super().look()
         for cut in self.cuts:
             self.look_at_cut(cut)
--- a/lupintack/lab/budgets.py
+++ b/lupintack/lab/budgets.py
@@ -52,6 +52,7 @@
     bare_us: int = 0  # since when it has nothing of something it needs
 
     def local(self, true: int) -> int:
+        """What this host's clock shows at a true time."""
         return self.offset + int(true * self.rate)
 
     def true(self, local: int) -> int:
@@ -90,6 +91,7 @@
         script: Sequence[Fault] | None = None,
         node: type[BudgetNode] = BudgetNode,
     ) -> None:
+        """A run of `routers` hosts, with faults drawn from `seed` unless a script is given."""
         self.wholes, self.make = tuple(wholes), node
         names = [f"n{n}" for n in range(routers)]
         sites = max(1, min(8, routers // 3))
@@ -133,6 +135,7 @@
         return found
 
     def run(self) -> Result:
+        """Play the run, and return what it came to."""
         for name in self.hosts:
             self.launch(name)
         for fault in self.faults:
@@ -178,6 +181,7 @@
         )
 
     def end(self, host: Host) -> None:
+        """End a process without a word."""
         host.node, host.inbox, host.amounts, host.ends = None, [], (), 0.0
 
     def call(self, host: Host, node: Node, what: Callable[..., Any], *words: Any) -> None:
@@ -207,6 +211,7 @@
         self.digest.update(f"{self.clock.now} {host.name} {event} {detail}".encode())
 
     def plan(self, host: Host) -> None:
+        """Schedule a process's next tick."""
         node = host.node
         if node is not None and host.planned != node.wake_us:
             host.planned = node.wake_us
@@ -214,6 +219,7 @@
                 self.clock.call(host.true(node.wake_us), self.tick, host, node, node.wake_us)
 
     def tick(self, host: Host, node: Node, wanted: int) -> None:
+        """Tick a process, unless another tick is due by now."""
         if host.node is node and host.planned == wanted:
             if host.paused:
                 return
@@ -230,6 +236,7 @@
             self.clock.call(self.clock.now + way, self.arrive, other, host.name, *words)
 
     def arrive(self, host: Host, sender: str, *words: Any) -> None:
+        """Deliver a message to whichever process the host has."""
         if host.node is not None:
             self.call(host, host.node, host.node.receive, sender, *words)
 
@@ -269,6 +276,7 @@
         return sum(host.amounts[0] for host in self.live()) / self.wholes[0]
 
     def look(self) -> None:
+        """Measure what is leased now, and look again later."""
         now = self.clock.now
         share = self.used_share()
         self.result.used.append(share)
@@ -292,6 +300,7 @@
     # Faults
 
     def begin(self, fault: Fault) -> None:
+        """Begin a fault."""
         now = self.clock.now
         hosts = [self.hosts[name] for name in fault.who if name in self.hosts]
         match fault.kind:
@@ -327,16 +336,19 @@
             self.clock.call(self.clock.now + 2 * SECOND, self.launch, host.name)
 
     def stop(self, host: Host, leaving: bool) -> None:
+        """End a process, with a word to the others or without."""
         if host.node is not None and leaving and not host.paused:
             self.call(host, host.node, host.node.leave)
         self.end(host)
 
     def pause(self, hosts: Sequence[Host], until: int) -> None:
+        """Let processes stand still until then."""
         for host in hosts:
             host.paused += 1
             self.clock.call(until, self.resume, host)
 
     def resume(self, host: Host) -> None:
+        """Let a process go on, with what has come meanwhile."""
         host.paused -= 1
         if host.paused or host.node is None:
             return
@@ -348,6 +360,7 @@
         self.call(host, node, node.tick)
 
     def islands(self, islands: dict[str, int]) -> None:
+        """Cut the hosts into islands."""
         self.network.islands = islands
 
 
