--- a/lupintack/cli/scale_slope.py
+++ b/lupintack/cli/scale_slope.py
@@ -36,8 +36,8 @@
         for parameters in asked:
             roles.check(wanted, parameters)
         if plot is not None:
-            slope_chart.require_extra()
             check_writable(plot)
+            slope_chart.require_extra()
         points = []
         for parameters in asked:
             points.append(measure(wanted, parameters, repeats))
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -182,6 +182,7 @@
         play.launch("n1")
         try:
             play.until(lambda: play.call("n1", "/api/ready")[0] == 200, 10.0, "the new one is ready")
+            play.until(lambda: "n1" in play.members("n1"), 10.0, "the new one counts itself")
             told = next(one for one in play.status("n1")["routers"] if one["name"] == "n1")
             host, _, port = told["address"].partition(":")
             play.switch.alive("n1", (host, int(port)))
--- a/tests/test_two_levels.py
+++ b/tests/test_two_levels.py
@@ -4,6 +4,7 @@
 
 import time
 import unittest.mock
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -390,19 +391,31 @@
         clients = store.Clients(play.listen, CLIENTS)
         play.until(lambda: level.out > STORE_FILLS / 2, PATIENCE_S, "the store is in use")
 
-        admin = f"127.0.0.1:{play.admin[book.region_allocator('region1')]}"
+        def found(who: Callable[[], str], text: str) -> str:
+            """Its name, as soon as there is one: on a busy machine a term may run out between two looks."""
+            names: list[str] = [""]
+
+            def there() -> bool:
+                names.append(who())
+                return bool(names[-1])
+
+            play.until(there, PATIENCE_S, text)
+            return names[-1]
+
+        asked = found(lambda: book.region_allocator("region1"), "region1 has an allocator")
+        admin = f"127.0.0.1:{play.admin[asked]}"
         page = CliRunner().invoke(main, ["fleet", "budgets", "--admin", admin])
         assert page.exit_code == 0 and "parent lease: ends in" in page.output, page.output
 
-        fleets = book.fleet_allocator()
+        fleets = found(book.fleet_allocator, "the fleet has an allocator")
         region = next(one for one in PLAYED["regions"] if one != REGION_OF[fleets])
-        killed = book.region_allocator(region)
+        killed = found(lambda: book.region_allocator(region), "the region to be struck has one")
         book.kill(killed)
         play.until(lambda: bool(book.region_allocator(region)), PATIENCE_S, "another one of its region")
         play.launch(killed)
         play.until(lambda: all_leased() and killed in book.now, PATIENCE_S, "all is leased after a kill")
 
-        paused = book.fleet_allocator()
+        paused = found(book.fleet_allocator, "the fleet has one to be paused")
         play.pause([paused])
         slept = time.monotonic()
         play.until(lambda: book.fleet_allocator() not in ("", paused), PATIENCE_S, "another one of the fleet")
@@ -413,7 +426,13 @@
         away = [name for name in play.names if REGION_OF[name] == "region2"]
         play.switch.split(away, [name for name in play.names if name not in away])
         play.until(lambda: cut_off(book, away), PATIENCE_S, "the region has no parent lease")
-        play.until(lambda: book.leased_part(OWN, "region2") > 0.99, PATIENCE_S, "and leases its own budget")
+
+        def own_leased() -> bool:
+            """Of the region that is cut off."""
+            book.look()
+            return book.leased_part(OWN, "region2") > 0.99
+
+        play.until(own_leased, PATIENCE_S, "and leases its own budget")
         held = sum(book.now[name]["budgets"][FILLS]["lease"] for name in away)
         assert held <= region_plan("n2", "site2", PLAYED).region_pool[FILLS]
         play.switch.heal()
