--- /dev/null
+++ b/lupintack/standins/proxy.py
@@ -0,0 +1,113 @@
+"""A TCP proxy on loopback that spoils what passes, as a script says: late, silent, in pieces, refused."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from enum import Enum
+
+from lupintack.standins.net import at, close, listen
+
+CHUNK = 65536
+PIECE_BYTES = 7
+PIECE_GAP_S = 0.004
+LOOK_S = 0.005
+
+
+class Fault(Enum):
+    """What happens to the bytes that come from the target."""
+
+    NONE = "none"
+    HELD = "held"  # kept back, and delivered in order once the fault is over
+    PIECES = "pieces"  # a few bytes at a time
+    DOUBLED = "doubled"  # each whole line twice
+
+
+class Proxy:
+    """Carries connections to one target; a test changes `fault` while they are open."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.fault = Fault.NONE
+        self.silent = False  # new connections are taken and never carried
+        self.conns: list[socket.socket] = []
+        self.lock = threading.Lock()
+        self.accepted = 0
+        self.sock = listen(self.serve)
+        self.address = at(self.sock)
+
+    def serve(self, sock: socket.socket) -> None:
+        """One connection: both ways, until either side ends."""
+        with self.lock:
+            self.accepted += 1
+            self.conns.append(sock)
+        if self.silent:
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            other = socket.create_connection((host, int(port)), timeout=5.0)
+        except OSError:
+            self.end(sock)
+            return
+        other.settimeout(None)
+        with self.lock:
+            self.conns.append(other)
+        threading.Thread(target=self.copy, args=(sock, other, False), daemon=True).start()
+        self.copy(other, sock, True)
+
+    def copy(self, source: socket.socket, sink: socket.socket, spoilt: bool) -> None:
+        """One way; `spoilt`: the way on which the fault acts."""
+        rest = b""
+        try:
+            while data := source.recv(CHUNK):
+                while spoilt and self.fault is Fault.HELD:
+                    time.sleep(LOOK_S)
+                if spoilt and self.fault is Fault.PIECES:
+                    for start in range(0, len(data), PIECE_BYTES):
+                        sink.sendall(data[start : start + PIECE_BYTES])
+                        time.sleep(PIECE_GAP_S)
+                elif spoilt and self.fault is Fault.DOUBLED:
+                    *lines, rest = (rest + data).split(b"\n")
+                    sink.sendall(b"".join(line + b"\n" + line + b"\n" for line in lines))
+                else:
+                    sink.sendall(rest + data)
+                    rest = b""
+        except OSError:
+            pass
+        self.end(source)
+        self.end(sink)
+
+    @staticmethod
+    def end(sock: socket.socket) -> None:
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def refuse(self) -> None:
+        """Refuse connections, and end those that are open."""
+        host, _, port = self.address.partition(":")
+        close(self.sock)
+        self.sock = socket.socket()  # keeps the port
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind((host, int(port)))
+        self.cut()
+
+    def back(self) -> None:
+        """Take connections again."""
+        address = self.sock.getsockname()
+        self.sock.close()
+        self.sock = listen(self.serve, address)
+
+    def cut(self) -> None:
+        """End the connections that are open."""
+        with self.lock:
+            conns, self.conns = self.conns, []
+        for sock in conns:
+            self.end(sock)
+
+    def close(self) -> None:
+        """End all of it."""
+        close(self.sock)
+        self.cut()
