--- /dev/null
+++ b/lupintack/standins/edge.py
@@ -0,0 +1,258 @@
+"""One router process before a fleet of stand-ins, a proxy before discovery, and clients that keep records.
+
+Times are monotonic seconds of this process. `Edge.calls` is what members were asked, `Edge.requests` what
+clients asked and were answered; a test or the soak compares the two.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+from lupintack.standins import deployment
+from lupintack.standins.fleet import Call, Fleet
+from lupintack.standins.net import free_ports
+from lupintack.standins.processes import RUN, call
+from lupintack.standins.proxy import Proxy
+
+ROOT = Path(__file__).parents[2]
+START_PATIENCE_S = 30.0
+CLIENT_PATIENCE_S = 8.0
+
+
+class End(Enum):
+    """How a request ended, as its client sees it."""
+
+    OPEN = "open"
+    ANSWERED = "answered"
+    CUT = "cut"  # closed or reset after it was written, with no whole answer
+    CROSSED = "crossed"  # the same on a connection that had rested: the protocol lets it be sent again
+    UNREACHED = "unreached"  # no connection
+    LEFT = "left"  # the client closed first
+
+
+@dataclass(slots=True)
+class ClientRecord:
+    """One request as its client saw it."""
+
+    wire_id: str
+    cls: str
+    item: str
+    wait_ms: int
+    sent_s: float = 0.0
+    ended_s: float = 0.0
+    end: End = End.OPEN
+    status: int = 0
+    answers: int = 0
+
+
+class Edge:
+    """The process, and all that stands around it."""
+
+    def __init__(
+        self, tmp: Path, fleet: Fleet | None = None, admin: bool = False, settings: Any = None, **more: Any
+    ) -> None:
+        self.tmp = tmp
+        self.fleet = fleet or Fleet(settings=settings)
+        self.calls: list[Call] = []
+        self.fleet.on_call = self.calls.append
+        self.proxy = Proxy(self.fleet.board.address)
+        ports = free_ports(2)
+        self.port = ports[0]
+        self.admin = ("127.0.0.1", ports[1]) if admin else None
+        self.file = tmp / "config.json"
+        self.data = self.fleet.configuration(f"127.0.0.1:{self.port}", **more)
+        self.write(board=self.proxy.address)
+        self.requests: list[ClientRecord] = []
+        self.lock = threading.Lock()
+        self.over = threading.Event()
+        self.clients: list[threading.Thread] = []
+        self.process: subprocess.Popen[bytes] | None = None
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.began_s = 0.0
+
+    # The process
+
+    def write(self, **changes: Any) -> None:
+        """Change the configuration file; a running process reads it at SIGHUP."""
+        self.data |= changes
+        new = self.file.with_suffix(".new")
+        new.write_text(json.dumps(self.data))
+        new.replace(self.file)
+
+    def start(self, env: dict[str, str] | None = None, words: Iterable[str] = RUN) -> None:
+        """Start the process, and don't wait for it."""
+        told = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "LUPINTACK_"))}
+        told |= {"EDGE_CONFIG": str(self.file), "TMPDIR": str(self.tmp), "EDGE_NAME": "n0"}
+        if self.admin is not None:
+            told["EDGE_ADMIN_ADDR"] = f"127.0.0.1:{self.admin[1]}"
+        self.began_s = time.monotonic()
+        with (self.tmp / "log").open("a") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, *words], env=told | (env or {}), cwd=ROOT, stdout=log, stderr=log
+            )
+        self.processes.append(self.process)
+
+    def alive(self) -> bool:
+        """Whether `/alive` says 200 now."""
+        try:
+            with socket.create_connection(("127.0.0.1", self.port), timeout=2.0) as sock:
+                sock.sendall(b"GET /alive HTTP/1.1\r\nHost: x\r\n\r\n")
+                return sock.recv(4096).startswith(b"HTTP/1.1 200 ")
+        except OSError:
+            return False
+
+    def ready(self, patience_s: float = START_PATIENCE_S) -> float:
+        """Wait for `/alive`; the seconds since the start of the process."""
+        assert self.process is not None
+        while not self.alive():
+            assert self.process.poll() is None, self.log()
+            assert time.monotonic() < self.began_s + patience_s, self.log()
+            time.sleep(0.01)
+        return time.monotonic() - self.began_s
+
+    def signal(self, number: signal.Signals) -> None:
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """SIGKILL, and its end."""
+        assert self.process is not None
+        self.process.kill()
+        self.process.wait()
+
+    def staff(self, target: str, method: str = "GET") -> tuple[int, str]:
+        """A call at the second address."""
+        assert self.admin is not None
+        return call(self.admin, method, target)
+
+    def log(self) -> str:
+        return (self.tmp / "log").read_text()
+
+    # Discovery and members
+
+    def tell(self, name: str, health: str) -> float:
+        """Discovery tells a member's state; the moment."""
+        line = deployment.line(name, self.fleet.members[name].address, health)
+        self.fleet.board.tell({"pool": {"seq": 2, "whole": False, "hosts": [line]}})
+        return time.monotonic()
+
+    def calls_to(self, names: Iterable[str], after_s: float = 0.0) -> list[Call]:
+        """Calls at these members, or filled from them, later than a moment."""
+        wanted = set(names)
+        return [
+            one
+            for one in list(self.calls)
+            if one.at_s > after_s and (one.member in wanted or one.fields.get("miss") in wanted)
+        ]
+
+    # Clients
+
+    def ask(
+        self,
+        sock: socket.socket,
+        cls: str = "map-tiles",
+        item: str = "",
+        wait_ms: int = 2000,
+        rested: bool = False,
+    ) -> tuple[ClientRecord, bool]:
+        """One request on a connection; its record, and whether the connection can be used again."""
+        one = ClientRecord(secrets.token_hex(8), cls, item or secrets.token_hex(8), wait_ms)
+        with self.lock:
+            self.requests.append(one)
+        write = cls in self.fleet.writes
+        head = f"{'PUT' if write else 'GET'} /ops/{cls}/{one.item} HTTP/1.1\r\nHost: x\r\n"
+        head += f"Req-Id: {one.wire_id}\r\nReq-Wait-Ms: {wait_ms}\r\n"
+        head += "Content-Length: 4\r\n\r\nnote" if write else "\r\n"
+        again = False
+        one.sent_s = time.monotonic()
+        try:
+            sock.sendall(head.encode())
+            one.status, again = read_answer(sock)
+            one.answers, one.end = 1, End.ANSWERED
+        except (OSError, EOFError):
+            one.end = End.CROSSED if rested else End.CUT
+        one.ended_s = time.monotonic()
+        return one, again
+
+    def connect(self) -> socket.socket | None:
+        try:
+            sock = socket.create_connection(("127.0.0.1", self.port), timeout=CLIENT_PATIENCE_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            return sock
+        except OSError:
+            return None
+
+    def load(self, clients: int, gap_s: float = 0.045, wait_ms: int = 2000, items: int = 0) -> None:
+        """Clients that ask again and again until `stop`; `items`: for so many objects, 0: new ones."""
+
+        def run(number: int) -> None:
+            sock: socket.socket | None = None
+            count = 0
+            while not self.over.is_set():
+                rested = sock is not None
+                sock = sock or self.connect()
+                if sock is None:
+                    time.sleep(gap_s)
+                    continue
+                count += 1
+                item = f"{(number * 7 + count) % items + 1:016x}" if items else ""
+                _, again = self.ask(sock, item=item, wait_ms=wait_ms, rested=rested)
+                if not again:
+                    sock.close()
+                    sock = None
+                time.sleep(gap_s)
+            if sock is not None:
+                sock.close()
+
+        self.clients += [threading.Thread(target=run, args=(n,), daemon=True) for n in range(clients)]
+        for thread in self.clients[-clients:]:
+            thread.start()
+
+    def stop(self) -> list[ClientRecord]:
+        """End the clients; what they recorded."""
+        self.over.set()
+        for thread in self.clients:
+            thread.join()
+        return self.requests
+
+    def close(self) -> None:
+        self.over.set()
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        self.proxy.close()
+        self.fleet.close()
+        for thread in self.clients:
+            thread.join()
+
+
+def read_answer(sock: socket.socket) -> tuple[int, bool]:
+    """One answer: its status, and whether the connection stays; EOFError where it is not whole."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65536)
+        if not more:
+            raise EOFError
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").lower().split("\r\n")
+    length = next((int(one.split(":")[1]) for one in lines if one.startswith("content-length:")), 0)
+    while len(body) < length:
+        more = sock.recv(65536)
+        if not more:
+            raise EOFError
+        body += more
+    return int(lines[0].split()[1]), "connection: close" not in lines
--- a/lupintack/standins/fleet.py
+++ b/lupintack/standins/fleet.py
@@ -44,6 +44,16 @@
     there: bytes = b"yes"  # the answer to `there`
 
 
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A want as its member took it; the time is monotonic seconds."""
+
+    at_s: float
+    member: str
+    wire_id: str
+    fields: dict[str, str]
+
+
 class Later:
     """Calls at a time, on one thread; it starts with the first."""
 
@@ -134,6 +144,8 @@
                         run = audit.began(self.name, wire_id, told, body, connection)
                         runs.append(run)
                     dropped.discard(wire_id)
+                    if self.fleet.on_call is not None:
+                        self.fleet.on_call(Call(time.monotonic(), self.name, wire_id, told))
                     if self.fleet.watch is not None:
                         ends[wire_id] = self.fleet.watch(self.name, told)
                     self.want(wire_id, told, body, reply, cut, run)
@@ -252,6 +264,7 @@
         sites = {"box": self.settings["azs"][self.settings["zone"]]}
         # Told of each want as it comes, by member and fields; what it returns is called at its end.
         self.watch: Callable[[str, dict[str, str]], Callable[[], None]] | None = None
+        self.on_call: Callable[[Call], None] | None = None  # told of each want as it comes
         self.audit = None
         if strict:
             places = {name: Place(kind, sites.get(kind, "hub")) for name, kind in hosts.items()}
--- a/lupintack/standins/proxy.py
+++ b/lupintack/standins/proxy.py
@@ -34,6 +34,7 @@
         self.conns: list[socket.socket] = []
         self.lock = threading.Lock()
         self.accepted = 0
+        self.over = False
         self.sock = listen(self.serve)
         self.address = at(self.sock)
 
@@ -96,6 +97,8 @@
 
     def back(self) -> None:
         """Take connections again."""
+        if self.over:
+            return
         address = self.sock.getsockname()
         self.sock.close()
         self.sock = listen(self.serve, address)
@@ -109,5 +112,6 @@
 
     def close(self) -> None:
         """End all of it."""
+        self.over = True
         close(self.sock)
         self.cut()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 from hypothesis import settings
 
@@ -12,9 +14,8 @@
 settings.load_profile("lupintack")
 
 LANE = {
-    "test_adapter", "test_admin", "test_cdni", "test_client", "test_closes", "test_crossings", "test_demo",
-    "test_descriptors",
-    "test_division", "test_gone", "test_http2",
+    "test_adapter", "test_admin", "test_catch_up", "test_cdni", "test_client", "test_closes",
+    "test_crossings", "test_demo", "test_descriptors", "test_division", "test_gone", "test_http2",
     "test_http2_limits", "test_http2_many", "test_keys", "test_legacy", "test_lifecycle", "test_matrix",
     "test_neither",
     "test_retune", "test_rooms", "test_serving", "test_settings", "test_slow", "test_spending", "test_starts",
@@ -28,3 +29,27 @@
         if item.path.stem in LANE:
             item.add_marker(pytest.mark.xdist_group("lane"))
     items.sort(key=lambda item: item.path.stem not in LANE)
+    for item in items:
+        test = item.nodeid.partition("[")[0]
+        if test in KNOWN_RED:
+            # Not strict for one case of several: a case that passes is no news while the cause stands.
+            item.add_marker(pytest.mark.xfail(reason=KNOWN_RED[test], strict=False))
+
+
+def known_red() -> dict[str, str]:
+    """Tests that fail for a real fault, by their name, with its cause: KNOWN-RED.txt at the root."""
+    file = Path(__file__).parents[1] / "KNOWN-RED.txt"
+    lines = file.read_text().splitlines() if file.exists() else []
+    rows = [line.split("|") for line in lines if line.strip() and not line.startswith("#")]
+    assert len(rows) <= KNOWN_RED_MOST, "KNOWN-RED.txt lists too many"
+    return {test.strip(): cause.strip() for test, cause, _ in rows}
+
+
+KNOWN_RED_MOST = 3
+KNOWN_RED = known_red()
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Name what CI passes over."""
+    for test, cause in KNOWN_RED.items():
+        terminalreporter.write_line(f"known red: {test}: {cause}")
