Retry socket calls that fail for a moment, and end no connection for an option

Need: accept with one error in two served 130 of 830 requests (20 ms pause after errors of one connection), setsockopt with one in three ended every connection. Change: lupintack/sockets.py tells errors of the moment from ends; accepts go on at once or after a pause that grows from 1 to 20 ms; a broken connection counts as a client that left, whatever its errno.

--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -14,11 +14,12 @@
 import time
 from collections.abc import Callable, Iterable
 
+from lupintack import sockets
 from lupintack.clock import now_us
 from lupintack.core import presence
 from lupintack.fronts.exchange import REASONS, Bad, Exchange, HttpRequest, nothing
 from lupintack.fronts.listener import BACKLOG, bound
-from lupintack.logs import fields
+from lupintack.logs import LineLimit, fields
 
 LOG = logging.getLogger("http1")
 HEAD_MOST = 8192
@@ -38,6 +39,7 @@
 LINGER_S = 1.5  # after a 4xx the rest of what the client sends is read so long, or it might lose the answer
 CROSS_S = 0.1  # after any other end of ours: by the protocol a request may cross it for 50 ms
 CROSS_LOOK_S = 0.01  # between two looks at a connection whose reading we have ended
+LINES_PER_S = 5  # on accepts that fail
 LOOK_S = 0.03  # between two looks whether a client has left, where its end can't be waited for
 TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 REQUEST_LINE = re.compile(rf"({TOKEN}) ([!-~]+) HTTP/(\d\.\d)")
@@ -201,7 +203,7 @@
             raise Bad(413, "the body is too long")
         del self.buffer[: at + 4]
         if length > len(self.buffer) and request.headers.get("expect", "").lower() == "100-continue":
-            self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            sockets.write(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
         while len(self.buffer) < length:
             if not self.more():
                 raise self.cut("body")
@@ -244,9 +246,12 @@
         """Wait for bytes."""
         while True:
             try:
-                data = self.sock.recv(READ)
+                data = sockets.read(self.sock, READ)
                 break
-            except ConnectionError:
+            except BlockingIOError:
+                continue  # a limit inherited from the listener that could not be lifted
+            except OSError as error:  # broken in any way: its client has left
+                self.server.count(f"client.{type(error).__name__.lower()}")
                 return False
         self.buffer += data
         return bool(data)
@@ -322,9 +327,11 @@
             done = self.sock.sendmsg(views, [], socket.MSG_DONTWAIT)
         except BlockingIOError:
             done = 0
-        except OSError:
-            self.closed = True
-            return []
+        except OSError as error:
+            if not sockets.passes(error):
+                self.closed = True
+                return []
+            done = 0
         rest = []
         for view in views:
             if done < len(view):
@@ -336,7 +343,7 @@
         """A slow client's answer, at its own pace."""
         try:
             for view in rest:
-                self.sock.sendall(view)
+                sockets.write(self.sock, view)
         except OSError:
             with self.lock:
                 self.closed = True
@@ -357,7 +364,7 @@
     def write_all(self, data: list[bytes]) -> None:
         try:
             for one in data:
-                self.sock.sendall(one)
+                sockets.write(self.sock, one)
         except OSError:
             pass
 
@@ -369,7 +376,7 @@
             self.sock.shutdown(socket.SHUT_WR)
             while (left := until - now_us()) > 0 and not self.expired:
                 self.sock.settimeout(left / 1e6)
-                if not self.sock.recv(LINGER_READ):
+                if not sockets.read(self.sock, LINGER_READ):
                     return
         except OSError:
             pass
@@ -386,7 +393,7 @@
             self.sock.setblocking(False)
             while (gone := now_us() - begun) < LINGER_S * 1e6 and not presence.left(self.sock):
                 try:
-                    if self.sock.recv(LINGER_READ):
+                    if sockets.read(self.sock, LINGER_READ):
                         continue
                 except BlockingIOError:
                     pass
@@ -409,7 +416,7 @@
         if self.leaving:
             self.see_off()
         self.over, self.leaving = True, False
-        self.sock.close()
+        sockets.close(self.sock)
         self.server.forget(self)
 
 
@@ -440,16 +447,14 @@
         self.reading = True
         self.reuse = reuse
         self.conns: set[Connection] = set()
+        self.lines = LineLimit(LINES_PER_S)
         self.lock = threading.Lock()
         # Between two clients the accepting thread looks after the connections there are.
         self.sock = bound(address, SWEEP_S, reuse)
 
     def open(self) -> None:
-        """Listen, where the port is shared: of two processes on one port each gets what it listens for, so
-        that must not begin before all is ready.
-        """
-        if self.reuse:
-            self.sock.listen(BACKLOG)
+        """Listen; OSError where another process has the port."""
+        self.sock.listen(BACKLOG)
 
     def run(self) -> None:
         """Accept until told to stop, and look after the connections between; then close."""
@@ -462,6 +467,7 @@
     def accepts(self) -> None:
         """New connections; after the word to stop, what is queued still, as a close would reset it."""
         swept = made = until = 0
+        failures = sockets.AcceptFailures(self.count)
         while True:
             now = now_us()
             if not self.accepting:
@@ -488,18 +494,15 @@
                     return
                 continue  # nobody has come since the last look
             except OSError as error:
-                if self.accepting:
-                    LOG.warning("accept failed", extra=fields(reason=error))
+                pause_s = failures.failed(error)
+                if pause_s and self.accepting:
+                    if self.lines.allow(now) >= 0:
+                        LOG.warning("accept failed", extra=fields(reason=error))
                     self.make_room(now)
-                    time.sleep(0.02)
-                continue
-            try:
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", WRITE_LIMIT_S, 0))
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, 0))  # inherited
-            except OSError:  # gone again; the thread that accepts must not end with it
-                sock.close()
+                    time.sleep(pause_s)
                 continue
+            failures.succeeded()
+            self.tune(sock)
             conn = Connection(self, sock, str(where[0]))
             with self.lock:
                 self.conns.add(conn)
@@ -514,6 +517,20 @@
                 LOG.error("no thread for a client", extra=fields(reason=error))
                 conn.end()
 
+    def tune(self, sock: socket.socket) -> None:
+        """Options of a client's connection. What can't be set costs little; a close would cost a request."""
+        limit = struct.pack("ll", WRITE_LIMIT_S, 0)
+        if not all(
+            [
+                sockets.set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+                sockets.set_option(sock, socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit),
+                sockets.set_option(
+                    sock, socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, 0)
+                ),  # inherited
+            ]
+        ):
+            self.count("client.option_not_set")
+
     def sweep(self, now: int) -> None:
         """End connections that have waited too long for a request, or for the rest of one."""
         with self.lock:
--- a/lupintack/fronts/http2.py
+++ b/lupintack/fronts/http2.py
@@ -18,6 +18,7 @@
 
 from h2.errors import ErrorCodes
 
+from lupintack import sockets
 from lupintack.clock import now_us
 from lupintack.fronts import fields as words
 from lupintack.fronts.exchange import Bad, Exchange, HttpRequest, nothing
@@ -26,7 +27,7 @@
 from lupintack.http2.wire import Header, Role, Wire, WireTerms
 from lupintack.limits.drain import Drain
 from lupintack.limits.streams import Book, Cost, Due, StreamTerms, Verdict
-from lupintack.logs import fields
+from lupintack.logs import LineLimit, fields
 
 LOG = logging.getLogger("http2")
 SWEEP_S = 0.05  # between two looks at what time has brought
@@ -34,6 +35,7 @@
 LAST_S = 0.3  # for what is queued when the listening ends, where no place is free for it
 FULL_S = 0.002  # between two looks for room
 YOUNG_US = 40_000  # a connection is not closed to make room while its first request may be on its way
+LINES_PER_S = 5  # on accepts that fail
 READ_IN = 8  # bytes that tell HTTP/1.1 from the preface
 COSTS = {"control": Cost.CONTROL, "window": Cost.WINDOW}
 PLAIN = Priority()
@@ -424,13 +426,12 @@
         self.accepted = False  # all that will ever come
         self.draining = False
         self.last_number = 0
-        self.reuse = reuse
+        self.lines = LineLimit(LINES_PER_S)
         self.sock = bound(address, ACCEPT_S, reuse)
 
     def open(self) -> None:
         """Listen, where the port is shared."""
-        if self.reuse:
-            self.sock.listen(BACKLOG)
+        self.sock.listen(BACKLOG)
 
     def apply(self, terms: StreamTerms) -> None:
         """Other bounds, for what comes from now on (SIGHUP)."""
@@ -451,6 +452,7 @@
     def accepts(self, waiting: select.poll) -> None:
         """New connections; after the word to stop, what is queued still, as a close would reset it."""
         until = 0
+        failures = sockets.AcceptFailures(self.count)
         while True:
             if not self.accepting:
                 if not until:
@@ -472,12 +474,16 @@
                     return
                 continue
             except OSError as error:
-                if self.accepting:
-                    LOG.warning("accept failed", extra=fields(reason=error))
+                pause_s = failures.failed(error)
+                if pause_s and self.accepting:
+                    if self.lines.allow(now_us()) >= 0:
+                        LOG.warning("accept failed", extra=fields(reason=error))
                     self.make_room()
-                    time.sleep(0.02)
+                    time.sleep(pause_s)
                 continue
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", 0, 0))  # inherited
+            failures.succeeded()
+            never = struct.pack("ll", 0, 0)
+            sockets.set_option(sock, socket.SOL_SOCKET, socket.SO_RCVTIMEO, never)  # inherited
             self.begin(sock, str(where[0]))
 
     def begin(self, sock: socket.socket, peer_ip: str) -> None:
--- a/lupintack/http2/wire.py
+++ b/lupintack/http2/wire.py
@@ -23,6 +23,7 @@
 from h2.exceptions import H2Error, ProtocolError, StreamClosedError
 from h2.settings import SettingCodes
 
+from lupintack import sockets
 from lupintack.clock import now_us
 from lupintack.http2.schedule import Fifo, Priority, Schedule
 from lupintack.http2.session import HIGHEST, Session
@@ -121,8 +122,8 @@
         self.calling = False  # what has come is on its way to the role
         self.why = ""
         self.ended_us = 0
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT)
+        sockets.set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sockets.set_option(sock, socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT)
 
     # Reading
 
@@ -136,7 +137,10 @@
                     self.session.increment_flow_control_window(more)
                 self._pump()
             while not self.ended:
-                data = self.sock.recv(READ)
+                try:
+                    data = sockets.read(self.sock, READ)
+                except BlockingIOError:
+                    continue  # a limit inherited from the listener that could not be lifted
                 if not data:
                     self.why = self.why or "closed"
                     break
@@ -379,7 +383,7 @@
         try:
             while (left := until - now_us()) > 0 and not self.dead:
                 self.sock.settimeout(left / 1e6)
-                if not self.sock.recv(READ):
+                if not sockets.read(self.sock, READ):
                     return
         except OSError:
             pass
@@ -453,9 +457,7 @@
     def _write_now(self) -> bool:
         """What the kernel takes without waiting; True when nothing is left."""
         try:
-            done = self.sock.send(self.out, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
+            done = sockets.send_now(self.sock, self.out)
         except OSError as error:
             self.abort(f"broken: {error.strerror or error}")
             return True
--- a/lupintack/peers/resp.py
+++ b/lupintack/peers/resp.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Sequence
 
+from lupintack import sockets
+
 LINE_MOST = 64  # a length line
 TEXT_MOST = 8192  # id, word or fields
 BODY_MOST = 240_000  # what an object holds at most
@@ -47,7 +50,7 @@
             self.at = 0
         while True:
             try:
-                data = self.sock.recv(READ)
+                data = sockets.read(self.sock, READ)
                 break
             except BlockingIOError:
                 if self.inside or self.buffer:
@@ -92,6 +95,11 @@
                 got = self.sock.recv_into(view[have:], length - have, socket.MSG_WAITALL)
             except BlockingIOError:
                 raise FrameError("a bulk string stops short") from None
+            except OSError as error:
+                if not sockets.passes(error):
+                    raise
+                time.sleep(sockets.PAUSE_S)
+                continue
             if not got:
                 raise Ended()
             have += got
--- /dev/null
+++ b/lupintack/sockets.py
@@ -0,0 +1,132 @@
+"""System calls on sockets that fail for a moment, told from those that show the end of a connection.
+
+Linux may refuse a call for want of memory or buffers, interrupt it, or report an error that belongs to one
+connection on the listener that would have accepted it (accept(2), connect(2), recv(2), send(2)). None of
+these says anything about the other side.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+import time
+from collections.abc import Callable
+
+TRANSIENT = frozenset({errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
+"""Of a read or a write: the connection is as it was, and the call may be made again."""
+LOCAL = TRANSIENT | {errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.EAGAIN}
+"""Of a connect that this machine could not even begin."""
+RESOURCES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+"""Of an accept: it will fail again until something is given back. All others belong to one connection."""
+PAUSE_S = 0.001  # between two tries of a call that failed for a moment
+TRIES = 200
+CONNECT_TRIES = 3
+ACCEPT_PAUSE_S = 0.02  # longest between two tries of an accept
+
+
+def passes(error: OSError) -> bool:
+    """Whether a read or write may be made again on the same connection."""
+    return error.errno in TRANSIENT
+
+
+def read(sock: socket.socket, size: int) -> bytes:
+    """recv, again where it failed for a moment; BlockingIOError where a limit of the socket's own is over."""
+    for _ in range(TRIES):
+        try:
+            return sock.recv(size)
+        except OSError as error:
+            if not passes(error):
+                raise
+        time.sleep(PAUSE_S)
+    return sock.recv(size)
+
+
+def write(sock: socket.socket, data: bytes | bytearray | memoryview) -> None:
+    """Like sendall, again where a call failed for a moment."""
+    view = memoryview(data)
+    tries = 0
+    while view:
+        try:
+            view = view[sock.send(view) :]
+            tries = 0
+        except OSError as error:
+            tries += 1
+            if not passes(error) or tries > TRIES:
+                raise
+            time.sleep(PAUSE_S)
+
+
+def send_now(sock: socket.socket, data: bytes | bytearray | memoryview) -> int:
+    """How many bytes the kernel takes without waiting; 0 where it takes none just now."""
+    try:
+        return sock.send(data, socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return 0
+    except OSError as error:
+        if passes(error):
+            return 0
+        raise
+
+
+def set_option(sock: socket.socket, level: int, option: int, value: int | bytes) -> bool:
+    """Set an option that is worth having; False where the system would not. The connection does without."""
+    for _ in range(2):
+        try:
+            sock.setsockopt(level, option, value)
+            return True
+        except OSError:
+            continue
+    return False
+
+
+def connect(sock_family: int, address: tuple[str, int], timeout_s: float) -> socket.socket:
+    """A connected socket without a timeout; OSError as the last try had it.
+
+    A connect that this machine could not begin is tried again: it is no sign of trouble at the other side.
+    """
+    until = time.monotonic() + timeout_s
+    for left in range(CONNECT_TRIES - 1, -1, -1):
+        sock: socket.socket | None = None
+        try:
+            sock = socket.socket(sock_family)
+            sock.settimeout(max(PAUSE_S, until - time.monotonic()))
+            sock.connect(address)
+            sock.settimeout(None)
+            return sock
+        except OSError as error:
+            if sock is not None:
+                close(sock)
+            if not left or error.errno not in LOCAL:
+                raise
+        time.sleep(PAUSE_S)
+    raise AssertionError("the last try returns or raises")
+
+
+def close(sock: socket.socket) -> None:
+    """Close; an error tells of what was unsent, which nobody can do anything about."""
+    try:
+        sock.close()
+    except OSError:
+        pass
+
+
+class AcceptFailures:
+    """What to do about an accept that failed: at once again, or after a pause that grows."""
+
+    def __init__(self, count: Callable[[str], None]) -> None:
+        self.count = count
+        self.in_a_row = 0
+
+    def succeeded(self) -> None:
+        """A connection was accepted."""
+        self.in_a_row = 0
+
+    def failed(self, error: OSError) -> float:
+        """How long to wait, in seconds; 0: not at all, the error was of one connection that is gone."""
+        self.count(f"accept.{errno.errorcode.get(error.errno or 0, 'other').lower()}")
+        if error.errno not in RESOURCES:
+            # An error that stays, as of a listener that is no more, must not take the whole processor.
+            self.in_a_row += 1
+            return 0.0 if self.in_a_row <= TRIES else ACCEPT_PAUSE_S
+        self.in_a_row += 1
+        return min(ACCEPT_PAUSE_S, PAUSE_S * float(1 << min(self.in_a_row - 1, 10)))
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -12,7 +12,7 @@
 PACKAGE = Path(__file__).parents[1] / "lupintack"
 # From the ground up; a room may import those before it, and itself.
 FLOORS = [
-    ("clock", "logs", "interface"),
+    ("clock", "logs", "interface", "sockets"),
     ("limits", "http2", "lifecycle"),
     ("membership",),
     ("budgets",),
