--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -14,60 +14,109 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:  # nothing of the program is imported before the signals are blocked
+    from lupintack.node import Node
 
 LOG = logging.getLogger("lupintack")
 STACK = 256 * 1024
 SWITCH_S = 0.02  # turns are short, and every thread that waits for the interpreter wakes this often
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
+ENDS = {signal.SIGTERM, signal.SIGINT}
+LIST_LOOK_S = 0.01  # between two looks whether the list is current, while signals are waited for
 
 
 def main() -> int:
     """Run until SIGTERM; a configuration that can't be used ends it with one line and code 2."""
+    began = time.monotonic()
     spent = [0.0, time.process_time()]  # CPU seconds at the end of each part of the start
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    threading.stack_size(STACK)
+    sys.setswitchinterval(SWITCH_S)
     from lupintack import config, logs, operator
-    from lupintack.fronts.cdni.conf import FILE, load
-    from lupintack.node import Node
+    from lupintack.discovery.follow import follow
 
-    spent.append(time.process_time())
     try:
         conf = config.load(os.environ)
-        wanted = operator.load(os.environ)
-        cdni = load(Path(os.environ.get("LUPINTACK_CDNI") or FILE), conf.names.classes)
     except config.ConfigError as error:
         print(f"lupintack: {error}", file=sys.stderr)
         return 2
     logs.set_up(conf.name)
+    followed = follow(conf)
+    # Discovery takes up to a second to prove the list, so it is asked before the rest is imported.
+    followed.client.start(spawn)
+    spent.append(time.process_time())
+    from lupintack.fronts.cdni.conf import FILE, load
+    from lupintack.node import LIST_WAIT_S, Node
+
     spent.append(time.process_time())
-    threading.stack_size(STACK)
-    sys.setswitchinterval(SWITCH_S)
-    gc.freeze()
-    gc.set_threshold(50_000, 20, 50)  # nothing on a request's way makes cycles; a full collection is a stall
     try:
-        node = Node(conf, cdni, wanted)
+        wanted = operator.load(os.environ)
+        cdni = load(Path(os.environ.get("LUPINTACK_CDNI") or FILE), conf.names.classes)
+        gc.freeze()
+        gc.set_threshold(
+            50_000, 20, 50
+        )  # nothing on a request's way makes cycles; a full collection is a stall
+        node = Node(conf, cdni, wanted, followed)
+    except config.ConfigError as error:  # also what only a router with its name, site and port can tell
+        print(f"lupintack: {error}", file=sys.stderr)
+        return 2
     except (OSError, socket.gaierror) as error:
         print(f"lupintack: can't listen: {error}", file=sys.stderr)
         return 2
-    except config.ConfigError as error:  # what only a router with its name, site and port can tell
-        print(f"lupintack: {error}", file=sys.stderr)
+    node.begin()
+    if not wait_for_list(node, began + LIST_WAIT_S):
+        node.abandon()
+        LOG.info("stopped before it served", extra=logs.fields(node=conf.name))
+        return 0
+    try:
+        node.serve()
+    except OSError as error:
+        print(f"lupintack: can't listen: {error}", file=sys.stderr)
         return 2
-    node.start()
     spent.append(time.process_time())
     parts = "/".join(f"{(b - a) * 1000:.0f}" for a, b in zip(spent, spent[1:], strict=False))
-    told = logs.fields(node=conf.name, listen=f"{conf.listen[0]}:{conf.listen[1]}", cpu_ms=parts)
-    LOG.info("ready", extra=told)  # cpu_ms: interpreter, imports, configuration, node
-    while (got := signal.sigwait(SIGNALS)) in (signal.SIGUSR1, signal.SIGHUP):
-        if got == signal.SIGHUP:
-            node.reload(os.environ)
-        else:
-            node.print_counters()
+    told = {"node": conf.name, "listen": f"{conf.listen[0]}:{conf.listen[1]}", "cpu_ms": parts}
+    told["start_ms"] = f"{(time.monotonic() - began) * 1000:.0f}"
+    LOG.info(
+        "ready", extra=logs.fields(**told, **node.list_state())
+    )  # cpu_ms: interpreter, list, imports, node
+    while (got := signal.sigwait(SIGNALS)) not in ENDS:
+        on_signal(node, got)
     node.stop()
     node.print_counters()
     sys.stderr.flush()
     return 0
 
 
+def spawn(target: Callable[[], None], name: str) -> None:
+    """A thread that does not hold the program up."""
+    threading.Thread(target=target, name=name, daemon=True).start()
+
+
+def wait_for_list(node: Node, until: float) -> bool:
+    """Until the list is current, or its time is up; False where the process is to end."""
+    while not node.member_table.confirmed.is_set() and time.monotonic() < until:
+        got = signal.sigtimedwait(SIGNALS, LIST_LOOK_S)
+        if got is None:
+            continue
+        if got.si_signo in ENDS:
+            return False
+        on_signal(node, got.si_signo)
+    return True
+
+
+def on_signal(node: Node, number: int) -> None:
+    """SIGHUP or SIGUSR1."""
+    if number == signal.SIGHUP:
+        node.reload(os.environ)
+    else:
+        node.print_counters()
+
+
 def start() -> None:
     """The program: it ends the process itself."""
     code = main()
--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -18,7 +18,7 @@
 from random import Random
 
 from lupintack.clock import from_module_ms, module_ms, now_us
-from lupintack.core.copies import NEWS_US, Copies
+from lupintack.core.copies import PROOF_US, Copies
 from lupintack.core.counters import Counters
 from lupintack.core.ending import Ending
 from lupintack.core.hosted import Fleet
@@ -291,7 +291,7 @@
         self.set_timer(ask.deadline_us, DUE_LIMIT, number)
         due = module_ms(ask.deadline_us)
         age = wait = -1.0
-        if self.copies is not None and self.now - self.member_table.notified_us < NEWS_US:
+        if self.copies is not None and self.now - self.member_table.proved_us < PROOF_US:
             # Guards against a purge that does not reach us: after some seconds it counts as told.
             _, age = self.copies.find(ask)
             wait = self.copies.wait_ms(self.now)
@@ -328,11 +328,17 @@
         if ending in (Ending.SERVED, Ending.HOLDS) and answer is not None and not one.over:
             self.end_with(one, "answered.served")
             one.ask.sink.served(answer, ending is Ending.HOLDS)
-            if ending is Ending.SERVED and self.copies is not None:
+            if ending is Ending.SERVED and self.copies is not None and not self.purged_since(order):
                 self.fresh[order.ask.number] = (order.ask, answer)
         events.append(self.verdict(one, order, ending, message))
         self.sweep(order.ask.number, one)
 
+    def purged_since(self, order: Order) -> bool:
+        """Whether a purge has come since an attempt was decided: its answer may be older, whatever its
+        stamp.
+        """
+        return self.member_table.purged_since(order.ask, order.heard)
+
     def verdict(self, one: Owed, order: Order, ending: Ending, message: Ended | None) -> AttemptEnded:
         """The end of an attempt in the module's words."""
         answer = message.answer if message else None
--- a/lupintack/core/copies.py
+++ b/lupintack/core/copies.py
@@ -6,18 +6,19 @@
 
 from __future__ import annotations
 
-import time
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from lupintack.clock import UNIX_OFFSET_US, now_us
 from lupintack.core.messages import Answer, ClientRequest
+from lupintack.core.stamps import CopyClock
 
 SHARE = 0.15  # of the machine's memory over what is in use without them; the bodies' overhead doubles it
 BASE_MB = 24
 OVERHEAD = 600  # bytes that a copy takes beside its body
 HOLDS_PART = 20  # to tell a client that its copy holds costs this part of the bytes
 PURGES = 4096
-NEWS_US = 1_900_000  # no line from the notice board for so long: 2 s after a break all counts as told
+PROOF_US = 1_900_000  # the list not proved to be current for so long: a purge may have been missed
 
 
 @dataclass(slots=True)
@@ -36,20 +37,21 @@
 class Copies:
     """Used by the core's turn alone."""
 
-    def __init__(self, most_bytes: int, link_bytes_per_s: float) -> None:
+    def __init__(self, most_bytes: int, link_bytes_per_s: float, clock: CopyClock | None = None) -> None:
         self.most = most_bytes
         self.link = link_bytes_per_s
         self.held: OrderedDict[tuple[int, int], Copy] = OrderedDict()
         self.bytes = 0
         self.free_us = 0
         self.purged: OrderedDict[tuple[bool, int], float] = OrderedDict()
+        self.clock = clock or CopyClock(UNIX_OFFSET_US)
 
     def find(self, ask: ClientRequest) -> tuple[Copy | None, float]:
         """The copy for a request, and its age in milliseconds."""
         copy = self.held.get((ask.object_id, ask.part))
         if copy is None or ask.write:
             return None, -1.0
-        return copy, max(0.0, time.time() * 1000 - copy.answer.issued_ms)
+        return copy, self.clock.age_us(copy.answer.issued_ms * 1000, now_us()) / 1000.0
 
     def wait_ms(self, now_us: int) -> float:
         """How far the link is behind."""
@@ -76,6 +78,8 @@
         purge = max(self.purged.get((True, key[0]), 0.0), self.purged.get((False, group), 0.0))
         if not answer.issued_ms or answer.issued_ms <= purge or size > self.most // 16:
             return
+        if not self.clock.observe(answer.issued_ms * 1000, now_us()):
+            return  # of no age that could be told
         self.drop(key)
         self.held[key] = Copy(answer, group)
         self.bytes += size
@@ -93,10 +97,14 @@
         if copy is not None:
             self.bytes -= len(copy.answer.body) + OVERHEAD
 
-    def purge(self, object_id: int | None, group: int, unix_ms: float) -> None:
-        """Older copies go at once, and none that is still on its way is kept."""
+    def purge(self, object_id: int | None, group: int, unix_ms: float | None) -> None:
+        """What is held goes at once, whatever its stamp; what is on its way is kept if its stamp is younger.
+
+        `unix_ms`: by the clock of whoever purged; None: it is not known.
+        """
         key = (object_id is not None, group if object_id is None else object_id)
-        self.purged[key] = max(unix_ms, self.purged.pop(key, 0.0))
+        if unix_ms is not None:
+            self.purged[key] = max(unix_ms, self.purged.pop(key, 0.0))
         if len(self.purged) > PURGES:
             self.held.clear()
             self.purged.clear()
@@ -104,5 +112,5 @@
             return
         for one, copy in list(self.held.items()):
             named = copy.group == group if object_id is None else one[0] == object_id
-            if named and copy.answer.issued_ms <= unix_ms:
+            if named:
                 self.drop(one)
--- a/lupintack/discovery/client.py
+++ b/lupintack/discovery/client.py
@@ -1,46 +1,54 @@
-"""The notice board's reader: `watch N`, a line of JSON an event, on to the member table."""
+"""Discovery's client: `watch N`, a line of JSON an event, on to the member table.
+
+It runs on one thread, which connects again for as long as the process lives. Events are applied once and in
+order; the table is confirmed only by what `RevisionLog` takes for a proof.
+"""
 
 from __future__ import annotations
 
 import json
 import logging
-import math
 import socket
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any
 
 from lupintack.clock import now_us
 from lupintack.config import Names
-from lupintack.core.member_table import Endpoint, MemberTable
-from lupintack.interface import State
+from lupintack.core.counters import Counters
+from lupintack.core.member_table import MemberTable
+from lupintack.discovery.events import Event, EventError, ListEvent, PurgeEvent, WholeLog, parse_event
+from lupintack.discovery.revisions import RevisionLog, Step
 from lupintack.logs import fields
 
 LOG = logging.getLogger("board")
-STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 LINE_MOST = 4 << 20
+READ_BYTES = 65_536
 SILENT_S = 1.8  # a line comes each second; after so long without one the connection is held to be cut off
 SILENT_US = int(SILENT_S * 1e6)
 CONNECT_S = 1.0  # for a connect: with SILENT_S it stays well under the 4 s after which all counts as told
 AGAIN_S = 0.2  # between two tries, but for the first after a connection that told something; in the mean
-APART = 0.4  # they differ by up to this part, or all routers would come back to a board in one moment
-NO_ZONE = 0xFFFF
+APART = 0.4  # they differ by up to this part, or all routers would come back to discovery in one moment
+READS_MOST = 16  # behind a proof, before it is passed on
 
 
 class GapError(ValueError):
-    """An event has not come: it is asked for again, once."""
+    """An event has not come: the connection ends, and the next one asks for it."""
 
 
 class LineBuffer:
     """A connection's bytes as whole lines, and until when the next one has to come.
 
-    Only whole lines count: half a line that drips on must not pass for a board that works.
+    Only whole lines count: half a line that drips on must not pass for a discovery that works.
     """
 
     def __init__(self, now: int) -> None:
         self.rest = bytearray()
         self.until_us = now + SILENT_US
+        self.connected_us = now
+        self.proved_us = 0  # as of when a number has proved the table to be current, and is not passed on yet
+        self.confirmed = False  # one has before
 
     def cut(self, data: bytes) -> list[bytes]:
         """The lines that are whole with these bytes; ValueError where one is too long."""
@@ -53,7 +61,7 @@
 
 
 class DiscoveryClient:
-    """Follows the notice board and words its events for the member table."""
+    """Follows discovery and words its events for the member table."""
 
     def __init__(
         self, address: tuple[str, int] | None, names: Names, member_table: MemberTable, seed: int = 0
@@ -62,59 +70,62 @@
         self.names = names
         self.member_table = member_table
         self.random = Random(seed)
-        self.last = 0
-        self.asked = -1  # the last number from which a gap was asked for again
+        self.revisions = RevisionLog()
+        self.whole_log = WholeLog(0)  # what has come of it, where it was asked for
+        self.counters = Counters()
         self.lock = threading.Lock()  # of the numbers: an old reader may stand beside the new one
         self.sock: socket.socket | None = None
         self.turn = 0  # counts the moves: a reader of an earlier one ends
         self.stopped = threading.Event()
+        self.started = False
+
+    @property
+    def last(self) -> int:
+        """The number of the last event in the table."""
+        return self.revisions.last
 
     def known(self, known: Mapping[str, Any]) -> None:
-        """The events of the start."""
+        """The events of the start. They prove nothing: how old they are is not known."""
         for notice in known.get("notices", []):
             self.apply(notice)
-        self.last = max(self.last, int(known.get("rev", 0)))
+        self.revisions.last = max(self.revisions.last, int(known.get("rev", 0)))
 
-    def apply(self, notice: Any) -> None:
-        """One event; what can't be read is logged, and the next one's number passes it over."""
+    def parsed(self, notice: Any) -> Event | None:
+        """An event's record; one that can't be used is logged, and the next one's number passes it over."""
         try:
-            number = int(notice["rev"])
-            if number <= self.last:
-                return  # told before: to apply it again would undo what has been told since
-            if "pool" in notice:
-                pool = notice["pool"]
-                hosts = tuple(self.host(line) for line in pool.get("hosts", []))
-                self.member_table.update_list(bool(pool.get("whole", False)), hosts, int(pool.get("seq", 0)))
-            elif "flush" in notice:
-                flush = notice["flush"]
-                item = int(flush["asset"], 16) if "asset" in flush else None
-                group = int(flush["collection"]) if item is None else 0
-                self.member_table.purge(item, group, float(flush["ms"]))
-        except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
-            LOG.warning("notice can't be used", extra=fields(reason=repr(error), notice=str(notice)[:200]))
+            return parse_event(notice, self.names)
+        except EventError as error:
+            self.counters.add("discovery.unusable")
+            LOG.warning("notice can't be used", extra=fields(reason=error, notice=str(notice)[:200]))
+            return None
+
+    def apply(self, notice: Any) -> None:
+        """One event, into the table; what was told before would undo what has been told since."""
+        event = self.parsed(notice)
+        if event is None or event.number <= self.last:
             return
-        self.last = number
-
-    def host(self, line: Mapping[str, Any]) -> Endpoint:
-        """A line of the pool."""
-        dial = str(line.get("dial", ""))
-        host, _, port = dial.rpartition(":")
-        zones, kinds = self.names.zones, self.names.kinds
-        site, kind = str(line.get("site", "")), str(line.get("class", ""))
-        share = float(line.get("share", 1.0))
-        return Endpoint(
-            name=str(line["host"]),
-            dial=(host.strip("[]"), int(port)) if host and port.isdigit() else None,
-            zone=zones.index(site) if site in zones else NO_ZONE,
-            kind=kinds.index(kind) if kind in kinds else 0xFF,
-            cell=int(line.get("block", 0)),
-            state=STATES[str(line.get("health", "Ready"))],
-            size=share if math.isfinite(share) and share > 0 else 1.0,
-            born_unix_ms=float(line.get("born_ms", 0.0)),
-        )
+        if isinstance(event, ListEvent):
+            self.member_table.update_list(event.whole, event.endpoints, event.sequence, event.number)
+        elif isinstance(event, PurgeEvent):
+            self.member_table.purge(event.object_id, event.group, event.unix_ms)
+        self.revisions.applied(event.number)
+
+    def replace(self, number: int) -> bool:
+        """The whole log has come: what it makes of the list replaces the table in one step. False where it
+        has no list.
+        """
+        log, self.whole_log = self.whole_log, WholeLog(self.last)
+        if log.based:
+            self.member_table.update_list(True, log.listed(), log.sequence, number)
+        for purge in log.purges:
+            self.member_table.purge(purge.object_id, purge.group, purge.unix_ms)
+        self.revisions.replaced(number if log.based else self.last)
+        self.counters.add("discovery.replaced" if log.based else "discovery.not_replaced")
+        LOG.warning("whole log read", extra=fields(events=log.events, list=log.based, last=self.last))
+        return log.based
 
     def move(self, address: tuple[str, int] | None) -> None:
-        """Follow the board at another address from now on; no read of the old one delays that."""
+        """Follow discovery at another address from now on; no read of the old one delays that."""
         with self.lock:
             if address == self.address:
                 return
@@ -122,25 +133,33 @@
             self.turn += 1
             sock = self.sock
         LOG.info("board moves", extra=fields(to=address, last=self.last))
-        threading.Thread(target=self.run, name="board", daemon=True).start()
+        threading.Thread(target=self.run, name="discovery", daemon=True).start()
         if sock is not None:
             try:
                 sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
 
+    def start(self, spawn: Callable[[Callable[[], None], str], None]) -> None:
+        """Run on a thread of its own, unless it does already."""
+        if not self.started:
+            self.started = True
+            spawn(self.run, "discovery")
+
     def run(self) -> None:
-        """Connect, watch, and connect again from the last number, until the board moves."""
+        """Connect, watch, and connect again from the last number, until discovery moves."""
         with self.lock:
             turn, address = self.turn, self.address
         while address is not None and turn == self.turn and not self.stopped.is_set():
             notified = self.member_table.notified_us
+            self.counters.add("discovery.connects")
             try:
                 with socket.create_connection(address, timeout=CONNECT_S) as sock:
                     self.sock = sock
                     self.watch(sock, turn)
             except (OSError, ValueError) as error:
                 if turn == self.turn:
+                    self.counters.add(f"discovery.lost.{type(error).__name__.lower()}")
                     LOG.info("board lost", extra=fields(reason=error, last=self.last))
             self.stopped.wait(self.again_s(told=notified != self.member_table.notified_us))
 
@@ -149,30 +168,52 @@
         return (AGAIN_S / 10 if told else AGAIN_S) * self.random.uniform(1.0 - APART, 1.0 + APART)
 
     def watch(self, sock: socket.socket, turn: int) -> None:
-        """Read lines until the connection ends, the board falls silent, or it moves."""
-        sock.sendall(self.request())
+        """Read lines until the connection ends, discovery falls silent, or it moves."""
         lines = LineBuffer(now_us())
+        sock.sendall(self.request(turn))
         while turn == self.turn and not self.stopped.is_set():
             sock.settimeout(max(0.01, (lines.until_us - now_us()) / 1e6))
-            self.feed(lines, sock.recv(65536), turn)
+            self.feed(lines, sock.recv(READ_BYTES), turn)
+            self.read_behind(lines, sock, turn)
+            self.confirm(lines, turn)
+
+    def read_behind(self, lines: LineBuffer, sock: socket.socket, turn: int) -> None:
+        """What lies behind a proof: one that lay in the kernel for long may have a drain right behind it."""
+        sock.settimeout(0.0)
+        for _ in range(READS_MOST if lines.proved_us else 0):
+            try:
+                self.feed(lines, sock.recv(READ_BYTES), turn)
+            except BlockingIOError:
+                break
 
-    def request(self) -> bytes:
+    def request(self, turn: int | None = None) -> bytes:
         """What a connection begins with."""
-        return b"watch %d\n" % self.last
+        with self.lock:
+            if turn is not None and turn != self.turn:
+                raise ConnectionAbortedError("discovery has moved")
+            self.whole_log = WholeLog(self.last)
+            return b"watch %d\n" % self.revisions.connect()
 
     def feed(self, lines: LineBuffer, data: bytes, turn: int) -> None:
-        """Bytes of a connection of this turn; none where the board closed it. ConnectionError or ValueError
+        """Bytes of a connection of this turn; none where discovery closed it. ConnectionError or ValueError
         ends the connection.
         """
         if not data:
             raise ConnectionResetError("closed by the board")
         for line in lines.cut(data):
             with self.lock:
-                if turn == self.turn and self.line(line):
+                if turn == self.turn and self.line(line, lines):
                     self.member_table.notified_us = now_us()
                     lines.until_us = self.member_table.notified_us + SILENT_US
 
-    def line(self, raw: bytes) -> bool:
+    def confirm(self, lines: LineBuffer, turn: int) -> None:
+        """Pass a proof on, behind the events that came before it."""
+        with self.lock:
+            if lines.proved_us and turn == self.turn:
+                self.member_table.confirm(lines.proved_us)
+            lines.proved_us = 0
+
+    def line(self, raw: bytes, lines: LineBuffer) -> bool:
         """One line: an event, or the last number alone; whether it could be read."""
         if not raw.strip():
             return False
@@ -181,15 +222,34 @@
         except (ValueError, RecursionError) as error:
             LOG.warning("bad line", extra=fields(reason=error, line=raw[:100]))
             return False
-        event = isinstance(notice, dict)
-        number = notice.get("rev") if event else notice
+        told = isinstance(notice, dict)
+        number = notice.get("rev") if told else notice
+        event = told and len(notice) > 1  # the number alone comes bare, and as an object with nothing else
         if not isinstance(number, int) or isinstance(number, bool):
             LOG.warning("bad line", extra=fields(reason="no number", line=raw[:100]))
             return False
-        if number > self.last + event and self.asked != self.last:
-            # Guards against a gap, as after a line that was spoilt; one that stays is passed over.
-            self.asked = self.last
-            raise GapError(f"{number} came after {self.last}")
-        if event:
-            self.apply(notice)
+        step = self.revisions.on_event(number) if event else self.revisions.on_number(number)
+        self.carry_out(step, lines, notice, number)
         return True
+
+    def carry_out(self, step: Step, lines: LineBuffer, notice: Any, number: int) -> None:
+        """Do what the numbers ask for; GapError ends the connection, and the next one asks again."""
+        if step is Step.APPLY:
+            self.apply(notice)
+        elif step is Step.COLLECT:
+            event = self.parsed(notice)
+            if event is not None:
+                self.whole_log.add(event)
+        elif step in (Step.CAUGHT_UP, Step.REPLACE):
+            if step is Step.REPLACE and not self.replace(number):
+                return
+            if self.revisions.passed_over():
+                self.counters.add("discovery.passed_over")
+            # The first number proves no more than that all is here that was told before the connection.
+            lines.proved_us = now_us() if lines.confirmed else lines.connected_us
+            lines.confirmed = True
+        elif step is Step.BEHIND:
+            self.counters.add("discovery.behind")
+        elif step in (Step.ASK_AGAIN, Step.ASK_FOR_ALL):
+            self.counters.add("discovery.gap")
+            raise GapError(f"{number} came after {self.last}")
--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -4,11 +4,10 @@
 
 import secrets
 import threading
-import time
 from collections import OrderedDict
 from collections.abc import Callable
 
-from lupintack.clock import now_us
+from lupintack.clock import now_us, unix_now_ms
 from lupintack.core.actor import Core
 from lupintack.core.messages import Answer, ClientRequest
 from lupintack.fronts.cdni import metadata
@@ -101,7 +100,7 @@
         if upstream is None or not upstream.metadata:
             return content.group
         found = self.store.resolve(upstream.metadata, url)
-        group = metadata.check(found, client_ip, time.time())
+        group = metadata.check(found, client_ip, unix_now_ms() / 1000.0)
         return content.group if group is None else group
 
     def serve(self, exchange: Exchange, url: str) -> None:
--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -206,18 +206,17 @@
         # A copy that must be validated and one that must go are the same here: neither is served again.
         self.store.drop(wording.texts(spec, "metadata.urls"))
         waits: list[tuple[threading.Event, str, str]] = []
-        unix_ms = time.time() * 1000
         for url in wording.texts(spec, "content.urls"):
             content = self.conf.locate(url)
             if content is None or content.site.upstream not in ("", one.owner):
                 errors.append(problem("eperm", "not this CDN's content", "content.urls", [url]))
                 continue
             held = threading.Event()
-            self.member_table.purge(int(content.item, 16), 0, unix_ms, held.set)
+            self.member_table.purge(int(content.item, 16), 0, None, held.set)
             waits.append((held, "content.urls", url))
         for ccid in wording.texts(spec, "content.ccid"):
             held = threading.Event()
-            self.member_table.purge(None, collection(ccid), unix_ms, held.set)
+            self.member_table.purge(None, collection(ccid), None, held.set)
             waits.append((held, "content.ccid", ccid))
         until = now_us() + int(HOLD_LIMIT_S * 1e6)
         for held, key, value in waits:
--- a/lupintack/fronts/listener.py
+++ b/lupintack/fronts/listener.py
@@ -9,9 +9,10 @@
 
 
 def bound(address: tuple[str, int], look_s: float, reuse: bool) -> socket.socket:
-    """Bound, and listening unless the port may be shared; an accept gives up after `look_s`.
+    """Bound, and not listening yet; an accept gives up after `look_s`.
 
-    A shared port must not be listened on before all is ready: each process gets what it listens for.
+    A port must not be listened on before all is ready: what the kernel takes is owed an answer, and on a
+    shared port each process gets what it listens for.
     """
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
     try:
@@ -20,8 +21,6 @@
         if reuse:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind(address)
-        if not reuse:
-            sock.listen(BACKLOG)
     except OSError:
         sock.close()
         raise
--- a/lupintack/logs.py
+++ b/lupintack/logs.py
@@ -42,6 +42,29 @@
     return {"kv": values}
 
 
+class LineLimit:
+    """Lets so many lines of one kind a second through, and counts the others. Not locked: a count may be
+    lost.
+    """
+
+    def __init__(self, per_second: int) -> None:
+        self.per_second = per_second
+        self.second = -1
+        self.lines = 0
+        self.suppressed = 0
+
+    def allow(self, now_us: int) -> int:
+        """How many lines were suppressed since the last one; negative where this one is, too."""
+        if now_us // 1_000_000 != self.second:
+            self.second, self.lines = now_us // 1_000_000, 0
+        if self.lines >= self.per_second:
+            self.suppressed += 1
+            return -1
+        self.lines += 1
+        suppressed, self.suppressed = self.suppressed, 0
+        return suppressed
+
+
 def set_up(name: str) -> None:
     """Log to standard error, also what a thread dies of."""
     handler = logging.StreamHandler(sys.stderr)
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -9,12 +9,13 @@
 from typing import TYPE_CHECKING
 
 from lupintack import config, logs
-from lupintack.clock import module_ms, now_us
+from lupintack.clock import UNIX_OFFSET_US, module_ms, now_us
 from lupintack.core.actor import Close, Core, Stop
 from lupintack.core.copies import Copies, room
-from lupintack.core.member_table import Endpoint, MemberTable
+from lupintack.core.member_table import Change, Endpoint
 from lupintack.core.messages import Link
-from lupintack.discovery.client import DiscoveryClient
+from lupintack.core.stamps import CopyClock
+from lupintack.discovery.follow import Followed, follow
 from lupintack.fronts.exchange import Exchange
 from lupintack.fronts.http1 import Server
 from lupintack.fronts.platform import BODY_MOST, Platform
@@ -42,6 +43,7 @@
 TAKE_S = 0.7  # what comes for so long after SIGTERM is owed its answer
 KILL_S = 3.0  # SIGKILL comes after the longest deadline, counted as this where it is longer, and 0.7 s
 SPARE_S = 0.05  # and the end is so long before it
+LIST_WAIT_S = 4.0  # of a start, for discovery; with the start itself it stays under the 6 s of a short day
 FLUSH_S = 0.25  # so long before the end what is owed yet is failed, and slow clients take the rest
 
 
@@ -62,16 +64,23 @@
 class Node:
     """One edge router: the core between its fronts and its peers."""
 
-    def __init__(self, conf: config.Config, cdni: Cdni | None = None, wanted: Operator | None = None) -> None:
+    def __init__(
+        self,
+        conf: config.Config,
+        cdni: Cdni | None = None,
+        wanted: Operator | None = None,
+        followed: Followed | None = None,
+    ) -> None:
+        """`followed`: what follows discovery, where that began before."""
         self.conf = conf
         self.wanted = wanted
         self.http2: list[Http2Server] = []
-        self.member_table = MemberTable(conf.settings.purge_settles)
+        self.member_table, self.discovery = followed or follow(conf)
         copies = None
+        clock = CopyClock(UNIX_OFFSET_US)
         if conf.link_bytes_per_s > 0:
-            copies = Copies(room(conf.limits.memory_mb), conf.link_bytes_per_s)
+            copies = Copies(room(conf.limits.memory_mb), conf.link_bytes_per_s, clock)
         self.core = Core(conf.settings, conf.seed, self.member_table, self.connect, copies)
-        self.discovery = DiscoveryClient(conf.board, conf.names, self.member_table, conf.seed)
         platform = self.platform = Platform(self.core, conf.names.classes, lambda: self.upkeep.life.ready)
         count = self.core.counters.add
         sockets = conf.limits.sockets
@@ -88,6 +97,7 @@
             limits.idle_us,
             conf.names.reports,
             Room(max(8, sockets - most - cdni_most - h2_most * h2_ports - admin_most - OWN), FIRSTS),
+            clock,
             conf.settings.can_cancel,
             lambda name: count(f"member.{name}"),
         )
@@ -151,28 +161,43 @@
         return Peer(host.name, host.dial, self.terms, self.core.ended, spawn)
 
     def start(self) -> None:
-        """All that is known before the first request, then everything that runs."""
+        """Begin, wait for the list within its limit, and serve."""
+        self.begin()
+        self.member_table.confirmed.wait(LIST_WAIT_S)
+        self.serve()
+
+    def begin(self) -> None:
+        """All but the fronts: the list of the start, discovery, members, and the second address."""
         if self.conf.admin is not None:
             self.upkeep.join(folder(self.conf) if self.conf.tmp else None)
-        self.discovery.known(self.conf.known)
-        first = []
+        first: list[Change] = []
+        self.member_table.notify = first.append
         while not self.member_table.mailbox.empty():
-            news = self.member_table.mailbox.get()
-            if news is not None:
-                first.append(self.member_table.apply(news))
+            update = self.member_table.mailbox.get()
+            if update is not None:
+                self.member_table.receive(update)
         self.core.turn([*first])
         if not first:
             self.core.router.handle(module_ms(now_us()), [MemberList(ListKind.CACHED)])
         if self.admin is not None:
             self.admin.open()
             spawn(self.admin.run, "admin")
-            self.upkeep.inherit()
         self.member_table.notify = self.core.news
-        spawn(self.member_table.run, "member_table")
+        spawn(self.member_table.run, "member table")
         spawn(self.core.run, "core")
-        spawn(self.discovery.run, "board")
+        self.discovery.start(spawn)
         if self.admin is not None:
             spawn(self.upkeep.run, "upkeep")
+
+    def serve(self) -> None:
+        """Take requests: with a list that is current, or with the origin alone until it is."""
+        if not self.member_table.confirmed.is_set():
+            LOG.error(
+                "discovery has proved no list: the origin serves alone",
+                extra=logs.fields(**self.list_state()),
+            )
+        if self.admin is not None:
+            self.upkeep.inherit()
         self.upkeep.started()
         for server in self.servers:
             server.open()
@@ -181,6 +206,19 @@
         if self.fleet is not None:
             self.fleet.start(spawn)
 
+    def list_state(self) -> dict[str, object]:
+        """How old the list is, for a log line."""
+        table = self.member_table
+        return {
+            "list_current": table.current,
+            "rev": self.discovery.last,
+            "proof_age_ms": table.proof_age_ms(),
+        }
+
+    def abandon(self) -> None:
+        """SIGTERM before anything was served: nothing has been taken."""
+        self.upkeep.close()
+
     def reload(self, environ: Mapping[str, str]) -> None:
         """SIGHUP."""
         reload(self, environ)
@@ -232,4 +270,5 @@
 
     def print_counters(self) -> None:
         now = {f"http2.{n}.now.{k}": v for n, one in enumerate(self.http2) for k, v in one.explain().items()}
-        LOG.info("counters", extra=logs.fields(**self.core.counters.line(), **now))
+        told = self.core.counters | self.discovery.counters
+        LOG.info("counters", extra=logs.fields(**dict(sorted(told.items())), **now, **self.list_state()))
--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -16,10 +16,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from lupintack.clock import now_us
+from lupintack import sockets
+from lupintack.clock import UNIX_OFFSET_US, now_us
 from lupintack.core import presence
 from lupintack.core.ending import Ending
 from lupintack.core.messages import Ended, Order
+from lupintack.core.stamps import CopyClock
 from lupintack.logs import fields
 from lupintack.peers import resp, words
 
@@ -130,6 +132,7 @@
     idle_us: int
     reports: tuple[str, ...]
     room: Room = field(default_factory=lambda: Room(1024))
+    clock: CopyClock = field(default_factory=lambda: CopyClock(UNIX_OFFSET_US))  # judges stamps of copies
     cancelling: bool = True  # never_mind may be written
     count: Callable[[str], None] = lambda name: None  # how connections end, by cause
 
@@ -188,35 +191,42 @@
             left = list(self.open.values())
             self.open.clear()
             if self.sock is not None:
-                self.sock.close()
+                sockets.close(self.sock)
         for order in left:
             self.peer.tell(Ended(order, ending))
         self.peer.post(Down(self, ending))
 
     def connect(self) -> Ending | None:
         try:
-            self.sock = socket.socket(socket.AF_INET6 if ":" in self.peer.dial[0] else socket.AF_INET)
-            self.sock.settimeout(self.peer.terms.connect_timeout_us / 1e6)
-            self.sock.connect(self.peer.dial)
-            self.sock.settimeout(None)
-            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            limit = struct.pack("ll", SEND_LIMIT_US // 1_000_000, SEND_LIMIT_US % 1_000_000)
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
-            # Guards against an answer that stops short on a connection that stays open.
-            stall = struct.pack("ll", int(resp.STALL_S), int(resp.STALL_S % 1 * 1e6))
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, stall)
+            family = socket.AF_INET6 if ":" in self.peer.dial[0] else socket.AF_INET
+            self.sock = sockets.connect(family, self.peer.dial, self.peer.terms.connect_timeout_us / 1e6)
         except TimeoutError:
             return Ending.CONNECT_TIMED_OUT
         except ConnectionRefusedError:
             return Ending.CONNECT_REFUSED
         except OSError:
             return Ending.CONNECT_FAILED
+        self.tune(self.sock)
         return None
 
+    def tune(self, sock: socket.socket) -> None:
+        """Options of the connection; what can't be set is done without."""
+        limit = struct.pack("ll", SEND_LIMIT_US // 1_000_000, SEND_LIMIT_US % 1_000_000)
+        # Guards against an answer that stops short on a connection that stays open.
+        stall = struct.pack("ll", int(resp.STALL_S), int(resp.STALL_S % 1 * 1e6))
+        if not all(
+            [
+                sockets.set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+                sockets.set_option(sock, socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit),
+                sockets.set_option(sock, socket.SOL_SOCKET, socket.SO_RCVTIMEO, stall),
+            ]
+        ):
+            self.peer.terms.count("option_not_set")
+
     def read(self) -> Ending:
         assert self.sock is not None
         reader = resp.Reader(self.sock)
-        reports = self.peer.terms.reports
+        reports, clock = self.peer.terms.reports, self.peer.terms.clock
         stray = 0
         try:
             while True:
@@ -234,7 +244,7 @@
                     # Guards the core that all share against a member that goes on and on.
                     raise resp.FrameError("answers that nobody has asked for")
                 if order is not None:
-                    ending, answer = words.answer(parts, order.ask, reports)
+                    ending, answer = words.answer(parts, order.ask, reports, clock)
                     if self.open.pop(wire_id, None) is order:
                         self.peer.tell(Ended(order, ending, answer))
                 self.abandoned.discard(wire_id)
@@ -259,9 +269,7 @@
             if not self.quiet_us:
                 self.quiet_us = now_us()
             try:
-                done = 0 if self.backlog else self.sock.send(data, socket.MSG_DONTWAIT)
-            except BlockingIOError:
-                done = 0
+                done = 0 if self.backlog else sockets.send_now(self.sock, data)
             except OSError:
                 self.close()
                 return False
@@ -279,7 +287,7 @@
                 data = bytes(self.backlog)
             try:
                 if self.sock is not None:
-                    self.sock.sendall(data)
+                    sockets.write(self.sock, data)
             except OSError:
                 self.close()
                 return
--- a/lupintack/peers/words.py
+++ b/lupintack/peers/words.py
@@ -4,10 +4,11 @@
 
 import math
 import re
-import time
 
+from lupintack.clock import now_us
 from lupintack.core.ending import Ending
 from lupintack.core.messages import Answer, ClientRequest, Order
+from lupintack.core.stamps import CopyClock
 from lupintack.interface import Note
 from lupintack.peers import resp
 
@@ -32,14 +33,13 @@
 ASKED = re.compile(rb"\d{1,20}")  # of a `there`
 TAG = re.compile(r"[0-9A-Za-z_.-]{1,64}")
 ISSUED = re.compile(r"[0-9]{1,15}")
-AHEAD_MS = 60_000  # a copy given out so far in the future is none
 NOTES = {letter: Note(n) for n, letter in enumerate("hfojsrblnx", 1)}
 
 
-def want(order: Order, now_us: int) -> bytes:
+def want(order: Order, now: int) -> bytes:
     """The command that makes the attempt; its limit is what is left of the client's wait from now."""
     ask = order.ask
-    limit = max(1, (ask.deadline_us - now_us) // 1000)
+    limit = max(1, (ask.deadline_us - now) // 1000)
     told = f"cls={order.cls_name},item={ask.item},chunk={ask.part},limit={limit}"
     if order.source_host:
         told += f",miss={order.source_host}"
@@ -59,7 +59,9 @@
     return b"%b%b\r\n" % (head.encode(), ask.body)
 
 
-def answer(parts: list[bytearray], ask: ClientRequest, reports: tuple[str, ...]) -> tuple[Ending, Answer]:
+def answer(
+    parts: list[bytearray], ask: ClientRequest, reports: tuple[str, ...], clock: CopyClock
+) -> tuple[Ending, Answer]:
     """What ID WORD FIELDS BODY says to a request; anything that can't be read is a bad frame.
 
     Guards against spoilt answers: what does not fit the protocol in one place is not to be trusted in any,
@@ -75,7 +77,7 @@
     if (tag and not TAG.fullmatch(tag)) or not ISSUED.fullmatch(issued):
         raise resp.FrameError(f"a copy of {tag!r} and {issued!r}"[:200])
     if ending in (Ending.SERVED, Ending.HOLDS) and not ask.write:
-        if not tag or not 0 < int(issued) < time.time() * 1000 + AHEAD_MS:
+        if not tag or not int(issued) or not clock.observe(int(issued) * 1000, now_us()):
             raise resp.FrameError(f"bytes without a tag and a time: {tag!r}, {issued!r}")
     if ending is Ending.HOLDS and (not ask.have or tag != ask.have or parts[3]):
         raise resp.FrameError("the copy of a client that has another, or none")
--- a/lupintack/reload.py
+++ b/lupintack/reload.py
@@ -9,9 +9,10 @@
 
 from lupintack import config, logs, operator
 from lupintack.core.actor import Core
-from lupintack.core.member_table import MemberTable
+from lupintack.core.member_table import FOREVER_US, MemberTable
 from lupintack.core.retune import Retune
 from lupintack.discovery.client import DiscoveryClient
+from lupintack.discovery.validity import validity_us
 from lupintack.fronts.platform import Platform
 from lupintack.limits.streams import StreamTerms
 from lupintack.settings import changes
@@ -103,6 +104,7 @@
         old, board=conf.board, settings=settings, names=dataclasses.replace(conf.names, **kept), raw=conf.raw
     )
     node.member_table.settle(settings.purge_settles)
+    node.member_table.limit_age(validity_us(settings) if conf.board is not None else FOREVER_US)
     node.core.post(Retune(settings=settings, done=node.platform.retune))
     node.discovery.move(conf.board)
     was, now = set(old.names.classes), set(conf.names.classes)
--- a/lupintack/scale/hollow_process.py
+++ b/lupintack/scale/hollow_process.py
@@ -260,7 +260,7 @@
     def on_list(self, change: ListChange) -> None:
         """A purge or a change of the list is in a router's tables."""
         now_ms = time.time() * 1000
-        if change.purge is not None:
+        if change.purge is not None and change.purge.unix_ms is not None:
             self.purge_ms[max(0, round(now_ms - change.purge.unix_ms))] += 1
         for _, host in change.hosts:
             if host.born_unix_ms > 0:
--- a/lupintack/scale/role_purge.py
+++ b/lupintack/scale/role_purge.py
@@ -15,7 +15,7 @@
 from lupintack.core.copies import Copies
 from lupintack.core.member_table import Endpoint, MemberTable
 from lupintack.core.messages import Answer, Link
-from lupintack.discovery.client import DiscoveryClient
+from lupintack.discovery.client import DiscoveryClient, LineBuffer
 from lupintack.interface import ServiceClass, Settings
 from lupintack.scale.slope import Parameters, Role, Sample, deep_bytes
 
@@ -37,7 +37,8 @@
         self.copies = Copies((COPY_BYTES + 600) * 4 * copies, LINK_BYTES_PER_S) if copies else None
         self.core = Core(known, seed, self.member_table, no_connection, self.copies)
         self.member_table.notify = self.core.news
-        self.board = DiscoveryClient(None, Names(("a",), ("z",), ("box",), ()), self.member_table, seed)
+        self.lines = LineBuffer(0)
+        self.discovery = DiscoveryClient(None, Names(("a",), ("z",), ("box",), ()), self.member_table, seed)
         issued_ms = int(time.time() * 1000)
         for number in range(copies):
             answer = Answer(body=bytes(COPY_BYTES), issued_ms=issued_ms)
@@ -46,10 +47,10 @@
 
     def read(self, raw: bytes) -> None:
         """One line, all the way."""
-        self.board.line(raw)
-        news = self.member_table.mailbox.get_nowait()
-        assert news is not None
-        self.member_table.notify(self.member_table.apply(news))
+        self.discovery.line(raw, self.lines)
+        update = self.member_table.mailbox.get_nowait()
+        assert update is not None
+        self.member_table.receive(update)
 
 
 class PurgeSubject:
--- a/lupintack/scale/role_reload.py
+++ b/lupintack/scale/role_reload.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from lupintack import config
+from lupintack.discovery.client import LineBuffer
 from lupintack.node import Node
 from lupintack.reload import reload
 from lupintack.scale.slope import Parameters, Role, Sample, SlopeError, deep_bytes
@@ -80,16 +81,16 @@
         """Processor time of one event, from its line to the module."""
         raw = json.dumps({"rev": self.node.discovery.last + 1, **event}).encode()
         began = thread_time_ns()
-        self.node.discovery.line(raw)
+        self.node.discovery.line(raw, LineBuffer(0))
         self.take_list()
         return (thread_time_ns() - began) / 1000
 
     def take_list(self) -> None:
         """What the member table's own thread does."""
         while not self.node.member_table.mailbox.empty():
-            news = self.node.member_table.mailbox.get_nowait()
-            assert news is not None
-            self.node.member_table.notify(self.node.member_table.apply(news))
+            update = self.node.member_table.mailbox.get_nowait()
+            assert update is not None
+            self.node.member_table.receive(update)
 
     def state_bytes(self) -> int:
         """Of the member table, the core's table and the module."""
--- a/lupintack/standins/board.py
+++ b/lupintack/standins/board.py
@@ -12,9 +12,13 @@
 
 
 class Board:
-    """Event 1 is in the routers' configuration; each second every watcher gets the last number."""
+    """Event 1 is in the routers' configuration; each second every watcher gets the last number.
 
-    def __init__(self) -> None:
+    `prompt`: also right behind what a new watcher has missed, which the protocol does not promise.
+    """
+
+    def __init__(self, prompt: bool = True) -> None:
+        self.prompt = prompt
         self.lock = threading.Lock()
         self.events: list[tuple[int, bytes]] = []
         self.rev = 1
@@ -35,6 +39,8 @@
                     for rev, raw in self.events:
                         if rev > int(number):
                             sock.sendall(raw)
+                    if self.prompt:
+                        sock.sendall(b"%d\n" % self.rev)
                     self.watchers.append(sock)
                 reader.read()
             except OSError:
--- a/lupintack/standins/edge.py
+++ b/lupintack/standins/edge.py
@@ -66,6 +66,7 @@
     ) -> None:
         self.tmp = tmp
         self.fleet = fleet or Fleet(settings=settings)
+        self.fleet.board.prompt = False
         self.calls: list[Call] = []
         self.fleet.on_call = self.calls.append
         self.proxy = Proxy(self.fleet.board.address)
--- a/lupintack/upkeep.py
+++ b/lupintack/upkeep.py
@@ -16,7 +16,7 @@
 from queue import Empty, SimpleQueue
 from typing import Protocol
 
-from lupintack.clock import now_us
+from lupintack.clock import now_us, unix_now_ms
 from lupintack.core.actor import Core
 from lupintack.core.copies import room
 from lupintack.core.legacy import Legacy, Stock, adopt, adopt_copy, read
@@ -103,7 +103,13 @@
 
     def ready(self) -> Verdict:
         """Whether the front should send work here; the line says where the process stands."""
-        return Verdict(200 if self.life.ready else 503, self.life.phase.value)
+        phase = self.life.phase
+        if self.member_table.current:
+            return Verdict(200 if self.life.ready else 503, phase.value)
+        age_ms = self.member_table.proof_age_ms()
+        known = f"proved {age_ms} ms ago" if age_ms >= 0 else "not proved by discovery"
+        served = "; the origin alone serves" if self.life.ready else ""
+        return Verdict(200 if self.life.ready else 503, f"{phase.value}; list {known}{served}")
 
     def exclude(self, name: str) -> Verdict:
         """Nothing more to a member, from before the answer on."""
@@ -163,7 +169,7 @@
 
     def change(self, name: str, call: Word) -> str:
         """Bring the operators' word into force, and keep it; why it could not be kept. Under the lock."""
-        now = time.time() * 1000
+        now = unix_now_ms()
         bans = copied(self.member_table.bans)
         call(bans, name, now)
         self.member_table.ban(bans)  # binding first: whatever the disk says, nothing more goes there
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -93,6 +93,7 @@
         self.watches: Queue[tuple[socket.socket, str]] = Queue()
         self.vars: dict[str, str] = {}
         self.boards: list[socket.socket] = []
+        self.boards_late = False  # they say no number of their own accord
         self.heard: list[socket.socket] = []  # the stand-ins' connections
         self.members = {name: listen(self.member(name)) for name in HOSTS}
         self.cdns = {name: listen(self.cdn(name)) for name in ("up", "down")}
@@ -119,7 +120,10 @@
     def new_board(self) -> socket.socket:
         def serve(sock: socket.socket) -> None:
             self.heard.append(sock)
-            self.watches.put((sock, Lines(sock).until(b"\n").decode()))
+            line = Lines(sock).until(b"\n").decode()
+            if not self.boards_late:
+                sock.sendall(line.split()[-1].encode() + b"\n")  # the list is current
+            self.watches.put((sock, line))
 
         self.boards.append(listen(serve))
         return self.boards[-1]
--- /dev/null
+++ b/tests/test_discovery_state.py
@@ -0,0 +1,316 @@
+"""What proves that a list is current, how long a proof lasts, and what stamps of other clocks are worth."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lupintack.config import Names
+from lupintack.core.member_table import Endpoint, Expiry, MemberTable
+from lupintack.core.messages import ClientRequest, Order
+from lupintack.core.stamps import AHEAD_MOST_US, CopyClock, LogClock
+from lupintack.discovery.client import DiscoveryClient, GapError, LineBuffer
+from lupintack.discovery.revisions import BEHIND_MOST, RevisionLog, Step
+from lupintack.discovery.validity import MARGIN_US, NOTICE_US, validity_us
+from lupintack.interface import Settings, State
+
+NAMES = Names(("a",), ("z",), ("box", "parent", "origin"), ())
+ORIGIN_KIND = 2
+
+
+class Following:
+    """A client and its table without threads or sockets, on a clock that the test sets."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 1_000_000_000
+        monkeypatch.setattr("lupintack.discovery.client.now_us", lambda: self.now)
+        monkeypatch.setattr("lupintack.core.member_table.now_us", lambda: self.now)
+        self.table = MemberTable(6000.0, ORIGIN_KIND)
+        self.table.require_proof(7_100_000)
+        self.client = DiscoveryClient(None, NAMES, self.table)
+        self.client.known({"rev": 1, "notices": [pool(1, True, s1="Ready", p1="Ready", o1="Ready")]})
+        self.lines = LineBuffer(0)
+        self.connect()
+
+    def connect(self) -> bytes:
+        """A new connection; what it asks for."""
+        asked = self.client.request()
+        self.lines = LineBuffer(self.now)
+        return asked
+
+    def bytes(self, raw: bytes) -> None:
+        self.client.feed(self.lines, raw, self.client.turn)
+        self.client.confirm(self.lines, self.client.turn)
+        self.settle()
+
+    def line(self, what: Any) -> None:
+        self.bytes(json.dumps(what).encode() + b"\n")
+
+    def settle(self) -> None:
+        while not self.table.mailbox.empty():
+            update = self.table.mailbox.get()
+            assert update is not None
+            self.table.receive(update)
+
+    def ready(self) -> set[str]:
+        """Members that may be sent to."""
+        return {host.name for host in self.table.hosts.values() if host.state is State.READY}
+
+
+@pytest.fixture
+def following(monkeypatch: pytest.MonkeyPatch) -> Following:
+    return Following(monkeypatch)
+
+
+def pool(number: int, whole: bool, **health: str) -> dict[str, Any]:
+    kinds = {"s": "box", "p": "parent", "o": "origin"}
+    hosts = [
+        {"host": name, "dial": "127.0.0.1:9", "site": "z", "class": kinds[name[0]], "health": word}
+        for name, word in health.items()
+    ]
+    return {"rev": number, "pool": {"seq": number, "whole": whole, "hosts": hosts}}
+
+
+# What proves that a watch has caught up
+
+
+def test_the_list_of_the_start_is_of_unknown_age_and_only_the_origin_is_used(following: Following) -> None:
+    following.settle()
+    assert following.ready() == {"o1"} and not following.table.confirmed.is_set()
+
+
+@pytest.mark.parametrize("number", [2, {"rev": 2}])
+def test_the_last_number_on_the_open_connection_proves_it(following: Following, number: Any) -> None:
+    following.line(pool(2, False, s1="Terminating"))
+    assert following.ready() == {"o1"}, "an event may have another behind it"
+    following.line(number)
+    assert following.ready() == {"p1", "o1"} and following.table.confirmed.is_set()
+
+
+@pytest.mark.parametrize("raw", [b"1", b"\n", b"0\n", b"true\n", b"1.0\n", b"spoilt\n"])
+def test_half_a_line_an_old_number_and_what_is_no_number_prove_nothing(
+    following: Following, raw: bytes
+) -> None:
+    following.bytes(raw)
+    assert following.ready() == {"o1"}
+
+
+def test_a_line_of_an_older_connection_proves_nothing(following: Following) -> None:
+    turn, old = following.client.turn, following.lines
+    following.client.turn += 1  # discovery has moved; its reader has bytes in hand
+    following.connect()
+    following.client.feed(old, b"1\n", turn)
+    following.client.confirm(old, turn)
+    following.settle()
+    assert following.ready() == {"o1"}
+
+
+def test_a_proof_goes_behind_the_events_that_came_with_it(following: Following) -> None:
+    """All in one read: nothing is ready in between, whoever looks at the table."""
+    raw = b"1\n" + json.dumps(pool(2, False, s1="Terminating")).encode() + b"\n"
+    seen: list[set[str]] = []
+    following.table.notify = lambda change: seen.append(following.ready())
+    following.bytes(raw)
+    assert all("s1" not in ready for ready in seen) and "s1" not in following.ready()
+
+
+def test_the_first_number_proves_no_more_than_the_moment_of_the_connection(following: Following) -> None:
+    """It may have lain in a queue for long."""
+    connected = following.now
+    following.now += 3_000_000
+    following.line(1)
+    assert following.table.proved_us == connected
+    following.line(1)
+    assert following.table.proved_us == following.now
+
+
+def test_a_number_ahead_is_no_proof_and_the_gap_is_asked_for(following: Following) -> None:
+    with pytest.raises(GapError):
+        following.line(3)
+    assert following.connect() == b"watch 1\n"
+    assert following.ready() in (set(), {"o1"})
+
+
+def test_a_compacted_log_is_read_from_its_beginning_and_replaces_the_list_in_one_step(
+    following: Following,
+) -> None:
+    following.line(1)
+    with pytest.raises(GapError):
+        following.line(pool(4, False, p1="Ready"))
+    following.connect()
+    with pytest.raises(GapError):
+        following.line(pool(4, False, p1="Ready"))
+    assert following.connect() == b"watch 0\n"
+    seen: list[set[str]] = []
+    following.table.notify = lambda change: seen.append(following.ready())
+    following.line(pool(3, True, s1="Ready", s2="Ready", p1="Ready", o1="Ready"))
+    following.line(pool(4, False, s1="Terminating", s2="Gone"))
+    assert not seen, "nothing is applied before the end is known"
+    following.line(4)
+    assert following.ready() == {"p1", "o1"} and following.client.last == 4
+    assert all("s1" not in ready for ready in seen)
+
+
+def test_what_discovery_has_for_good_no_more_is_passed_over_and_the_list_counts_as_current(
+    following: Following,
+) -> None:
+    with pytest.raises(GapError):
+        following.line(3)
+    assert following.connect() == b"watch 1\n"
+    with pytest.raises(GapError):
+        following.line(3)
+    assert following.connect() == b"watch 0\n"
+    following.line(3)  # its log is empty
+    assert following.connect() == b"watch 1\n"
+    following.line(3)
+    assert following.table.confirmed.is_set() and following.client.counters["discovery.passed_over"] > 0
+
+
+def test_a_discovery_whose_numbers_are_lower_for_good_is_read_from_its_beginning(
+    following: Following,
+) -> None:
+    following.line(pool(2, False, s1="Terminating"))
+    for _ in range(BEHIND_MOST - 1):
+        following.line(1)
+    assert not following.table.confirmed.is_set()
+    with pytest.raises(GapError):
+        following.line(1)
+    assert following.connect() == b"watch 0\n"
+    following.line(pool(1, True, s1="Ready", o1="Ready"))
+    following.line(1)
+    assert following.ready() == {"s1", "o1"} and following.client.last == 1
+
+
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 6)), max_size=40))
+def test_no_order_of_lines_makes_a_proof_of_less_than_the_last_number(lines: list[tuple[bool, int]]) -> None:
+    log = RevisionLog()
+    for event, number in lines:
+        before = log.last
+        step = log.on_event(number) if event else log.on_number(number)
+        if step is Step.APPLY:
+            assert number > before
+            log.applied(number)
+        if step is Step.CAUGHT_UP:
+            assert number == log.last or log.passed_over()
+        if step is Step.REPLACE:
+            log.replaced(number)
+        if step in (Step.ASK_AGAIN, Step.ASK_FOR_ALL):
+            assert log.connect() in (0, log.last)
+
+
+# How long it lasts
+
+
+def test_the_rule_says_how_long_a_proof_lasts() -> None:
+    settings = Settings(classes=(), drain_grace=500.0, purge_grace=300.0)
+    assert validity_us(settings) == NOTICE_US + 300_000 - MARGIN_US
+
+
+def test_a_table_too_old_binds_writes_at_once_and_the_module_soon(following: Following) -> None:
+    following.line(1)
+    order = an_order(following.table, "s1", "p1")
+    assert not following.table.stale(order)
+    following.now = following.table.valid_until_us
+    assert following.table.stale(order), "whether its thread has come to it or not"
+    assert not following.table.stale(an_order(following.table, "o1", ""))
+    assert following.table.wait_s() == 0.0
+    following.table.receive(Expiry())
+    assert following.ready() == {"o1"} and not following.table.confirmed.is_set()
+    following.line(1)
+    assert following.ready() == {"s1", "p1", "o1"} and following.table.confirmed.is_set()
+
+
+def test_new_settings_change_how_long_it_lasts(following: Following) -> None:
+    following.line(1)
+    following.table.limit_age(2_000_000)
+    assert following.table.valid_until_us == following.table.proved_us + 2_000_000
+
+
+def an_order(table: MemberTable, member: str, source: str) -> Order:
+    ids = {host.name: number for number, host in table.listed.items()}
+    ask = ClientRequest("0" * 16, 0, "1", 1, 0, 0, 0, sink=None)  # type: ignore[arg-type]
+    return Order(
+        ask, 0, ids[member], ids.get(source, 0), "a", source, 0, 0.0, False, False, False, 0, 0, table.stale
+    )
+
+
+# A server that drains, goes and returns
+
+
+def test_one_that_returns_under_its_name_or_its_address_is_sent_to_by_its_last_state(
+    following: Following,
+) -> None:
+    following.line(1)
+    order = an_order(following.table, "s1", "p1")
+    for number, word in enumerate(("Terminating", "Gone"), 2):
+        following.line(pool(number, False, s1=word))
+        assert following.table.stale(order) and "s1" not in following.ready()
+    following.line(pool(4, False, s1="Ready"))
+    assert not following.table.stale(order)
+    following.line(pool(5, False, p1="Terminating"))
+    assert following.table.stale(order), "a source that drains while the call to its server waits"
+
+
+# Stamps of other clocks
+
+HOUR_US = 3_600_000_000
+
+
+@given(
+    st.sampled_from([0, 30_000_000, -30_000_000, HOUR_US, -HOUR_US]),
+    st.lists(st.integers(0, 60_000_000), min_size=1, max_size=10),
+)
+def test_no_wall_clock_makes_an_event_older_than_it_is(error_us: int, ages: list[int]) -> None:
+    """`error_us`: of the own clock at the start."""
+    true_offset, now = 1_700_000_000_000_000, 500_000_000
+    clock = LogClock(true_offset + error_us)
+    for age in ages:
+        now += 1_000
+        assert clock.age_us(now + true_offset - age, now) <= age
+
+
+@given(
+    st.sampled_from([0, 30_000_000, -30_000_000, HOUR_US]),
+    st.lists(st.integers(0, 20_000_000), min_size=1, max_size=10),
+)
+def test_no_wall_clock_makes_a_copy_younger_than_it_is_beside_a_fresh_one(
+    error_us: int, ages: list[int]
+) -> None:
+    true_offset, now = 1_700_000_000_000_000, 500_000_000
+    clock = CopyClock(true_offset + error_us)
+    for age in ages:
+        assert clock.observe(now + true_offset, now)  # fresh from the origin
+        assert clock.age_us(now + true_offset - age, now) >= age
+
+
+def test_two_stamps_far_ahead_that_agree_show_that_the_own_clock_is_wrong() -> None:
+    clock = CopyClock(0)
+    assert not clock.observe(HOUR_US, 0) and not clock.observe(3 * HOUR_US, 1_000)
+    assert not clock.observe(HOUR_US + 2_000, 2_000)
+    assert clock.observe(HOUR_US + 3_000, 3_000), "the one before it agrees"
+    assert clock.age_us(HOUR_US, 1_003_000) >= 1_000_000
+
+
+def test_a_stamp_far_ahead_is_not_believed_and_one_less_far_is_forgotten() -> None:
+    clock = CopyClock(0)
+    assert not clock.observe(AHEAD_MOST_US + 1, 0)
+    assert clock.observe(AHEAD_MOST_US - 1, 0) and clock.age_us(0, 0) == AHEAD_MOST_US - 1
+    assert clock.age_us(90_000_000, 90_000_000) == 0
+
+
+def test_a_member_put_back_is_cold_from_the_moment_it_was_seen_whatever_its_time_says(
+    following: Following,
+) -> None:
+    following.line(1)
+    bans = type(following.table.bans)
+    following.table.ban(bans({"s1": 1.0}))
+    following.settle()
+    following.now += 5_000_000
+    following.table.ban(bans({}, {"s1": 1.0}))  # an hour ago, by a clock that was an hour behind
+    following.settle()
+    host = Endpoint("s1", ("127.0.0.1", 9))
+    assert following.table.started_ms(host, following.now) == following.now / 1000.0 + 1e9
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -122,7 +122,7 @@
     member_table.notify = core.news
     at = ("127.0.0.1", 9)
     hosts = (Endpoint("s-1", at, 0, 0), Endpoint("origin", at, 0, 2))
-    core.news(member_table.apply(ListUpdate(True, hosts)))
+    member_table.receive(ListUpdate(True, hosts))
     return core
 
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -278,9 +278,10 @@
         Scenario().run(f"""
             board expect watch 1
             board send not json
-            board send {{"rev":2,"flush":{{"collection":17,"ms":{{now-500}}}}}}
-            board send 2
-            board heard 2
+            board send {{"rev":2,"flush":{{"collection":18,"ms":{{now}}}}}}
+            board send {{"rev":3,"flush":{{"collection":17,"ms":{{now-500}}}}}}
+            board send 3
+            board heard 3
             client a send GET {TILE} X-Batch:17
             cache expect w within=???
             cache send w ok - x
@@ -288,7 +289,7 @@
             client a send GET {TILE} X-Batch:16
             cache expect w within=
             board close
-            board expect watch 2
+            board expect watch 3
         """)
 
     def test_a_bad_frame_ends_the_connection_and_not_the_router(self) -> None:
@@ -421,6 +422,8 @@
             board send {flush % 4}
             board expect watch 2
             board send {flush % 4}
+            board expect watch 0
+            board send {flush % 4}
             board send 4
             board close
             board expect watch 4
@@ -606,7 +609,7 @@
             rest(left)
 
         conn.write_now = half  # type: ignore[method-assign]
-        conn.write_rest = held  # type: ignore[method-assign]
+        conn.write_rest = held  # type: ignore[method-assign,assignment]
         threading.Thread(target=conn.run, daemon=True).start()
         ends[1].sendall(f"GET {TILE} HTTP/1.1\r\nHost: x\r\n".encode())
         ends[1].sendall(b"Req-Id: 9b1f03aa5c7e2d41\r\nReq-Wait-Ms: 2000\r\n\r\n")
@@ -666,7 +669,7 @@
         # 400 ms of the link for one: the next finds it over a fifth of the aim behind.
         Scenario(link=1e5).run(f"{fresh}\n{fresh}\n{own.replace('30', '0')}\n{fresh}")
         silent = Scenario(link=1e6)
-        silent.node.member_table.notified_us -= 3_000_000
+        silent.node.member_table.proved_us -= 3_000_000
         silent.run(f"{fresh}\n{fresh}\n{fresh}")
 
 
@@ -871,7 +874,8 @@
             with subprocess.Popen(["/bin/sh", "-c", line], cwd=root, env=env, stderr=subprocess.PIPE) as run:
                 try:
                     assert run.stderr is not None
-                    self.assertIn(b"event=ready", run.stderr.readline())
+                    lines = iter(run.stderr.readline, b"")
+                    self.assertTrue(any(b"event=ready" in line for line in lines))  # behind those on the list
                     proc = Path(f"/proc/{run.pid}")
                     self.assertIn(b"lupintack", (proc / "cmdline").read_bytes())  # the shell's own process
                     children = [t.read_text() for t in proc.glob("task/*/children")]
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from lupintack.standins import deployment
+from lupintack.standins.board import Board
 from lupintack.standins.net import at, close, free_ports, listen
 from lupintack.standins.processes import ROOT
 
@@ -55,10 +56,11 @@
 def test_a_new_configuration_that_is_told_while_the_process_starts_is_read(tmp_path: Path) -> None:
     """The file is a pipe: who reads it waits for the test. The signal used to end the process there."""
     pipe, listen_at = tmp_path / "config.json", f"127.0.0.1:{free_ports(1)[0]}"
+    board = Board()
     os.mkfifo(pipe)
     process = launch(pipe, tmp_path / "log")
     try:
-        data = json.dumps(told(listen_at, "127.0.0.1:1", "127.0.0.1:1"))
+        data = json.dumps(told(listen_at, board.address, "127.0.0.1:1"))
         with pipe.open("w") as gate:  # it has come to the reading of its configuration
             process.send_signal(signal.SIGHUP)
             gate.write(data)
@@ -71,6 +73,7 @@
     finally:
         process.kill()
         process.wait()
+        board.close()
 
 
 def test_many_that_start_at_once_on_two_cores_are_ready_in_time_whatever_hangs(tmp_path: Path) -> None:
