Rename the operators' desk and the handoff: admin_service.py, core/handoff.py, settings_update.py

Need: metaphors hide standard terms in the parts that the next repairs touch. Change: Upkeep is AdminService, Legacy HandoffState, Partner UpgradePeer, Retune SettingsUpdate; files under TMPDIR and log keys keep their names; no behaviour changes.

--- a/lupintack/upkeep.py
+++ b/lupintack/admin_service.py
@@ -19,25 +19,34 @@
 from lupintack.clock import now_us, unix_now_ms
 from lupintack.core.actor import Core
 from lupintack.core.copies import room
-from lupintack.core.legacy import Legacy, Stock, adopt, adopt_copy, read
+from lupintack.core.handoff import HandoffRequest, HandoffState, adopt, adopt_copy, read
 from lupintack.core.member_table import MemberTable
-from lupintack.core.retune import Retune
+from lupintack.core.settings_update import SettingsUpdate
 from lupintack.fronts.admin import Verdict
 from lupintack.fronts.steer import steer
 from lupintack.interface import State
 from lupintack.lifecycle import bans as state_of_bans
 from lupintack.lifecycle.bans import NAME_MOST, OUT_MOST, Bans
 from lupintack.lifecycle.folder import LOCK_S, Folder
-from lupintack.lifecycle.partner import CLOSED, Listeners, Partner, Share, Side, ends_first, share, side
 from lupintack.lifecycle.state import Leave, Life, Phase, leave
+from lupintack.lifecycle.upgrade_peer import (
+    CLOSED,
+    Listeners,
+    Share,
+    Side,
+    UpgradePeer,
+    ends_first,
+    share,
+    side,
+)
 from lupintack.logs import fields
 from lupintack.peers.actor import Room
 
 LOG = logging.getLogger("upkeep")
 Word = Callable[[Bans, str, float], bool]
 LOOK_S = 0.05
-LEGACY_S = 0.4  # of a start, for what the older process leaves
-LEGACY_AGAIN_S = 0.005
+HANDOFF_S = 0.4  # of a start, for what the older process leaves
+HANDOFF_AGAIN_S = 0.005
 RETRY_S = 0.5  # between two tries to keep what staff said
 STOCK_S = 1.0  # for the core's turn that takes it
 TURN_S = 0.6  # of an end, for an older process that ends as well to close its listener first
@@ -68,7 +77,7 @@
     def busy(self) -> bool: ...
 
 
-class Upkeep:
+class AdminService:
     """The operators' desk, the folder shared with a partner, and the node's life."""
 
     def __init__(
@@ -89,10 +98,10 @@
         self.folder: Folder | None = None
         self.lock = threading.Lock()  # of the life, and of what is said of members
         self.unkept: dict[str, tuple[Word, float]] = {}  # said here, and not in the folder yet
-        self.partners: list[Partner] = []
+        self.partners: list[UpgradePeer] = []
         self.share = Share(sockets.most, memory_mb, 1)
         self.told: Phase | None = None
-        self.heir: tuple[int, int] | None = None  # for whom a legacy was taken last
+        self.handed_to: tuple[int, int] | None = None  # for whom a handoff was taken last
         self.looking = threading.Lock()  # SIGTERM looks at the partners, too
         self.retried_us = 0
         self.closing = False
@@ -316,7 +325,7 @@
             with self.looking:
                 self.look_at(folder, folder.others())
 
-    def look_at(self, folder: Folder, others: list[Partner]) -> None:
+    def look_at(self, folder: Folder, others: list[UpgradePeer]) -> None:
         which = side(folder.born_ns, folder.pid, others)
         self.partners = others
         if which is Side.OLD:
@@ -324,11 +333,11 @@
         elif self.listeners is not None and self.listeners.look(others):
             done = self.steer_to(self.listeners.place)
             LOG.info("steered anew", extra=fields(place=self.listeners.place, steered=done))
-        if others and self.told is not None and (late := folder.legacy()) is not None:
+        if others and self.told is not None and (late := folder.handoff()) is not None:
             late.close()  # it was left after the start had gone on without
         wanted = share(which, len(others), *self.limits)
         if which is Side.OLD:
-            self.bequeath(folder, max(others, key=lambda o: (o.born_ns, o.pid)), wanted.legacy_bytes)
+            self.send_handoff(folder, max(others, key=lambda o: (o.born_ns, o.pid)), wanted.handoff_bytes)
         if wanted == self.share:
             return
         self.share = wanted
@@ -337,39 +346,39 @@
         self.sockets.most = wanted.member_sockets
         alone = which is Side.ALONE
         memory = room(self.limits[1]) if alone else room(wanted.memory_mb)
-        self.core.post(Retune(processes=wanted.processes, copies=memory))
+        self.core.post(SettingsUpdate(processes=wanted.processes, copies=memory))
 
-    def bequeath(self, folder: Folder, heir: Partner, most: int) -> None:
+    def send_handoff(self, folder: Folder, peer: UpgradePeer, most: int) -> None:
         """Leave what was learned, and own copies, to a process that starts; taken before these give way."""
-        key = (heir.born_ns, heir.pid)
-        if key == self.heir or not self.life.ready or heir.phase != Phase.STARTING.value:
+        key = (peer.born_ns, peer.pid)
+        if key == self.handed_to or not self.life.ready or peer.phase != Phase.STARTING.value:
             return
         mine, ready = (folder.born_ns, folder.pid), Phase.READY.value
         if any(o.phase == ready and (o.born_ns, o.pid) > mine for o in self.partners):
             return  # one between the two has more to leave
-        self.heir = key
-        taken: SimpleQueue[Legacy] = SimpleQueue()
+        self.handed_to = key
+        taken: SimpleQueue[HandoffState] = SimpleQueue()
 
         def write() -> None:
             try:
-                folder.leave(heir.pid, taken.get(timeout=STOCK_S).records(most))
+                folder.leave(peer.pid, taken.get(timeout=STOCK_S).records(most))
             except (OSError, Empty) as error:
                 LOG.warning("nothing left to the new process", extra=fields(reason=repr(error)))
 
-        self.core.post(Stock(taken.put))
-        threading.Thread(target=write, name="legacy", daemon=True).start()
+        self.core.post(HandoffRequest(taken.put))
+        threading.Thread(target=write, name="handoff", daemon=True).start()
 
-    def inherit(self) -> None:
-        """Before the first request: what an older process has left, waited for in vain for LEGACY_S."""
+    def receive_handoff(self) -> None:
+        """Before the first request: what an older process has left, waited for in vain for HANDOFF_S."""
         folder = self.folder
         if folder is None or not any(o.phase == Phase.READY.value for o in self.partners):
             return
-        until = time.monotonic() + LEGACY_S
-        while (file := folder.legacy()) is None:
+        until = time.monotonic() + HANDOFF_S
+        while (file := folder.handoff()) is None:
             if time.monotonic() >= until:
                 LOG.info("nothing was left by the older process")
                 return
-            time.sleep(LEGACY_AGAIN_S)
+            time.sleep(HANDOFF_AGAIN_S)
         adopted, fault, copies = False, "", self.core.copies
         try:
             with file:
--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -21,12 +21,12 @@
 from lupintack.core.copies import PROOF_US, Copies
 from lupintack.core.counters import Counters
 from lupintack.core.ending import Ending
+from lupintack.core.handoff import HandoffRequest, take
 from lupintack.core.hosted import Fleet
 from lupintack.core.leases import Leases, spends
-from lupintack.core.legacy import Stock, take
 from lupintack.core.member_table import Change, Endpoint, MemberTable
 from lupintack.core.messages import Answer, ClientRequest, Ended, Left, Link, Order
-from lupintack.core.retune import Retune, apply
+from lupintack.core.settings_update import SettingsUpdate, apply
 from lupintack.core.trace import wanted
 from lupintack.interface import (
     NEVER_RAN,
@@ -84,7 +84,7 @@
     """The very end: what is still owed is failed now."""
 
 
-Message = ClientRequest | Left | Ended | Change | Retune | Stock | Stop | Close
+Message = ClientRequest | Left | Ended | Change | SettingsUpdate | HandoffRequest | Stop | Close
 
 
 def same(one: ClientRequest, other: ClientRequest) -> bool:
@@ -231,9 +231,9 @@
                 self.on_left(message, events)
             elif isinstance(message, Change):
                 self.on_change(message, events, held)
-            elif isinstance(message, Retune):
+            elif isinstance(message, SettingsUpdate):
                 apply(self, message)
-            elif isinstance(message, Stock):
+            elif isinstance(message, HandoffRequest):
                 message.done(take(self))
             elif isinstance(message, Close):
                 self.on_close(events)
--- a/lupintack/core/legacy.py
+++ b/lupintack/core/handoff.py
@@ -1,7 +1,7 @@
 """What an old process leaves to the new one in an upgrade: what the module learned, and own copies. No I/O.
 
 Both run on one machine, so the module's times mean the same in both. What is read is checked field by field:
-a legacy that can't be used is as good as none.
+a handoff that can't be used is as good as none.
 """
 
 from __future__ import annotations
@@ -31,14 +31,14 @@
 
 
 @dataclass(slots=True)
-class Stock:
+class HandoffRequest:
     """Asks the core for it; done is called in the core's turn, and must not block."""
 
-    done: Callable[[Legacy], None]
+    done: Callable[[HandoffState], None]
 
 
 @dataclass(slots=True)
-class Legacy:
+class HandoffState:
     """As one turn found it."""
 
     learned: dict[str, Any]
@@ -64,10 +64,10 @@
         yield bytes(body)
 
 
-def take(core: Hosted) -> Legacy:
+def take(core: Hosted) -> HandoffState:
     """Inside the core's turn."""
     copies = list(core.copies.held.items()) if core.copies is not None else []
-    return Legacy(learned(core.router), copies)
+    return HandoffState(learned(core.router), copies)
 
 
 def learned(router: Router) -> dict[str, Any]:
--- a/lupintack/core/retune.py
+++ b/lupintack/core/settings_update.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(slots=True)
-class Retune:
+class SettingsUpdate:
     """What changes; None: as it is."""
 
     settings: Settings | None = None
@@ -29,7 +29,7 @@
     )
 
 
-def apply(core: Hosted, new: Retune) -> None:
+def apply(core: Hosted, new: SettingsUpdate) -> None:
     """Inside the core's turn: all of it, before anything else is heard."""
     if new.processes is not None:
         core.processes = new.processes
--- a/lupintack/fleet/start.py
+++ b/lupintack/fleet/start.py
@@ -9,7 +9,7 @@
 from lupintack.core.actor import Core
 from lupintack.core.hosted import Fleet as Routers
 from lupintack.core.leases import MeasuredDemand
-from lupintack.core.retune import Retune
+from lupintack.core.settings_update import SettingsUpdate
 from lupintack.fleet.talk import Fleet, Place
 from lupintack.lifecycle.state import Phase
 from lupintack.membership.counts import Counts
@@ -18,11 +18,11 @@
 from lupintack.settings.terms import membership_terms
 
 if TYPE_CHECKING:
+    from lupintack.admin_service import AdminService
     from lupintack.config import Config
     from lupintack.fleet.budgets import BudgetService
     from lupintack.settings.operator import Budgets as Shares
     from lupintack.settings.operator import Membership, Operator
-    from lupintack.upkeep import Upkeep
 
 SERVING = frozenset({Phase.STARTING, Phase.READY})
 
@@ -46,10 +46,10 @@
         with self.lock:
             found = self.counts.due(now_us())
         if found is not None:
-            self.core.post(Retune(fleet=Routers(found.siblings, found.by_zone, found.me)))
+            self.core.post(SettingsUpdate(fleet=Routers(found.siblings, found.by_zone, found.me)))
 
 
-def fleet(conf: Config, wanted: Operator, core: Core, upkeep: Upkeep) -> Fleet:
+def fleet(conf: Config, wanted: Operator, core: Core, admin_service: AdminService) -> Fleet:
     """The membership of this router, bound and not yet started."""
     told = wanted.membership
     zones = conf.names.zones
@@ -62,7 +62,7 @@
 
     def serving() -> bool:
         shared.look()
-        return upkeep.life.phase in SERVING
+        return admin_service.life.phase in SERVING
 
     found = Fleet(place, membership_terms(told), conf.seed, shared.hear, serving)
     if wanted.budgets.enabled:
@@ -83,7 +83,7 @@
     found = plan.budgets if plan is not None else tuple(budget_list(told))
 
     def hold(amounts: tuple[int, ...], until_us: int) -> None:
-        core.post(Retune(leases=core_leases(found, amounts, until_us, site)))
+        core.post(SettingsUpdate(leases=core_leases(found, amounts, until_us, site)))
 
     def report_demand(measured: MeasuredDemand) -> None:
         before = made.demand or tuple(one.whole for one in found)
@@ -92,7 +92,7 @@
     made = BudgetService(
         conf.name, fleet.part.me.start, membership.fleet, conf.tmp, found, told.voters,
         told.names or told.voters, budget_terms(told), fleet.codec, fleet.parcel, fleet.address,
-        hold, lambda: core.post(Retune(report_demand=report_demand)), plan,
+        hold, lambda: core.post(SettingsUpdate(report_demand=report_demand)), plan,
     )  # fmt: skip
     core.leases = core_leases(found, made.node.holder.zero, 0, site)  # nothing is held before it is told
     core.settings = core.router.settings = core.leases.over(core.settings)
--- a/lupintack/lifecycle/folder.py
+++ b/lupintack/lifecycle/folder.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import BinaryIO
 
-from lupintack.lifecycle.partner import Partner
+from lupintack.lifecycle.upgrade_peer import UpgradePeer
 from lupintack.logs import fields
 
 LOG = logging.getLogger("lifecycle")
@@ -90,7 +90,7 @@
         except OSError as error:
             LOG.warning("own state can't be written", extra=fields(reason=error))
 
-    def others(self) -> list[Partner]:
+    def others(self) -> list[UpgradePeer]:
         """The other living processes of this router; what crashed ones left is removed."""
         found = []
         try:
@@ -103,7 +103,7 @@
                 found.append(one)
         return found
 
-    def partner(self, name: str) -> Partner | None:
+    def partner(self, name: str) -> UpgradePeer | None:
         try:
             fd = os.open(self.path / name, os.O_RDWR | os.O_CLOEXEC)
         except OSError:
@@ -113,7 +113,7 @@
                 fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
             except BlockingIOError:
                 data = json.loads(os.read(fd, 96) or b"{}")
-                return Partner(int(name.partition(".")[2]), int(data["born_ns"]), str(data["phase"]))
+                return UpgradePeer(int(name.partition(".")[2]), int(data["born_ns"]), str(data["phase"]))
             # Made and not locked yet is told from left behind by the folder's lock, under which both happen.
             fcntl.flock(fd, fcntl.LOCK_UN)
             self.remove(name)
@@ -177,7 +177,7 @@
             new.unlink(missing_ok=True)
             raise
 
-    def legacy(self) -> BinaryIO | None:
+    def handoff(self) -> BinaryIO | None:
         """What was left to this process; its name is gone once it is open."""
         path = self.path / f"legacy.{self.pid}"
         try:
--- a/lupintack/lifecycle/partner.py
+++ b/lupintack/lifecycle/upgrade_peer.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-LEGACY_PART = 0.9  # of the memory that both processes and what is handed over may use together
+HANDOFF_PART = 0.9  # of the memory that both processes and what is handed over may use together
 PROCESS_MB = 24  # what one process needs without any copies of its own
 
 
@@ -22,7 +22,7 @@
 
 
 @dataclass(frozen=True)
-class Partner:
+class UpgradePeer:
     """Another living process of this router, as its file in the folder says."""
 
     pid: int
@@ -37,7 +37,7 @@
     member_sockets: int
     memory_mb: int  # from which the room for own copies is reckoned; 0: none
     processes: int  # that share each cold member's budget
-    legacy_bytes: int = 0  # of own copies, that the old side may leave to the new one
+    handoff_bytes: int = 0  # of own copies, that the old side may leave to the new one
 
 
 CLOSED = "closed"  # of a process that ends, once it listens no more
@@ -50,7 +50,7 @@
     is empty makes the kernel spread new connections over all listeners, also to those about to close.
     """
 
-    def __init__(self, older: list[Partner], mine: int) -> None:
+    def __init__(self, older: list[UpgradePeer], mine: int) -> None:
         """In the order in which they began to listen."""
         self.mine = mine
         self.table = [o.pid for o in sorted(older, key=lambda o: (o.born_ns, o.pid))] + [mine]
@@ -60,7 +60,7 @@
         """Where new connections are to go."""
         return self.table.index(self.mine)
 
-    def look(self, others: list[Partner]) -> bool:
+    def look(self, others: list[UpgradePeer]) -> bool:
         """Whether the own place has changed, by what is left of the others."""
         before = self.place
         listening = {o.pid for o in others if o.phase != CLOSED} | {self.mine}
@@ -72,7 +72,7 @@
         return self.place != before
 
 
-def ends_first(mine: tuple[int, int], others: list[Partner], stopping: str) -> bool:
+def ends_first(mine: tuple[int, int], others: list[UpgradePeer], stopping: str) -> bool:
     """Whether a process that ends has to go on listening: an older one ends, too, and has not closed yet.
 
     Guards against connections that go to its queue in the moment in which the older one's place is empty.
@@ -81,7 +81,7 @@
     return younger and any((o.born_ns, o.pid) < mine and o.phase == stopping for o in others)
 
 
-def side(born_ns: int, pid: int, others: list[Partner]) -> Side:
+def side(born_ns: int, pid: int, others: list[UpgradePeer]) -> Side:
     """Which side of an upgrade a process is on; of several others the one that matters is any younger one."""
     if not others:
         return Side.ALONE
@@ -99,5 +99,5 @@
     # Own copies go where the clients are going: the old side's give way at once.
     left = 0 if which is Side.OLD else max(0, memory_mb - PROCESS_MB * others)
     # What is left lies three times for a moment: in the old process, in the file, in the new one.
-    spare = max(0.0, memory_mb * LEGACY_PART - PROCESS_MB * processes) / 3
+    spare = max(0.0, memory_mb * HANDOFF_PART - PROCESS_MB * processes) / 3
     return Share(each, left, processes, int(spare * 1e6) if which is Side.OLD else 0)
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from lupintack import config, logs
+from lupintack.admin_service import AdminService, Listener
 from lupintack.clock import UNIX_OFFSET_US, module_ms, now_us
 from lupintack.core.actor import Close, Core, Stop
 from lupintack.core.copies import Copies, room
@@ -25,7 +26,6 @@
 from lupintack.peers.actor import Peer, Room, Terms
 from lupintack.reload import reload
 from lupintack.settings import files
-from lupintack.upkeep import Listener, Upkeep
 
 if TYPE_CHECKING:  # imported only where the feature is on
     from lupintack.fleet.talk import Fleet
@@ -81,7 +81,9 @@
         if conf.link_bytes_per_s > 0:
             copies = Copies(room(conf.limits.memory_mb), conf.link_bytes_per_s, clock)
         self.core = Core(conf.settings, conf.seed, self.member_table, self.connect, copies)
-        platform = self.platform = Platform(self.core, conf.names.classes, lambda: self.upkeep.life.ready)
+        platform = self.platform = Platform(
+            self.core, conf.names.classes, lambda: self.admin_service.life.ready
+        )
         count = self.core.counters.add
         sockets = conf.limits.sockets
         most = sockets // 3 + min(CLOSING, sockets // 8)
@@ -105,25 +107,29 @@
         self.http1 = Server(conf.listen, platform.handle, spawn, count, most, BODY_MOST, reuse=shared)
         self.servers: list[Listener] = [self.http1]
         own = admin_most + OWN
-        self.upkeep = Upkeep(
+        self.admin_service = AdminService(
             self.core, self.member_table, self.terms.room, self.servers, limits.memory_mb, own
         )
         self.fleet: Fleet | None = None
         if wanted is not None and wanted.membership.enabled:
             from lupintack.fleet.start import fleet
 
-            self.fleet = fleet(conf, wanted, self.core, self.upkeep)
+            self.fleet = fleet(conf, wanted, self.core, self.admin_service)
         self.admin: Server | None = None
         if conf.admin is not None:
             from lupintack.fronts.admin import BODY_MOST as CALL_MOST
             from lupintack.fronts.admin import Admin
 
-            handle = Admin(self.upkeep, self.fleet.status_line if self.fleet is not None else None).handle
+            handle = Admin(
+                self.admin_service, self.fleet.status_line if self.fleet is not None else None
+            ).handle
             self.admin = Server(conf.admin, handle, spawn, count, admin_most, CALL_MOST, bodyless=True)
         if cdni is not None:
             from lupintack.fronts.cdni.front import CdniFront
 
-            front = CdniFront(cdni, self.core, self.member_table, lambda: self.upkeep.life.ready, spawn)
+            front = CdniFront(
+                cdni, self.core, self.member_table, lambda: self.admin_service.life.ready, spawn
+            )
             terms = (count, cdni_most, CDNI_BODY_MOST, shared)
             self.servers.append(Server(cdni.listen, front.handle, spawn, *terms))
         if http2 is not None:
@@ -169,7 +175,7 @@
     def begin(self) -> None:
         """All but the fronts: the list of the start, discovery, members, and the second address."""
         if self.conf.admin is not None:
-            self.upkeep.join(folder(self.conf) if self.conf.tmp else None)
+            self.admin_service.join(folder(self.conf) if self.conf.tmp else None)
         first: list[Change] = []
         self.member_table.notify = first.append
         while not self.member_table.mailbox.empty():
@@ -187,7 +193,7 @@
         spawn(self.core.run, "core")
         self.discovery.start(spawn)
         if self.admin is not None:
-            spawn(self.upkeep.run, "upkeep")
+            spawn(self.admin_service.run, "upkeep")
 
     def serve(self) -> None:
         """Take requests: with a list that is current, or with the origin alone until it is."""
@@ -197,12 +203,12 @@
                 extra=logs.fields(**self.list_state()),
             )
         if self.admin is not None:
-            self.upkeep.inherit()
-        self.upkeep.started()
+            self.admin_service.receive_handoff()
+        self.admin_service.started()
         for server in self.servers:
             server.open()
             spawn(server.run, "accept")
-        self.upkeep.steer()
+        self.admin_service.steer()
         if self.fleet is not None:
             self.fleet.start(spawn)
 
@@ -217,7 +223,7 @@
 
     def abandon(self) -> None:
         """SIGTERM before anything was served: nothing has been taken."""
-        self.upkeep.close()
+        self.admin_service.close()
 
     def reload(self, environ: Mapping[str, str]) -> None:
         """SIGHUP."""
@@ -226,7 +232,7 @@
     def stop(self) -> None:
         """After SIGTERM: take what still comes, answer everything, and be done."""
         longest = max((c.deadline for c in self.core.settings.classes), default=0.0) / 1000.0
-        plan = self.upkeep.term(int(min(longest, KILL_S) * 1e6))
+        plan = self.admin_service.term(int(min(longest, KILL_S) * 1e6))
         end = time.monotonic() + TAKE_S + min(longest, KILL_S) - SPARE_S
         for server in self.servers:
             if plan.close_answers:
@@ -234,7 +240,7 @@
             server.drain()
         reads = time.monotonic() + plan.read_us / 1e6
         time.sleep(plan.accept_us / 1e6)
-        self.upkeep.wait_for_older()
+        self.admin_service.wait_for_older()
         for server in self.servers:
             server.stop_accepting()
         time.sleep(max(0.0, reads - time.monotonic()))
@@ -246,7 +252,7 @@
             self.core.post(Close())  # what is still open then is answered now, before the kill cuts it off
         while any(server.busy() for server in self.servers) and time.monotonic() < end:
             time.sleep(0.01)
-        self.upkeep.close()
+        self.admin_service.close()
         if self.fleet is not None:
             self.fleet.close()
 
@@ -258,7 +264,7 @@
         self.discovery.stopped.set()
         for server in (*self.servers, *([self.admin] if self.admin is not None else [])):
             server.stop_accepting()
-        self.upkeep.close()
+        self.admin_service.close()
         self.member_table.mailbox.put(None)
         self.core.over = True
         self.core.wake.set()
--- a/lupintack/reload.py
+++ b/lupintack/reload.py
@@ -10,7 +10,7 @@
 from lupintack import config, logs, operator
 from lupintack.core.actor import Core
 from lupintack.core.member_table import FOREVER_US, MemberTable
-from lupintack.core.retune import Retune
+from lupintack.core.settings_update import SettingsUpdate
 from lupintack.discovery.client import DiscoveryClient
 from lupintack.discovery.validity import validity_us
 from lupintack.fronts.platform import Platform
@@ -105,7 +105,7 @@
     )
     node.member_table.settle(settings.purge_settles)
     node.member_table.limit_age(validity_us(settings) if conf.board is not None else FOREVER_US)
-    node.core.post(Retune(settings=settings, done=node.platform.retune))
+    node.core.post(SettingsUpdate(settings=settings, done=node.platform.retune))
     node.discovery.move(conf.board)
     was, now = set(old.names.classes), set(conf.names.classes)
     told = {"came": ",".join(sorted(now - was)), "gone": ",".join(sorted(was - now))}
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -15,12 +15,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lupintack import upkeep
+from lupintack import admin_service
 from lupintack.core.member_table import Endpoint, ListUpdate, MemberTable, member_id
 from lupintack.core.messages import ClientRequest, Order
 from lupintack.interface import State
 from lupintack.lifecycle.bans import Bans, parse
-from lupintack.lifecycle.partner import Partner
+from lupintack.lifecycle.upgrade_peer import UpgradePeer
 from lupintack.peers import resp
 from lupintack.standins.net import at, listen
 from tests.scenario import Lines, Scenario
@@ -137,7 +137,7 @@
     play.run("staff call POST /api/exclude?name=s-2 200")
     play = Scenario(tmp=str(tmp_path))
     assert play.node.member_table.banned == {member_id("s-2")}
-    folder = play.node.upkeep.folder
+    folder = play.node.admin_service.folder
     assert folder is not None
     bans = folder.bans
     play.run("staff call POST /api/include?name=s-2 200")
@@ -155,7 +155,7 @@
 
 def test_a_ban_that_can_t_be_kept_is_in_force_and_a_no(tmp_path: Path) -> None:
     play = Scenario(tmp=str(tmp_path))
-    folder = play.node.upkeep.folder
+    folder = play.node.admin_service.folder
     assert folder is not None
     with folder.locked():
         play.run("staff call POST /api/exclude?name=s-1 500 body:*not*kept*", close=False)
@@ -197,7 +197,7 @@
         close=False,
     )
     eventually(lambda: not play.node.http1.conns)
-    eventually(lambda: play.node.upkeep.life.phase.value == "evacuated")
+    eventually(lambda: play.node.admin_service.life.phase.value == "evacuated")
     play.run(
         f"""
         staff call POST /api/rejoin 200
@@ -256,7 +256,7 @@
         if not out:
             number = order.member if whose == "member" else order.source
             out.append(play.node.member_table.hosts[number].name)
-            assert play.node.upkeep.exclude(out[0]).status == 200
+            assert play.node.admin_service.exclude(out[0]).status == 200
         return stale(order)
 
     play.node.member_table.stale = asked  # type: ignore[method-assign]
@@ -353,7 +353,7 @@
 
 def test_when_as_many_are_out_as_may_be_one_of_them_may_be_said_again() -> None:
     play = Scenario()
-    with unittest.mock.patch.object(upkeep, "OUT_MOST", 1):
+    with unittest.mock.patch.object(admin_service, "OUT_MOST", 1):
         play.run("""
             staff call POST /api/exclude?name=s-1 200
             staff call POST /api/exclude?name=s-2 507
@@ -400,7 +400,7 @@
 
 def test_what_can_t_be_kept_is_tried_again(tmp_path: Path) -> None:
     play = Scenario(tmp=str(tmp_path))
-    folder = play.node.upkeep.folder
+    folder = play.node.admin_service.folder
     assert folder is not None
     with folder.locked():
         play.run("staff call POST /api/exclude?name=s-1 500", close=False)
@@ -410,12 +410,12 @@
 
 def test_each_process_that_starts_gets_a_legacy_whatever_became_of_the_one_before(tmp_path: Path) -> None:
     play = Scenario(tmp=str(tmp_path))
-    folder = play.node.upkeep.folder
+    folder = play.node.admin_service.folder
     assert folder is not None
     for pid in (7, 8):
-        heir = Partner(pid, folder.born_ns + pid, "starting")
+        heir = UpgradePeer(pid, folder.born_ns + pid, "starting")
         with unittest.mock.patch.object(folder, "others", return_value=[heir]):
-            play.node.upkeep.look_at_partners()
+            play.node.admin_service.look_at_partners()
             eventually((folder.path / f"legacy.{pid}").exists)
     play.close()
 
@@ -439,7 +439,7 @@
             assert not sock.recv(1)
             sock.close()
         assert time.monotonic() - began < 4.0  # of the front's four seconds
-        eventually(lambda: play.node.upkeep.life.phase.value == "evacuated")
+        eventually(lambda: play.node.admin_service.life.phase.value == "evacuated")
     finally:
         play.close()
         resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
--- a/tests/test_legacy.py
+++ b/tests/test_handoff.py
@@ -11,7 +11,7 @@
 import pytest
 
 from lupintack.core.copies import Copies
-from lupintack.core.legacy import HEAD, Legacy, adopt, adopt_copy, learned, read
+from lupintack.core.handoff import HEAD, HandoffState, adopt, adopt_copy, learned, read
 from lupintack.core.messages import Answer
 from lupintack.policy import Router
 from lupintack.standins.processes import Load, Processes, call
@@ -80,7 +80,7 @@
 
 def test_the_most_recent_copies_that_fit_go_over_and_purges_hold() -> None:
     old = copies((1, 1000, b"a" * 600), (2, 3000, b"b" * 600), (3, 3000, b"c" * 600))
-    data = b"".join(Legacy({"version": 1}, list(old.held.items())).records(1300))
+    data = b"".join(HandoffState({"version": 1}, list(old.held.items())).records(1300))
     new = copies()
     new.purge(3, 0, 4000.0)  # heard by the new process alone
     records = read(io.BytesIO(data).read)
@@ -93,7 +93,7 @@
 @pytest.mark.parametrize("cut", [1, 9, 300])
 def test_a_torn_legacy_is_read_as_far_as_it_is_whole(cut: int) -> None:
     data = b"".join(
-        Legacy({}, list(copies((1, 1, b"a" * 400), (2, 1, b"b" * 400)).held.items())).records(9999)
+        HandoffState({}, list(copies((1, 1, b"a" * 400), (2, 1, b"b" * 400)).held.items())).records(9999)
     )
     found = []
     with pytest.raises(ValueError, match="cut short"):
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -666,13 +666,13 @@
     with site() as play:
         app = play.app()
         assert app.answer(app.ask("GET", TILE)).status == 200
-        assert play.node.upkeep.evacuate().status == 200
+        assert play.node.admin_service.evacuate().status == 200
         app.until(lambda: bool(app.goaways))
         assert app.end()[-1][1] == NO_ERROR
         late = play.app()  # the front still sends for a moment
         assert late.answer(late.ask("GET", TILE)).status == 200
         late.until(lambda: bool(late.goaways))
-        assert play.node.upkeep.rejoin().status == 200
+        assert play.node.admin_service.rejoin().status == 200
         back = play.app()
         assert back.answer(back.ask("GET", TILE)).status == 200
         time.sleep(0.3)  # longer than the grace after which a connection that ends would be told so
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -17,7 +17,7 @@
 from lupintack.core.leases import Leases, MeasuredDemand, measure_demand
 from lupintack.core.member_table import Endpoint, ListUpdate, MemberTable, member_id
 from lupintack.core.messages import ClientRequest
-from lupintack.core.retune import Retune
+from lupintack.core.settings_update import SettingsUpdate
 from lupintack.fleet.budget_leases import core_leases, demand, in_use
 from lupintack.limits.shared import Store, Wanted, part
 from tests import helpers as h
@@ -131,14 +131,14 @@
     told: list[MeasuredDemand] = []
     core = hosted(link)
     until = now_us() + 60_000_000
-    core.post(Retune(leases=Leases(store_fills=5, until_us=until), report_demand=told.append))
+    core.post(SettingsUpdate(leases=Leases(store_fills=5, until_us=until), report_demand=told.append))
     assert core.router.settings.store_fills == 5 and told == [MeasuredDemand(0.0, 0.0, 0.0)]
     sink = unittest.mock.Mock()
     core.take(ClientRequest("0" * 16, h.SAFE, "0" * 16, 5, 0, 0, now_us() + 10_000_000, sink, cls_name="a"))
     (order,) = [call.args[0] for call in link.send.call_args_list]
     assert order.source == member_id("origin") and order.until_us == until
     assert not order.forbidden(until - 1) and order.forbidden(until)
-    core.post(Retune(leases=Leases(store_fills=0, until_us=0)))
+    core.post(SettingsUpdate(leases=Leases(store_fills=0, until_us=0)))
     assert (
         core.router.settings.store_fills == 0
         and measure_demand(core.router, core.router.now).store_fills >= 1.0
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -16,8 +16,17 @@
 from lupintack.interface import State
 from lupintack.lifecycle.bans import Bans, BansError, parse
 from lupintack.lifecycle.folder import Folder, FolderError
-from lupintack.lifecycle.partner import CLOSED, Listeners, Partner, Share, Side, ends_first, share, side
 from lupintack.lifecycle.state import Life, Pace, Phase, leave
+from lupintack.lifecycle.upgrade_peer import (
+    CLOSED,
+    Listeners,
+    Share,
+    Side,
+    UpgradePeer,
+    ends_first,
+    share,
+    side,
+)
 from tests.scenario import Scenario
 
 NAMES = st.sampled_from(["s-1", "s-2", "p-1"])
@@ -143,10 +152,10 @@
     assert (old.memory_mb, new.memory_mb) == (0, 56)
     assert old.processes == new.processes == 2
     assert share(Side.OLD, 2, 20, 32, 40).member_sockets == 8  # never none
-    one = Partner(7, 100, "ready")
+    one = UpgradePeer(7, 100, "ready")
     assert side(50, 9, []) is Side.ALONE
     assert side(50, 9, [one]) is Side.OLD and side(200, 9, [one]) is Side.NEW
-    assert side(150, 9, [one, Partner(8, 200, "starting")]) is Side.OLD
+    assert side(150, 9, [one, UpgradePeer(8, 200, "starting")]) is Side.OLD
 
 
 SLEEPER = """
@@ -237,8 +246,8 @@
 def test_the_youngest_follows_its_place_among_the_listeners() -> None:
     """As the kernel does it: who leaves gives its place to the last of the table."""
 
-    def partner(pid: int, phase: str = "ready") -> Partner:
-        return Partner(pid, pid, phase)
+    def partner(pid: int, phase: str = "ready") -> UpgradePeer:
+        return UpgradePeer(pid, pid, phase)
 
     table = Listeners([partner(2), partner(1)], 3)
     assert table.place == 2 and not table.look([partner(1), partner(2)])
@@ -250,9 +259,9 @@
 
 
 def test_of_two_that_end_the_older_closes_first() -> None:
-    older, mine, younger = Partner(1, 1, "stopping"), (2, 2), Partner(3, 3, "ready")
+    older, mine, younger = UpgradePeer(1, 1, "stopping"), (2, 2), UpgradePeer(3, 3, "ready")
     assert ends_first(mine, [older, younger], "stopping")
-    assert not ends_first(mine, [Partner(1, 1, CLOSED), younger], "stopping")
-    assert not ends_first(mine, [Partner(1, 1, "ready"), younger], "stopping")
+    assert not ends_first(mine, [UpgradePeer(1, 1, CLOSED), younger], "stopping")
+    assert not ends_first(mine, [UpgradePeer(1, 1, "ready"), younger], "stopping")
     assert not ends_first(mine, [older], "stopping"), "nobody steers: no place moves"
-    assert not ends_first((1, 1), [Partner(2, 2, "stopping"), younger], "stopping")
+    assert not ends_first((1, 1), [UpgradePeer(2, 2, "stopping"), younger], "stopping")
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -15,7 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lupintack.core.retune import Retune
+from lupintack.core.settings_update import SettingsUpdate
 from lupintack.interface import (
     AttemptEnded,
     Fetch,
@@ -45,7 +45,7 @@
     file.write_text(raw or json.dumps(data))
     play.node.reload({"EDGE_CONFIG": str(file)})
     heard = threading.Event()  # the core's turn may be on another thread: until it has come, the old holds
-    play.node.core.post(Retune(done=lambda numbers: heard.set()))
+    play.node.core.post(SettingsUpdate(done=lambda numbers: heard.set()))
     assert heard.wait(5.0)
 
 
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -22,7 +22,7 @@
     ("core",),
     ("peers",),
     ("discovery", "fronts", "client"),
-    ("upkeep", "reload"),
+    ("admin_service", "reload"),
     ("fleet",),
     ("node",),
     ("__main__",),
@@ -34,8 +34,8 @@
 LEVEL = {room: level for level, rooms in enumerate(FLOORS) for room in rooms}
 DECISIONS = (
     "limits", "policy.py", "http2/schedule.py", "settings/changes.py",
-    "lifecycle/state.py", "lifecycle/bans.py", "lifecycle/partner.py",
-    "core/legacy.py", "membership", "budgets",
+    "lifecycle/state.py", "lifecycle/bans.py", "lifecycle/upgrade_peer.py",
+    "core/handoff.py", "membership", "budgets",
 )  # fmt: skip
 MACHINE = {"time", "random", "socket", "threading", "select", "os", "queue", "logging"}
 
