--- a/lupintack/admin_service.py
+++ b/lupintack/admin_service.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from queue import Empty, SimpleQueue
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from lupintack.clock import now_us, unix_now_ms
 from lupintack.core.actor import Core
@@ -27,7 +27,7 @@
 from lupintack.interface import State
 from lupintack.lifecycle import bans as state_of_bans
 from lupintack.lifecycle.bans import NAME_MOST, OUT_MOST, Bans
-from lupintack.lifecycle.folder import LOCK_S, Folder
+from lupintack.lifecycle.folder import LOCK_S, Folder, folder_path, read_bans
 from lupintack.lifecycle.state import Leave, Life, Phase, leave
 from lupintack.lifecycle.upgrade_peer import (
     CLOSED,
@@ -39,12 +39,14 @@
     share,
     side,
 )
-from lupintack.logs import fields
+from lupintack.logs import LineLimit, fields
 from lupintack.peers.actor import Room
 
 LOG = logging.getLogger("upkeep")
 Word = Callable[[Bans, str, float], bool]
 LOOK_S = 0.05
+LINES_PER_S = 2  # on a folder that can't be used
+JOIN_S = 0.5  # of a start, for a folder that can't be used at first
 HANDOFF_S = 0.4  # of a start, for what the older process leaves
 HANDOFF_AGAIN_S = 0.005
 RETRY_S = 0.5  # between two tries to keep what staff said
@@ -77,6 +79,14 @@
     def busy(self) -> bool: ...
 
 
+class FolderPlace(NamedTuple):
+    """What the folder of a router goes by."""
+
+    base: str
+    name: str
+    listen: str
+
+
 class AdminService:
     """The operators' desk, the folder shared with a partner, and the node's life."""
 
@@ -95,7 +105,9 @@
         self.servers = servers
         self.limits = (sockets.most, memory_mb, own_sockets)
         self.life = Life()
+        self.place: FolderPlace | None = None  # where the folder is, whether it can be used just now or not
         self.folder: Folder | None = None
+        self.lines = LineLimit(LINES_PER_S)
         self.lock = threading.Lock()  # of the life, and of what is said of members
         self.unkept: dict[str, tuple[Word, float]] = {}  # said here, and not in the folder yet
         self.partners: list[UpgradePeer] = []
@@ -182,9 +194,11 @@
         bans = copied(self.member_table.bans)
         call(bans, name, now)
         self.member_table.ban(bans)  # binding first: whatever the disk says, nothing more goes there
-        if self.folder is None:
+        if self.place is None:
             return ""
         self.unkept[name] = (call, now)
+        if self.folder is None:
+            return "the folder can't be used"
         return self.keep(self.folder, LOCK_S)
 
     def keep(self, folder: Folder, patience_s: float) -> str:
@@ -214,26 +228,57 @@
         """What the folder holds; None where it holds nothing that can be used, which the log says."""
         if self.folder is None:
             return None
-        text = self.folder.read()
-        if text is None:
-            return None
         try:
-            return state_of_bans.parse(text)
-        except state_of_bans.BansError as error:
-            LOG.error("kept bans can't be used", extra=fields(file=self.folder.bans, reason=error))
+            return self.usable(self.folder.read())
+        except OSError as error:
+            if self.lines.allow(now_us()) >= 0:
+                LOG.error("kept bans can't be read", extra=fields(file=self.folder.bans, reason=error))
             return None
 
+    def usable(self, texts: list[bytes]) -> Bans | None:
+        """The first of the kept states that is whole: a crash may have cut one of them short."""
+        for number, text in enumerate(texts):
+            try:
+                return state_of_bans.parse(text)
+            except state_of_bans.BansError as error:
+                LOG.error("kept bans can't be used", extra=fields(copy=number, reason=error))
+        return None
+
     # The process
 
-    def join(self, folder: Folder | None) -> None:
-        """Before the first request: what the folder holds is in force from the start."""
-        self.folder = folder
-        found = self.kept()
-        if found is not None:
-            self.member_table.ban(found)
+    def join(self, place: FolderPlace | None) -> None:
+        """Before the first request: what the folder holds is in force from the start, also where nothing can
+        be written there now.
+        """
+        self.place = place
+        if place is None:
+            return
+        until = time.monotonic() + JOIN_S
+        while not self.try_to_join(place) and time.monotonic() < until:
+            time.sleep(LOOK_S)
+        self.look_at_partners()
+
+    def try_to_join(self, place: FolderPlace) -> bool:
+        """Join the processes of this router, and take over its bans; False where either failed."""
+        self.retried_us = now_us()
+        try:
+            if self.folder is None:
+                self.folder = Folder(place.base, place.name, place.listen)
+                self.folder.tell(self.life.phase.value)
+            texts = self.folder.read()
+        except OSError as error:
+            if self.lines.allow(now_us()) >= 0:
+                LOG.error("no folder to share with an upgrade", extra=fields(reason=error))
+            try:
+                texts = read_bans(folder_path(place.base, place.name, place.listen))
+            except OSError:
+                return False
+        found = self.usable(texts)
+        if found is not None and found != self.member_table.bans:
+            self.member_table.ban(self.said(found))
             if found.out:
                 LOG.info("bans found", extra=fields(out=",".join(sorted(found.out))))
-        self.look_at_partners()
+        return self.folder is not None
 
     def started(self) -> None:
         with self.lock:
@@ -274,6 +319,7 @@
 
     def close(self) -> None:
         """The very end."""
+        self.place = None
         folder, self.folder = self.folder, None
         if folder is not None:
             folder.close()
@@ -394,6 +440,9 @@
 
     def look_at_bans(self) -> None:
         """What was said to the partner binds here as well; and what could not be kept is tried again."""
+        if self.folder is None and self.place is not None and now_us() - self.retried_us >= RETRY_S * 1e6:
+            with self.lock:
+                self.try_to_join(self.place)
         folder = self.folder
         if folder is None:
             return
--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -26,6 +26,7 @@
 from lupintack.core.leases import Leases, spends
 from lupintack.core.member_table import Change, Endpoint, MemberTable
 from lupintack.core.messages import Answer, ClientRequest, Ended, Left, Link, Order
+from lupintack.core.request_log import RequestLog
 from lupintack.core.settings_update import SettingsUpdate, apply
 from lupintack.core.trace import wanted
 from lupintack.interface import (
@@ -71,6 +72,7 @@
     over: bool = False
     band: str = ""  # of its told size, for the counters; "": none was told
     live: dict[int, Order] = field(default_factory=dict)
+    last_end: Ending | None = None  # of its attempts, for the log
 
 
 @dataclass(slots=True)
@@ -127,6 +129,7 @@
         self.timer_number = 0
         self.keys = Keys()
         self.bands = Bands()
+        self.requests = RequestLog()
         self.heard = 0  # the number of the last purge that the module has heard of
         self.told = 0  # and of the last news of any kind (MemberTable.news)
         self.early: list[Ended] = []  # attempts held back by news that the module has yet to hear
@@ -330,6 +333,7 @@
             one.ask.sink.served(answer, ending is Ending.HOLDS)
             if ending is Ending.SERVED and self.copies is not None and not self.purged_since(order):
                 self.fresh[order.ask.number] = (order.ask, answer)
+        one.last_end = ending
         events.append(self.verdict(one, order, ending, message))
         self.sweep(order.ask.number, one)
 
@@ -375,6 +379,8 @@
                 del self.links[number]
                 link[1].retire()
                 self.retired.append(link[1])
+        if change.hosts:
+            self.requests.list_changed(self.now)
         events.extend(change.events)
         if change.done is not None:
             held.append(change.done)
@@ -390,7 +396,7 @@
         self.closing = True
         for number, one in list(self.owed.items()):
             if not one.over:
-                self.finish(number, one, Fail(number))
+                self.finish(number, one, Fail(number, "the process ends"))
                 events.append(ClientGone(number))
 
     # Timers
@@ -411,7 +417,7 @@
                 continue
             if not one.over and not one.live:
                 # Guards against a request that the module holds: its answer is due now, whatever it plans.
-                self.finish(number, one, Fail(number))
+                self.finish(number, one, Fail(number, "held until its time was up"))
                 events.append(ClientGone(number))
             # Also of a request that is over: what may not be cancelled, and never ends, would stay for good.
             for order in list(one.live.values()):
@@ -463,7 +469,7 @@
         if not self.member_table.purged_since(one.ask, self.heard):
             answer, holds = self.copies.take(one.ask, self.now)
         if answer is None:
-            self.finish(number, one, Refuse(number))  # purged in this very turn, or since; nothing ran
+            self.finish(number, one, Refuse(number, 0.0, "its own copy was purged"))  # nothing ran
             return
         self.end_with(one, "answered.own")
         one.ask.sink.served(answer, holds)
@@ -471,6 +477,9 @@
 
     def finish(self, number: int, one: Owed, action: Refuse | Fail) -> None:
         """The final answer of a request that is not served."""
+        kind = "request refused" if isinstance(action, Refuse) else "request failed"
+        cls_name = self.settings.classes[one.ask.cls].name
+        self.requests.line(kind, self.now, one.ask, cls=cls_name, why=action.why, attempts=one.sent)
         if isinstance(action, Refuse):
             self.end_with(one, "answered.refused")
             one.ask.sink.refused(int(action.retry_after))
@@ -537,8 +546,19 @@
             return
         one.live[order.number] = order
         self.counters["sent." + order.cls_name] += 1
+        if order.number or self.requests.near(self.now):
+            self.log_attempt(one, order, host.name)
         pair = self.links.get(action.member)
         if pair is None:
             pair = self.links[action.member] = (host.dial, self.connect(action.member, host))
         order.link = pair[1]
         order.link.send(order)
+
+    def log_attempt(self, one: Owed, order: Order, member: str) -> None:
+        """A further attempt, with the end of the one before; or one beside a change of the list."""
+        after = one.last_end.name.lower() if one.last_end is not None else "nothing has ended"
+        told = {"member": member, "source": order.source_host, "attempt": order.number, "update": self.told}
+        if order.number:
+            self.requests.line("attempt again", self.now, one.ask, after=after, **told)
+        else:
+            self.requests.line("attempt", self.now, one.ask, **told)
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -12,6 +12,7 @@
 import struct
 import threading
 import time
+from collections import deque
 from collections.abc import Callable, Iterable
 
 from lupintack import sockets
@@ -143,6 +144,9 @@
         self.sock = sock
         self.peer_ip = peer_ip
         self.buffer = bytearray()
+        self.early_most = HEAD_MOST + server.body_most
+        self.total = self.consumed = 0  # bytes that came, and of them taken off the buffer
+        self.arrivals: deque[tuple[int, int]] = deque()  # how many had come, and when
         self.lock = threading.Lock()
         self.answered = threading.Condition(self.lock)
         self.open: Http1Exchange | None = None
@@ -156,6 +160,7 @@
         self.deaf = False  # we have ended the reading
         self.leaving = False  # our end is said, and the client's is waited for
         self.over = False  # its socket is closed, or about to be
+        self.why = ""  # it ends, in a word, for the counters
         self.since_us = now_us()  # of what is waited for: its first request, the rest of one, the next
 
     def run(self) -> None:
@@ -164,14 +169,16 @@
             while self.serve_one():
                 pass
         except Bad as error:
+            self.why = "bad_request"
             self.server.count(f"rejected.{error.status}")
             text = f"{error}\n".encode()
             extra = [("Content-Type", "text/plain"), ("Connection", "close")]
             self.write_all([head(error.status, extra, len(text)) + text])
             self.linger()
-        except OSError:
-            pass
+        except OSError as error:
+            self.why = f"broken.{type(error).__name__.lower()}"
         except Exception:  # a fault of ours must not show as a silent drop
+            self.why = "fault"
             LOG.exception("request failed")
             self.server.count("rejected.500")
             self.write_all([head(500, [("Connection", "close")], 0)])
@@ -194,22 +201,21 @@
             if not begun and self.asked:
                 self.since_us = now_us()
             while self.buffer[:2] == b"\r\n":
-                del self.buffer[:2]
+                self.consume(2)
             at = self.buffer.find(b"\r\n\r\n")
         if at > HEAD_MOST:
             raise Bad(431, "the head is too long")
         request, length = parse_head(bytes(self.buffer[:at]), self.server.bodyless)
         if length > self.server.body_most:
             raise Bad(413, "the body is too long")
-        del self.buffer[: at + 4]
+        self.consume(at + 4)
         if length > len(self.buffer) and request.headers.get("expect", "").lower() == "100-continue":
             sockets.write(self.sock, b"HTTP/1.1 100 Continue\r\n\r\n")
         while len(self.buffer) < length:
             if not self.more():
                 raise self.cut("body")
         request.body = bytes(self.buffer[:length])
-        del self.buffer[:length]
-        request.came_us = now_us()
+        request.came_us = self.consume(length)
         self.asked = True
         exchange = Http1Exchange(self, request)
         with self.lock:
@@ -232,7 +238,8 @@
                 looks = self.deaf or len(self.buffer) > 0
                 if looks:
                     self.answered.wait(LOOK_S)
-            if not (exchange.gone() if looks else not self.more()):
+            ended = (self.take_early() or exchange.gone()) if looks else not self.more()
+            if not ended:
                 continue
             with self.lock:
                 owed = self.open is exchange
@@ -251,11 +258,44 @@
             except BlockingIOError:
                 continue  # a limit inherited from the listener that could not be lifted
             except OSError as error:  # broken in any way: its client has left
-                self.server.count(f"client.{type(error).__name__.lower()}")
+                self.why = f"broken.{type(error).__name__.lower()}"
                 return False
-        self.buffer += data
+        self.received(data)
         return bool(data)
 
+    def take_early(self) -> bool:
+        """Bytes that come while a request is open: the client's wait for the next one runs from then on.
+        Whether the connection has turned out to be broken.
+
+        Guards against a pipelined request whose time would count from when it is read: the deadline that its
+        attempts pass on would be later than the client's.
+        """
+        if self.deaf or len(self.buffer) >= self.early_most:
+            return False
+        try:
+            self.received(self.sock.recv(READ, socket.MSG_DONTWAIT))  # its end is looked for otherwise
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            self.why = f"broken.{type(error).__name__.lower()}"
+            return not sockets.passes(error)
+        return False
+
+    def received(self, data: bytes) -> None:
+        """Bytes, and when they came."""
+        self.buffer += data
+        self.total += len(data)
+        if data:
+            self.arrivals.append((self.total, now_us()))
+
+    def consume(self, length: int) -> int:
+        """Take bytes off the buffer; when the last of them came, or the last before them."""
+        del self.buffer[:length]
+        self.consumed += length
+        while len(self.arrivals) > 1 and self.arrivals[0][0] < self.consumed:
+            self.arrivals.popleft()
+        return self.arrivals[0][1] if self.arrivals else now_us()
+
     def cut(self, where: str) -> Bad:
         """Why a request is not whole."""
         if self.expired:
@@ -407,6 +447,10 @@
         """The connection is over."""
         with self.lock:
             exchange, self.open = self.open, None
+            ours = "last_answer" if self.last and not self.deaf else "by_us"
+            self.server.count(
+                f"client.closed.{self.why or (ours if self.last or self.deaf else 'by_client')}"
+            )
             self.leaving = not self.closed and not self.lingers and (self.last or self.deaf)
             self.closed = True
             while self.writing:
@@ -498,7 +542,8 @@
                 if pause_s and self.accepting:
                     if self.lines.allow(now) >= 0:
                         LOG.warning("accept failed", extra=fields(reason=error))
-                    self.make_room(now)
+                    if pause_s >= sockets.ACCEPT_LASTS_S:
+                        self.make_room(now)
                     time.sleep(pause_s)
                 continue
             failures.succeeded()
--- a/lupintack/fronts/http2.py
+++ b/lupintack/fronts/http2.py
@@ -478,7 +478,8 @@
                 if pause_s and self.accepting:
                     if self.lines.allow(now_us()) >= 0:
                         LOG.warning("accept failed", extra=fields(reason=error))
-                    self.make_room()
+                    if pause_s >= sockets.ACCEPT_LASTS_S:
+                        self.make_room()
                     time.sleep(pause_s)
                 continue
             failures.succeeded()
--- a/lupintack/interface.py
+++ b/lupintack/interface.py
@@ -303,6 +303,7 @@
 
     request: int
     retry_after: float = 0.0
+    why: str = ""  # for the staff
 
 
 @dataclass(slots=True, frozen=True)
@@ -324,6 +325,7 @@
     """Final answer: failed, nothing is promised."""
 
     request: int
+    why: str = ""  # for the staff
 
 
 @dataclass(slots=True, frozen=True)
--- a/lupintack/lifecycle/folder.py
+++ b/lupintack/lifecycle/folder.py
@@ -1,7 +1,9 @@
 """What the processes of one router leave for one another under `$TMPDIR`. The only I/O of this room.
 
 A process holds a lock on a file of its own for as long as it lives, so that neither a crash nor a number that
-comes again leaves a partner that is none. Files are replaced whole, and only under the folder's lock.
+comes again leaves a partner that is none. Files are replaced whole, and only under the folder's lock. The
+bans stand in two files, each synced before it takes its name: whatever a crash cuts short, one of them is
+whole.
 """
 
 from __future__ import annotations
@@ -24,6 +26,8 @@
 LOCK_S = 0.4  # an answer at the second address is due within 1 s, whatever holds the lock
 LOCK_AGAIN_S = 0.005
 FILE_MOST = 1 << 20
+BANS = "bans.json"
+BANS_COPY = "bans.copy.json"
 
 
 class FolderError(OSError):
@@ -42,12 +46,53 @@
             time.sleep(LOCK_AGAIN_S)
 
 
+def folder_path(base: str, name: str, listen: str) -> Path:
+    """The folder of a router, whether it is there or not."""
+    key = hashlib.blake2b(f"{name}\0{listen}".encode(), digest_size=8).hexdigest()
+    return Path(base) / f"lupintack-{key}"
+
+
+def read_bans(path: Path) -> list[bytes]:
+    """What the files of bans in a folder hold, the first choice first; OSError where one is there and can't
+    be read.
+    """
+    texts = []
+    for name in (BANS, BANS_COPY):
+        with contextlib.suppress(FileNotFoundError), open(path / name, "rb") as file:
+            texts.append(file.read(FILE_MOST))
+    return texts
+
+
+def replace_file(path: Path, text: bytes) -> None:
+    """Give a file new content, on the disk before it has the name; OSError leaves the old content."""
+    new = path.with_name(f"{path.name}.{os.getpid()}.new")
+    try:
+        with open(new, "wb") as file:
+            file.write(text)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(new, path)
+        sync_folder(path.parent)
+    except OSError:
+        with contextlib.suppress(OSError):
+            new.unlink(missing_ok=True)
+        raise
+
+
+def sync_folder(path: Path) -> None:
+    """Make new names in a folder last."""
+    fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
 class Folder:
-    """One router's files: `lock`, `bans.json`, and `run.PID` of each living process."""
+    """One router's files: `lock`, `bans.json`, its copy, and `run.PID` of each living process."""
 
     def __init__(self, base: str, name: str, listen: str) -> None:
-        key = hashlib.blake2b(f"{name}\0{listen}".encode(), digest_size=8).hexdigest()
-        self.path = Path(base) / f"lupintack-{key}"
+        self.path = folder_path(base, name, listen)
         self.pid = os.getpid()
         self.born_ns = time.monotonic_ns()
         self.seen: tuple[int, int, int] | None = None
@@ -70,7 +115,7 @@
 
     @property
     def bans(self) -> Path:
-        return self.path / "bans.json"
+        return self.path / BANS
 
     @contextlib.contextmanager
     def locked(self, patience_s: float = LOCK_S) -> Iterator[None]:
@@ -146,22 +191,19 @@
             return None
         return (stat.st_ino, stat.st_mtime_ns, stat.st_size)
 
-    def read(self) -> bytes | None:
-        """The bans as they were last written; None where nobody has."""
-        self.seen = self.stamp()
-        try:
-            with open(self.bans, "rb") as file:
-                return file.read(FILE_MOST)
-        except FileNotFoundError:
-            return None
+    def read(self) -> list[bytes]:
+        """The bans as they were last written, and their copy; empty where nobody has. OSError where they
+        can't be read now: `changed` stays true.
+        """
+        stamp = self.stamp()
+        texts = read_bans(self.path)
+        self.seen = stamp
+        return texts
 
     def write(self, text: bytes) -> None:
-        """Replace the bans, whole. Under the lock."""
-        new = self.path / f"bans.{self.pid}.new"
-        with open(new, "wb") as file:
-            file.write(text)
-            file.flush()
-        os.replace(new, self.bans)
+        """Replace the bans, whole, and their copy before them. Under the lock."""
+        replace_file(self.path / BANS_COPY, text)
+        replace_file(self.bans, text)
         self.seen = self.stamp()
 
     # What an old process leaves to a new one
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from lupintack import config, logs
-from lupintack.admin_service import AdminService, Listener
+from lupintack.admin_service import AdminService, FolderPlace, Listener
 from lupintack.clock import UNIX_OFFSET_US, module_ms, now_us
 from lupintack.core.actor import Close, Core, Stop
 from lupintack.core.copies import Copies, room
@@ -22,7 +22,6 @@
 from lupintack.fronts.platform import BODY_MOST, Platform
 from lupintack.http2.schedule import Priority
 from lupintack.interface import ListKind, MemberList
-from lupintack.lifecycle.folder import Folder
 from lupintack.peers.actor import Peer, Room, Terms
 from lupintack.reload import reload
 from lupintack.settings import files
@@ -52,13 +51,9 @@
     threading.Thread(target=target, name=name, daemon=True).start()
 
 
-def folder(conf: config.Config) -> Folder | None:
+def folder_place(conf: config.Config) -> FolderPlace | None:
     """What the processes of one router share; without one that can be used it starts all the same."""
-    try:
-        return Folder(conf.tmp, conf.name, f"{conf.listen[0]}:{conf.listen[1]}")
-    except OSError as error:
-        LOG.error("no folder to share with an upgrade", extra=logs.fields(reason=error))
-        return None
+    return FolderPlace(conf.tmp, conf.name, f"{conf.listen[0]}:{conf.listen[1]}") if conf.tmp else None
 
 
 class Node:
@@ -175,7 +170,7 @@
     def begin(self) -> None:
         """All but the fronts: the list of the start, discovery, members, and the second address."""
         if self.conf.admin is not None:
-            self.admin_service.join(folder(self.conf) if self.conf.tmp else None)
+            self.admin_service.join(folder_place(self.conf))
         first: list[Change] = []
         self.member_table.notify = first.append
         while not self.member_table.mailbox.empty():
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -212,6 +212,13 @@
     risk_at: float = -math.inf
     risk_peer: Peer | None = None
     erred: list[Attempt] = field(default_factory=list)
+    why: str = ""  # it was not sent, or its last attempt failed
+
+
+def unsent(req: Pending, why: str) -> bool:
+    """False, and for the staff why a request was not sent."""
+    req.why = why
+    return False
 
 
 class Router:
@@ -382,7 +389,7 @@
         """Send one attempt if any member may have it; again: to this cache, if it may."""
         ask, now = req.ask, self.now
         if req.sent >= min(req.most, self.settings.max_attempts) or now >= ask.deadline:
-            return False
+            return unsent(req, "its time is up" if now >= ask.deadline else "its attempts are spent")
         peer, cache_trial = self.pick_cache(req)
         if again is not None and again.ready and self.fits(again, self.sizes.sending[ask.cls]):
             peer, cache_trial = again, False
@@ -392,7 +399,7 @@
             peer, trial = (self.origin if writes else source), trial and not writes
             source = self.origin
         if peer is None or not self.may_repeat(req, peer):
-            return False
+            return unsent(req, "no member may be sent to" if peer is None else "it may have run")
         held_only = not writes and req.held
         aim = min(req.cls.aim + req.cls.aim_stretch * req.work, req.cls.deadline)
         late = 0.0 if req.sent or writes or cache_trial else self.expected(req, peer) / aim
@@ -400,7 +407,7 @@
         if late > LOOK_AT:
             idle = self.idle_cache(req)
             if idle is None and (late > SHED_AT or (peer.load or 0.0) > FULL_AT):
-                return False
+                return unsent(req, "its cache is busy")
             # What its cache holds can be had in time still; a fill would have to wait with the others.
             peer, source, trial = (idle, source, trial) if idle else (peer, None, False)
         if held_only and source is self.origin:
@@ -408,7 +415,7 @@
         fills = not writes and self.origin is not None and self.origin in (peer, source)
         if fills and not self.store.take(self.settings.store_fills, now):
             if peer is self.origin:
-                return False
+                return unsent(req, "the origin's fills are taken")
             source, trial, fills = None, False, False  # what its cache holds can be had still
         soft = max(SOFT_LEAST_MS, aim - SOFT_RESERVE * req.work - SOFT_MARGIN_MS)
         attempt = Attempt(peer, source, now, cache_trial or trial, now + aim, fills)
@@ -757,6 +764,7 @@
         # Danger: forty routers' saved-up attempts, all at an origin that has just stopped, stop it again.
         req.held |= event.note == Note.ORIGIN_FAILED
         bad = len(req.erred) >= ERRORS  # and so at fault itself, whoever is asked next
+        req.why = f"its last attempt ended as {event.outcome.name.lower()}"
         if self.extra >= 1.0 and in_time and not (over or unheld or bad):
             if attempt is not None and not cut and self.fill_failed(event):
                 self.hold(req, attempt)
@@ -825,4 +833,4 @@
         safe = req.cls.repeat == Repeat.SAFE or req.risk_peer is None or shared
         self.finish(req.ask.id)
         later = min(self.apart(RETRY_AFTER_MS), self.settings.max_retry_after)
-        self.out.append(Refuse(req.ask.id, later) if safe else Fail(req.ask.id))
+        self.out.append(Refuse(req.ask.id, later, req.why) if safe else Fail(req.ask.id, req.why))
--- a/lupintack/sockets.py
+++ b/lupintack/sockets.py
@@ -21,7 +21,9 @@
 PAUSE_S = 0.001  # between two tries of a call that failed for a moment
 TRIES = 200
 CONNECT_TRIES = 3
-ACCEPT_PAUSE_S = 0.02  # longest between two tries of an accept
+ACCEPT_FIRST_S = 0.0001  # between two tries of an accept, doubled with each that fails in a row
+ACCEPT_PAUSE_S = 0.02  # and at most
+ACCEPT_LASTS_S = 0.001  # from this pause on the want is no matter of a moment: connections are ended for room
 
 
 def passes(error: OSError) -> bool:
@@ -129,4 +131,4 @@
             self.in_a_row += 1
             return 0.0 if self.in_a_row <= TRIES else ACCEPT_PAUSE_S
         self.in_a_row += 1
-        return min(ACCEPT_PAUSE_S, PAUSE_S * float(1 << min(self.in_a_row - 1, 10)))
+        return min(ACCEPT_PAUSE_S, ACCEPT_FIRST_S * float(1 << min(self.in_a_row - 1, 10)))
--- a/lupintack/standins/edge.py
+++ b/lupintack/standins/edge.py
@@ -28,6 +28,8 @@
 from lupintack.standins.proxy import Proxy
 
 ROOT = Path(__file__).parents[2]
+SHIM = Path(__file__).parent / "shim"
+SHIM_LOOK_S = 0.06  # until a running process has seen a new plan
 START_PATIENCE_S = 30.0
 CLIENT_PATIENCE_S = 8.0
 
@@ -93,10 +95,19 @@
         new.write_text(json.dumps(self.data))
         new.replace(self.file)
 
+    def shim(self, **plan: Any) -> None:
+        """System calls of the process that fail from now on: standins/shim/sitecustomize.py says how."""
+        file = self.tmp / "shim.json"
+        new = file.with_suffix(".new")
+        new.write_text(json.dumps(plan))
+        new.replace(file)
+        time.sleep(SHIM_LOOK_S)
+
     def start(self, env: dict[str, str] | None = None, words: Iterable[str] = RUN) -> None:
         """Start the process, and don't wait for it."""
         told = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "LUPINTACK_"))}
         told |= {"EDGE_CONFIG": str(self.file), "TMPDIR": str(self.tmp), "EDGE_NAME": "n0"}
+        told |= {"PYTHONPATH": str(SHIM), "LUPINTACK_SHIM": str(self.tmp / "shim.json")}
         if self.admin is not None:
             told["EDGE_ADMIN_ADDR"] = f"127.0.0.1:{self.admin[1]}"
         self.began_s = time.monotonic()
--- /dev/null
+++ b/lupintack/standins/shim/sitecustomize.py
@@ -0,0 +1,151 @@
+"""Loaded by the interpreter of a router process under test, before anything else: system calls that fail.
+
+`LUPINTACK_SHIM` names a JSON file, read again when it changes, so a test can change it while the process
+runs:
+
+    {"seed": 7, "step_s": 3600, "short": 0.3, "faults": [{"call": "accept", "errno": "ENFILE", "part": 0.5}]}
+
+`step_s` is added to the wall clock. `short` is the part of reads and writes that carry a few bytes only. A
+fault lets so many of the calls fail; `"connected"`: true, only those on connections that this process opened;
+false, only others; `"broken": true`: the connection is ended as well, as by a real ETIMEDOUT.
+"""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+import random
+import socket
+import sys
+import time
+import weakref
+from typing import Any
+
+FEW_BYTES = 5
+LOOK_S = 0.02
+
+
+class Plan:
+    """What the file says now."""
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+        self.data: dict[str, Any] = {}
+        self.random = random.Random(0)
+        self.stamp = (0, 0)
+        self.looked = -1.0
+
+    def now(self) -> dict[str, Any]:
+        """The plan, as young as LOOK_S."""
+        at = REAL_MONOTONIC()
+        if at - self.looked > LOOK_S:
+            self.looked = at
+            try:
+                stat = os.stat(self.path)
+                if (stat.st_ino, stat.st_mtime_ns) != self.stamp:
+                    self.stamp = (stat.st_ino, stat.st_mtime_ns)
+                    with open(self.path) as file:
+                        self.data = json.load(file)
+                    self.random = random.Random(self.data.get("seed", 0))
+            except (OSError, ValueError):
+                pass  # being replaced just now
+        return self.data
+
+    def fail(self, call: str, sock: Any = None) -> None:
+        """Raise what the plan has for this call."""
+        for fault in self.now().get("faults", ()):
+            if fault["call"] != call:
+                continue
+            if "connected" in fault and fault["connected"] != (sock in CONNECTED):
+                continue
+            if self.random.random() < fault["part"]:
+                if fault.get("broken") and sock is not None:
+                    REAL["shutdown"](sock, socket.SHUT_RDWR)
+                code = getattr(errno, fault["errno"])
+                raise OSError(code, os.strerror(code))
+
+    def few(self) -> bool:
+        """Whether this read or write carries a few bytes only."""
+        part: float = self.now().get("short", 0.0)
+        return self.random.random() < part
+
+
+REAL_MONOTONIC, REAL_TIME, REAL_TIME_NS = time.monotonic, time.time, time.time_ns
+REAL = {
+    name: getattr(socket.socket, name)
+    for name in (
+        "accept", "connect", "recv", "recv_into", "send", "sendall", "sendmsg", "setsockopt", "shutdown",
+        "__init__",
+    )
+}  # fmt: skip
+REAL_OS = {name: getattr(os, name) for name in ("fsync", "replace", "pwrite")}
+CONNECTED: weakref.WeakSet[socket.socket] = weakref.WeakSet()
+PLAN = Plan(os.environ.get("LUPINTACK_SHIM", ""))
+
+
+def faulty(name: str) -> Any:
+    """A method that fails as planned, else does what it did."""
+
+    def call(sock: socket.socket, *args: Any, **more: Any) -> Any:
+        PLAN.fail(name, sock)
+        if name == "connect":
+            CONNECTED.add(sock)
+        return REAL[name](sock, *args, **more)
+
+    return call
+
+
+def recv(sock: socket.socket, size: int, flags: int = 0) -> bytes:
+    PLAN.fail("recv", sock)
+    data: bytes = REAL["recv"](sock, FEW_BYTES if PLAN.few() else size, flags)
+    return data
+
+
+def recv_into(sock: socket.socket, buffer: Any, size: int = 0, flags: int = 0) -> int:
+    PLAN.fail("recv", sock)
+    got: int = REAL["recv_into"](sock, buffer, FEW_BYTES if PLAN.few() and size > FEW_BYTES else size, flags)
+    return got
+
+
+def send(sock: socket.socket, data: Any, flags: int = 0) -> int:
+    PLAN.fail("send", sock)
+    done: int = REAL["send"](sock, memoryview(data)[:FEW_BYTES] if PLAN.few() else data, flags)
+    return done
+
+
+def sendmsg(sock: socket.socket, buffers: Any, ancillary: Any = (), flags: int = 0) -> int:
+    PLAN.fail("send", sock)
+    buffers = [memoryview(buffers[0])[:FEW_BYTES]] if PLAN.few() else buffers
+    done: int = REAL["sendmsg"](sock, buffers, ancillary, flags)
+    return done
+
+
+def faulty_os(name: str) -> Any:
+    def call(*args: Any, **more: Any) -> Any:
+        PLAN.fail(name)
+        return REAL_OS[name](*args, **more)
+
+    return call
+
+
+def init(sock: socket.socket, *args: Any, **more: Any) -> None:
+    if more.get("fileno") is None and len(args) < 4:  # not of an accept
+        PLAN.fail("socket")
+    REAL["__init__"](sock, *args, **more)
+
+
+def install() -> None:
+    """Put it all in place."""
+    cls: Any = socket.socket
+    for name in ("accept", "connect", "setsockopt"):
+        setattr(cls, name, faulty(name))
+    cls.recv, cls.recv_into, cls.send, cls.sendmsg, cls.__init__ = recv, recv_into, send, sendmsg, init
+    for name in REAL_OS:
+        setattr(os, name, faulty_os(name))
+    time.time = lambda: REAL_TIME() + PLAN.now().get("step_s", 0.0)
+    time.time_ns = lambda: REAL_TIME_NS() + int(PLAN.now().get("step_s", 0.0) * 1e9)
+
+
+if PLAN.path and "lupintack" in " ".join(sys.orig_argv):
+    install()
--- /dev/null
+++ b/tests/test_system_calls.py
@@ -0,0 +1,189 @@
+"""System calls that fail for a moment lose no request, and cost little: real processes, calls that fail on a
+seed.
+"""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lupintack.sockets import ACCEPT_PAUSE_S, TRIES, AcceptFailures
+from lupintack.standins.edge import ClientRecord, Edge, End
+
+LOOK_S = 1.2
+SERVED_PART = 0.9  # of all requests
+PACE_PART = 0.5  # of the requests that are served without faults in the same time
+
+
+@pytest.fixture
+def edge(tmp_path: Path) -> Iterator[Edge]:
+    one = Edge(tmp_path, admin=True)
+    one.fleet.board.prompt = True
+    try:
+        yield one
+    finally:
+        one.close()
+
+
+def fault(call: str, name: str, part: float, **more: Any) -> dict[str, Any]:
+    return {"call": call, "errno": name, "part": part, **more}
+
+
+ACCEPT = (
+    "ECONNABORTED",
+    "EPROTO",
+    "EINTR",
+    "ENETDOWN",
+    "EHOSTUNREACH",
+    "EPERM",
+    "ENFILE",
+    "ENOBUFS",
+    "ENOMEM",
+)
+PLANS: dict[str, dict[str, Any]] = {
+    **{f"accept {name}": {"faults": [fault("accept", name, 0.5)]} for name in ACCEPT},
+    **{
+        f"connect {name}": {"faults": [fault("connect", name, 0.3)]}
+        for name in ("EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "EAGAIN", "EHOSTUNREACH")
+    },
+    **{
+        f"socket {name}": {"faults": [fault("socket", name, 0.3)]} for name in ("ENFILE", "ENOBUFS", "EMFILE")
+    },
+    **{f"setsockopt {name}": {"faults": [fault("setsockopt", name, 0.33)]} for name in ("ENOBUFS", "ENOMEM")},
+    **{f"recv {name}": {"faults": [fault("recv", name, 0.15)]} for name in ("EINTR", "ENOBUFS", "ENOMEM")},
+    **{f"send {name}": {"faults": [fault("send", name, 0.15)]} for name in ("EINTR", "ENOBUFS", "ENOMEM")},
+    "short reads and writes": {"short": 0.3},
+    **{
+        f"a standing connection shows {name}": {
+            "faults": [fault("recv", name, 0.02, connected=True, broken=True)]
+        }
+        for name in ("ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET", "ENETUNREACH")
+    },
+}
+
+
+def played(edge: Edge, new_connections: bool) -> list[ClientRecord]:
+    """Requests of a look, each on a new connection or on kept ones."""
+    edge.requests, edge.over = [], threading.Event()
+    if new_connections:
+        threads = [threading.Thread(target=one_by_one, args=(edge,)) for _ in range(6)]
+        for thread in threads:
+            thread.start()
+        edge.clients += threads
+    else:
+        edge.load(6, gap_s=0.01)
+    time.sleep(LOOK_S)
+    return edge.stop()
+
+
+def one_by_one(edge: Edge) -> None:
+    while not edge.over.is_set():
+        sock = edge.connect()
+        if sock is not None:
+            edge.ask(sock)
+            sock.close()
+        time.sleep(0.01)
+
+
+@pytest.mark.parametrize("calls", ["accept", "connect", "socket", "setsockopt", "recv", "send", "short", "a"])
+def test_calls_that_fail_for_a_moment_lose_nothing(edge: Edge, calls: str) -> None:
+    """Each error of a call in turn, on one process; the pace is compared with a look without any."""
+    edge.start()
+    edge.ready()
+    new = calls in ("accept", "setsockopt")
+    before = len(played(edge, new))
+    for name, plan in PLANS.items():
+        if name.split()[0] != calls:
+            continue
+        edge.shim(seed=7, **plan)
+        requests = played(edge, new)
+        edge.shim()
+        cut = [one for one in requests if one.end is not End.ANSWERED]
+        served = sum(one.status == 200 for one in requests)
+        assert not cut, (name, len(cut), len(requests), edge.log()[-2000:])
+        assert served >= SERVED_PART * len(requests), (name, served, len(requests), edge.log()[-2000:])
+        assert len(requests) >= PACE_PART * before, (name, len(requests), before)
+
+
+def test_a_client_s_connection_that_breaks_in_any_way_is_a_client_that_left(edge: Edge) -> None:
+    """ETIMEDOUT used to end the thread without a word: its attempts went on for a client that was gone."""
+    edge.fleet.terms.delay_s = lambda name, cls: 0.4
+    edge.fleet.terms.fault = lambda name, cls: "error"  # so that another attempt would follow
+    edge.start()
+    edge.ready()
+    sock = edge.connect()
+    assert sock is not None
+    head = "GET /ops/map-tiles/00000000000000aa HTTP/1.1\r\nHost: x\r\nReq-Id: 9b1f03aa5c7e2d41\r\n"
+    sock.sendall(f"{head}Req-Wait-Ms: 3000\r\n\r\n".encode())
+    until = time.monotonic() + 3.0
+    while not edge.calls:
+        assert time.monotonic() < until
+        time.sleep(0.01)
+    edge.shim(seed=7, faults=[fault("recv", "ETIMEDOUT", 1.0, connected=False)])
+    sock.sendall(b"X")  # wakes its thread, whose next read fails
+    time.sleep(1.0)
+    edge.shim()
+    sock.close()
+    assert len(edge.calls) == 1, "an attempt for a client whose connection had broken"
+
+
+def test_an_accept_waits_only_for_what_the_machine_lacks() -> None:
+    counted: list[str] = []
+    failures = AcceptFailures(counted.append)
+    assert [failures.failed(OSError(103, "aborted")) for _ in range(50)] == [0.0] * 50
+    for _ in range(TRIES):
+        last = failures.failed(OSError(103, "aborted"))
+    assert last == ACCEPT_PAUSE_S, "an error that stays must not take the whole processor"
+    failures.succeeded()
+    pauses = [failures.failed(OSError(23, "table full")) for _ in range(10)]
+    assert pauses[0] < 0.002 and pauses == sorted(pauses) and pauses[-1] == ACCEPT_PAUSE_S
+    assert set(counted) == {"accept.econnaborted", "accept.enfile"}
+
+
+def test_a_folder_that_can_t_be_written_for_a_while_forgets_nothing(edge: Edge) -> None:
+    """What staff said binds at once, is said not to be kept, and is kept once it can be."""
+    edge.start()
+    edge.ready()
+    assert edge.staff("/api/exclude?name=s-1", "POST")[0] == 200
+    for name in ("ENOSPC", "EIO"):
+        edge.shim(seed=7, faults=[fault("fsync", name, 1.0), fault("pwrite", name, 1.0)])
+        assert edge.staff("/api/exclude?name=s-2", "POST")[0] == 500
+        edge.shim()
+        until = time.monotonic() + 3.0
+        while b"s-2" not in next(edge.tmp.glob("lupintack-*/bans.json")).read_bytes():
+            assert time.monotonic() < until, edge.log()
+            time.sleep(0.05)
+        edge.kill()
+        edge.start()
+        edge.ready()
+        assert edge.staff("/api/include?name=s-2", "POST")[0] == 200
+        assert edge.staff("/api/exclude?name=s-1", "POST")[1].startswith("out already")
+
+
+def test_a_folder_that_can_t_be_used_at_the_start_is_read_all_the_same_and_joined_later(edge: Edge) -> None:
+    edge.start()
+    edge.ready()
+    assert edge.staff("/api/exclude?name=s-1", "POST")[0] == 200
+    edge.kill()
+    edge.shim(seed=7, faults=[fault("pwrite", "EIO", 1.0), fault("fsync", "EIO", 1.0)])
+    edge.start()
+    edge.ready()
+    started = time.monotonic()
+    edge.load(4, gap_s=0.02)
+    time.sleep(1.0)
+    edge.stop()
+    assert edge.calls and not edge.calls_to(["s-1"], started)
+
+
+def test_sockets_of_other_families_and_options_that_never_take_are_no_fault() -> None:
+    from lupintack import sockets
+
+    with socket.socket() as sock:
+        assert not sockets.set_option(sock, socket.IPPROTO_TCP, 9999, 1)
+        assert sockets.set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
