--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -763,9 +763,8 @@
         in_time = cut or self.now + req.work < req.ask.deadline
         # Danger: forty routers' saved-up attempts, all at an origin that has just stopped, stop it again.
         req.held |= event.note == Note.ORIGIN_FAILED
-        bad = len(req.erred) >= ERRORS  # and so at fault itself, whoever is asked next
         req.why = f"its last attempt ended as {event.outcome.name.lower()}"
-        if self.extra >= 1.0 and in_time and not (over or unheld or bad):
+        if self.extra >= 1.0 and in_time and not (over or unheld or len(req.erred) >= ERRORS):
             if attempt is not None and not cut and self.fill_failed(event):
                 self.hold(req, attempt)
             if self.send(req):
