--- a/lupintack/standins/proxy.py
+++ b/lupintack/standins/proxy.py
@@ -35,6 +35,7 @@
         self.lock = threading.Lock()
         self.accepted = 0
         self.over = False
+        self.refusing = False
         self.sock = listen(self.serve)
         self.address = at(self.sock)
 
@@ -87,7 +88,11 @@
             pass
 
     def refuse(self) -> None:
-        """Refuse connections, and end those that are open."""
+        """Refuse connections, and end those that are open; once more changes nothing."""
+        with self.lock:
+            if self.refusing:
+                return
+            self.refusing = True
         host, _, port = self.address.partition(":")
         close(self.sock)
         self.sock = socket.socket()  # keeps the port
@@ -96,9 +101,11 @@
         self.cut()
 
     def back(self) -> None:
-        """Take connections again."""
-        if self.over:
-            return
+        """Take connections again, where they were refused."""
+        with self.lock:
+            if self.over or not self.refusing:
+                return
+            self.refusing = False
         address = self.sock.getsockname()
         self.sock.close()
         self.sock = listen(self.serve, address)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,96 @@
+"""The soak on fixed seeds, and that each of its counts can fail: `python -m lupintack.standins.soak` plays
+more.
+"""
+
+from __future__ import annotations
+
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+from lupintack.standins import soak
+from lupintack.standins.proxy import Fault
+from lupintack.standins.soak import Result, Soak, closing_line, play
+
+SEEDS = range(101, 107)
+BESIDE = 2
+
+
+class Directed(Soak):
+    """A run whose script hits what a planted fault needs: caches that break off, and a quiet discovery."""
+
+    def delay(self, name: str, cls: str) -> float:
+        return 0.1 if self.resetting else super().delay(name, cls)
+
+    def member_trouble(self) -> None:
+        self.resetting |= {"s-1", "s-2"}
+        self.later(2.0, self.resetting.clear)
+
+    def spoil_discovery(self) -> None:
+        self.say("discovery is left alone")
+
+
+class LateDiscovery(Directed):
+    """A run that begins with members that drain while discovery's bytes are held back."""
+
+    def start(self) -> None:
+        if not self.starts:
+            self.drain(["s-1", "p-1"])
+            self.edge.proxy.fault = Fault.HELD
+            self.later(2.5, lambda: setattr(self.edge.proxy, "fault", Fault.NONE))
+        super().start()
+
+
+def test_no_rule_is_broken_on_fixed_seeds() -> None:
+    with ThreadPoolExecutor(BESIDE) as pool:
+        results = list(pool.map(play, SEEDS))
+    print(closing_line(results))
+    broken = [(one.seed, one.counts.line(), one.script, one.notes) for one in results if one.counts.broken()]
+    assert not broken, broken
+    assert all(one.served > one.requests / 2 for one in results)
+
+
+def directed(seed: int, planted: str, kind: type[Soak]) -> Result:
+    with tempfile.TemporaryDirectory() as folder:
+        run = kind(seed, Path(folder), planted)
+        try:
+            return run.play()
+        finally:
+            run.close()
+
+
+PLANTED: dict[str, tuple[str, type[Soak]]] = {
+    "old_list": ("drained", LateDiscovery),
+    "no_answer": ("unanswered", Soak),
+    "two_answers": ("answered_twice", Soak),
+    "second_run": ("written_twice", Directed),
+    "gone_client": ("after_leaving", Directed),
+    "long_deadline": ("long_deadlines", Soak),
+    "no_budget": ("over_cold_budget", Directed),
+    "deaf_to_purges": ("stale", Directed),
+}
+
+
+@pytest.mark.parametrize("names", [list(PLANTED)[:4], list(PLANTED)[4:]])
+def test_each_count_can_fail(names: list[str]) -> None:
+    def run(name: str) -> int:
+        count, kind = PLANTED[name]
+        seeds = (1, 2) if kind is Soak else (1,)
+        return sum(getattr(directed(seed, name, kind).counts, count) for seed in seeds)
+
+    with ThreadPoolExecutor(2 * BESIDE) as pool:
+        found = dict(zip(names, pool.map(run, names), strict=True))
+    print(found)
+    assert all(found.values()), found
+
+
+def test_a_run_is_drawn_from_its_seed_alone() -> None:
+    scripts = []
+    for _ in range(2):
+        with tempfile.TemporaryDirectory() as folder:
+            run = Soak(3, Path(folder))
+            scripts.append([run.random.random() for _ in range(20)] + [float(run.crowded)])
+            run.close()
+    assert scripts[0] == scripts[1] and soak.RUN_S > 0
