Wait longer for the list beside an older process that serves

Cause: in an upgrade with discovery away the younger process took the clients after 4 s with the origin alone, though the older one had a list. Change: it waits up to 20 s there, or until the older one ends. Ruled out: handing the list over, as event numbers are each start's own.

--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -50,7 +50,7 @@
     followed.client.start(spawn)
     spent.append(time.process_time())
     from lupintack.fronts.cdni.conf import FILE, load
-    from lupintack.node import LIST_WAIT_S, Node
+    from lupintack.node import Node
 
     spent.append(time.process_time())
     try:
@@ -68,7 +68,7 @@
         print(f"lupintack: can't listen: {error}", file=sys.stderr)
         return 2
     node.begin()
-    if not wait_for_list(node, began + LIST_WAIT_S):
+    if not wait_for_list(node, began):
         node.abandon()
         LOG.info("stopped before it served", extra=logs.fields(node=conf.name))
         return 0
@@ -97,9 +97,9 @@
     threading.Thread(target=target, name=name, daemon=True).start()
 
 
-def wait_for_list(node: Node, until: float) -> bool:
+def wait_for_list(node: Node, began: float) -> bool:
     """Until the list is current, or its time is up; False where the process is to end."""
-    while not node.member_table.confirmed.is_set() and time.monotonic() < until:
+    while not node.member_table.confirmed.is_set() and time.monotonic() < began + node.list_wait_s():
         got = signal.sigtimedwait(SIGNALS, LIST_LOOK_S)
         if got is None:
             continue
--- a/lupintack/admin_service.py
+++ b/lupintack/admin_service.py
@@ -280,6 +280,10 @@
                 LOG.info("bans found", extra=fields(out=",".join(sorted(found.out))))
         return self.folder is not None
 
+    def older_serves(self) -> bool:
+        """Whether an older process of this router is ready: nothing is lost while this one waits."""
+        return any(one.phase == Phase.READY.value for one in self.partners)
+
     def started(self) -> None:
         with self.lock:
             self.life.started(now_us())
@@ -417,7 +421,7 @@
     def receive_handoff(self) -> None:
         """Before the first request: what an older process has left, waited for in vain for HANDOFF_S."""
         folder = self.folder
-        if folder is None or not any(o.phase == Phase.READY.value for o in self.partners):
+        if folder is None or not self.older_serves():
             return
         until = time.monotonic() + HANDOFF_S
         while (file := folder.handoff()) is None:
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -43,6 +43,7 @@
 KILL_S = 3.0  # SIGKILL comes after the longest deadline, counted as this where it is longer, and 0.7 s
 SPARE_S = 0.05  # and the end is so long before it
 LIST_WAIT_S = 4.0  # of a start, for discovery; with the start itself it stays under the 6 s of a short day
+UPGRADE_WAIT_S = 20.0  # beside an older process that serves: under the 30 s in which every start is ready
 FLUSH_S = 0.25  # so long before the end what is owed yet is failed, and slow clients take the rest
 
 
@@ -164,7 +165,7 @@
     def start(self) -> None:
         """Begin, wait for the list within its limit, and serve."""
         self.begin()
-        self.member_table.confirmed.wait(LIST_WAIT_S)
+        self.member_table.confirmed.wait(self.list_wait_s())
         self.serve()
 
     def begin(self) -> None:
@@ -190,6 +191,10 @@
         if self.admin is not None:
             spawn(self.admin_service.run, "upkeep")
 
+    def list_wait_s(self) -> float:
+        """How long a start may wait for the list: longer beside an older process, which goes on serving."""
+        return UPGRADE_WAIT_S if self.admin_service.older_serves() else LIST_WAIT_S
+
     def serve(self) -> None:
         """Take requests: with a list that is current, or with the origin alone until it is."""
         if not self.member_table.confirmed.is_set():
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -22,6 +22,7 @@
 from lupintack.lifecycle.bans import Bans
 from lupintack.lifecycle.folder import BANS, BANS_COPY, Folder, read_bans
 from lupintack.standins.edge import Edge, End, read_answer
+from lupintack.standins.net import free_ports
 from lupintack.standins.proxy import Fault
 
 SLACK_S = 0.15  # of a deadline that is passed on
@@ -240,6 +241,30 @@
     assert "the origin serves alone" in log and 'event="list is current"' in log
 
 
+def test_beside_an_older_process_that_serves_a_start_waits_longer_and_takes_nothing(edge: Edge) -> None:
+    """What the older one knows the younger doesn't: it must not take its clients with the origin alone."""
+    edge.start()
+    edge.ready()
+    older = edge.process
+    edge.proxy.refuse()
+    edge.admin = ("127.0.0.1", free_ports(1)[0])
+    edge.start()
+    time.sleep(5.0)
+    assert edge.staff("/api/ready") == (503, "starting; list not proved by discovery")
+    edge.load(4)
+    time.sleep(0.5)
+    assert {one.member for one in edge.calls} != {"o-1"}, "the older one serves still, and from its list"
+    edge.proxy.back()
+    until = time.monotonic() + 4.0
+    while edge.staff("/api/ready") != (200, "ready"):
+        assert time.monotonic() < until, edge.log()
+        time.sleep(0.02)
+    assert older is not None
+    older.terminate()
+    assert older.wait(5) == 0
+    assert all(one.end is End.ANSWERED for one in edge.stop())
+
+
 def test_a_silence_longer_than_the_rule_allows_stops_calls_to_all_but_the_origin(edge: Edge) -> None:
     """7 s and the shorter grace after the last proof; before that the list is used, as nothing forbids it."""
     edge.start()
