--- a/lupintack/discovery/client.py
+++ b/lupintack/discovery/client.py
@@ -26,7 +26,7 @@
 LINE_MOST = 4 << 20
 READ_BYTES = 65_536
 SILENT_S = 1.8  # a line comes each second; after so long without one the connection is held to be cut off
-SILENT_US = int(SILENT_S * 1e6)
+SLOW_PART = 2  # a second connection that tells nothing at all is given so many times that, and a fourth
 CONNECT_S = 1.0  # for a connect: with SILENT_S it stays well under the 4 s after which all counts as told
 AGAIN_S = 0.2  # between two tries, but for the first after a connection that told something; in the mean
 APART = 0.4  # they differ by up to this part, or all routers would come back to discovery in one moment
@@ -43,9 +43,9 @@
     Only whole lines count: half a line that drips on must not pass for a discovery that works.
     """
 
-    def __init__(self, now: int) -> None:
+    def __init__(self, now: int, patience_s: float = SILENT_S) -> None:
         self.rest = bytearray()
-        self.until_us = now + SILENT_US
+        self.until_us = now + int(patience_s * 1e6)
         self.connected_us = now
         self.proved_us = 0  # as of when a number has proved the table to be current, and is not passed on yet
         self.confirmed = False  # one has before
@@ -78,6 +78,7 @@
         self.turn = 0  # counts the moves: a reader of an earlier one ends
         self.stopped = threading.Event()
         self.started = False
+        self.silent_tries = 0  # connections in a row that have told nothing yet
 
     @property
     def last(self) -> int:
@@ -169,7 +170,8 @@
 
     def watch(self, sock: socket.socket, turn: int) -> None:
         """Read lines until the connection ends, discovery falls silent, or it moves."""
-        lines = LineBuffer(now_us())
+        lines = LineBuffer(now_us(), self.patience_s())
+        self.silent_tries += 1
         sock.sendall(self.request(turn))
         while turn == self.turn and not self.stopped.is_set():
             sock.settimeout(max(0.01, (lines.until_us - now_us()) / 1e6))
@@ -177,6 +179,14 @@
             self.read_behind(lines, sock, turn)
             self.confirm(lines, turn)
 
+    def patience_s(self) -> float:
+        """How long a new connection may tell nothing.
+
+        Guards against a discovery that is slow, not cut off: given up again and again it would never be
+        heard.
+        """
+        return SILENT_S * SLOW_PART if self.silent_tries % 2 else SILENT_S
+
     def read_behind(self, lines: LineBuffer, sock: socket.socket, turn: int) -> None:
         """What lies behind a proof: one that lay in the kernel for long may have a drain right behind it."""
         sock.settimeout(0.0)
@@ -204,7 +214,8 @@
             with self.lock:
                 if turn == self.turn and self.line(line, lines):
                     self.member_table.notified_us = now_us()
-                    lines.until_us = self.member_table.notified_us + SILENT_US
+                    lines.until_us = self.member_table.notified_us + int(SILENT_S * 1e6)
+                    self.silent_tries = 0
 
     def confirm(self, lines: LineBuffer, turn: int) -> None:
         """Pass a proof on, behind the events that came before it."""
--- a/lupintack/standins/proxy.py
+++ b/lupintack/standins/proxy.py
@@ -31,6 +31,7 @@
         self.target = target
         self.fault = Fault.NONE
         self.silent = False  # new connections are taken and never carried
+        self.delay_s = 0.0  # before the first bytes of a new connection
         self.conns: list[socket.socket] = []
         self.lock = threading.Lock()
         self.accepted = 0
@@ -61,6 +62,8 @@
     def copy(self, source: socket.socket, sink: socket.socket, spoilt: bool) -> None:
         """One way; `spoilt`: the way on which the fault acts."""
         rest = b""
+        if spoilt:
+            time.sleep(self.delay_s)
         try:
             while data := source.recv(CHUNK):
                 while spoilt and self.fault is Fault.HELD:
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
@@ -77,6 +78,21 @@
 }
 
 
+def test_a_discovery_that_is_slow_with_each_connection_is_heard_all_the_same(edge: Edge) -> None:
+    """Given up after 1.8 s each time, it would never prove the list."""
+    edge.proxy.delay_s = 2.5
+    edge.tell("s-1", "Terminating")
+    edge.start()
+    edge.ready()
+    edge.load(4)
+    until = time.monotonic() + 6.0
+    while not any(call.member == "s-2" for call in list(edge.calls)):
+        assert time.monotonic() < until, edge.log()
+        time.sleep(0.05)
+    edge.stop()
+    assert not edge.calls_to(["s-1"]) and "list is current" in edge.log()
+
+
 @pytest.mark.parametrize("name", FAULTS)
 def test_nothing_goes_to_what_drained_before_the_start(edge: Edge, name: str) -> None:
     for member in DRAINED:
