Purge all objects in the planted run that is deaf to purges; further names of the field

Cause: that run found 0 stale copies once beside four workers (one object of twenty purged, both caches resetting). Change: every object is purged there, and no member fails. heed, heard, told, see_off, lay, ends_first are renamed where touched.

--- a/lupintack/admin_service.py
+++ b/lupintack/admin_service.py
@@ -35,7 +35,7 @@
     Share,
     Side,
     UpgradePeer,
-    ends_first,
+    older_ends_first,
     share,
     side,
 )
@@ -305,7 +305,7 @@
         """
         until, waits = time.monotonic() + TURN_S, 0.0
         while (folder := self.folder) is not None and time.monotonic() < until:
-            if not ends_first((folder.born_ns, folder.pid), folder.others(), Phase.STOPPING.value):
+            if not older_ends_first((folder.born_ns, folder.pid), folder.others(), Phase.STOPPING.value):
                 break
             waits = 2 * LOOK_S
             time.sleep(LOOK_S / 2)
--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -130,8 +130,8 @@
         self.keys = Keys()
         self.bands = Bands()
         self.requests = RequestLog()
-        self.heard = 0  # the number of the last purge that the module has heard of
-        self.told = 0  # and of the last news of any kind (MemberTable.news)
+        self.purges_known = 0  # the number of the last purge that the module has heard of
+        self.updates_known = 0  # and of the last news of any kind (MemberTable.news)
         self.early: list[Ended] = []  # attempts held back by news that the module has yet to hear
         self.now = now_us()
         self.numbers = {cls.name: n for n, cls in enumerate(settings.classes)}  # of classes that are served
@@ -320,7 +320,7 @@
         one = self.owed.get(order.ask.number)
         if one is None or order.number not in one.live:
             return  # given up before: its end was told then
-        if ending is Ending.WITHDRAWN and self.told < self.member_table.updates and not one.over:
+        if ending is Ending.WITHDRAWN and self.updates_known < self.member_table.updates and not one.over:
             # Guards against a module that chooses the same again until its tries are spent: the write knows
             # news at once, the module when its turn hears them. The end is told after these.
             self.early.append(message)
@@ -341,7 +341,7 @@
         """Whether a purge has come since an attempt was decided: its answer may be older, whatever its
         stamp.
         """
-        return self.member_table.purged_since(order.ask, order.heard)
+        return self.member_table.purged_since(order.ask, order.purges_known)
 
     def verdict(self, one: Owed, order: Order, ending: Ending, message: Ended | None) -> AttemptEnded:
         """The end of an attempt in the module's words."""
@@ -366,8 +366,8 @@
 
     def on_change(self, change: Change, events: list[Event], held: list[Callable[[], None]]) -> None:
         """The list has changed, or something was purged."""
-        self.heard = max(self.heard, change.number)
-        self.told = max(self.told, change.upto)
+        self.purges_known = max(self.purges_known, change.number)
+        self.updates_known = max(self.updates_known, change.upto)
         if change.purge is not None and self.copies is not None:
             self.copies.purge(change.purge.object_id, change.purge.group, change.purge.unix_ms)
         for number, host in change.hosts:
@@ -466,7 +466,7 @@
         if one is None or one.over or self.copies is None:
             return
         answer, holds = None, False
-        if not self.member_table.purged_since(one.ask, self.heard):
+        if not self.member_table.purged_since(one.ask, self.purges_known):
             answer, holds = self.copies.take(one.ask, self.now)
         if answer is None:
             self.finish(number, one, Refuse(number, 0.0, "its own copy was purged"))  # nothing ran
@@ -524,7 +524,7 @@
             renew=action.renew,
             held_only=action.held_only,
             decided_us=self.now,
-            heard=self.heard,
+            purges_known=self.purges_known,
             stale=self.member_table.stale,
         )
         one.sent += 1
@@ -557,7 +557,12 @@
     def log_attempt(self, one: Owed, order: Order, member: str) -> None:
         """A further attempt, with the end of the one before; or one beside a change of the list."""
         after = one.last_end.name.lower() if one.last_end is not None else "nothing has ended"
-        told = {"member": member, "source": order.source_host, "attempt": order.number, "update": self.told}
+        told = {
+            "member": member,
+            "source": order.source_host,
+            "attempt": order.number,
+            "update": self.updates_known,
+        }
         if order.number:
             self.requests.line("attempt again", self.now, one.ask, after=after, **told)
         else:
--- a/lupintack/core/member_table.py
+++ b/lupintack/core/member_table.py
@@ -212,20 +212,20 @@
             host = self.hosts.get(number)
             if number and (host is None or host.state is not State.READY or number in self.banned):
                 return True
-        return self.purged_since(order.ask, order.heard)
+        return self.purged_since(order.ask, order.purges_known)
 
     def depends_on_list(self, order: Order) -> bool:
         """Whether the attempt goes to, or is filled from, any member but the origin."""
         hosts = (self.hosts.get(number) for number in (order.member, order.source) if number)
         return any(host is None or host.kind != self.origin_kind for host in hosts)
 
-    def purged_since(self, ask: ClientRequest, heard: int) -> bool:
-        """Whether a purge binds a request of which the module, having heard those up to `heard`, knows
+    def purged_since(self, ask: ClientRequest, known: int) -> bool:
+        """Whether a purge binds a request of which the module, knowing those up to `known`, knows
         nothing.
         """
         one, group = self.purged.get((True, ask.object_id)), self.purged.get((False, ask.group))
         last = max(self.floor, one[1] if one else 0, group[1] if group else 0)
-        return last > heard and not ask.write
+        return last > known and not ask.write
 
     # The actor
 
@@ -310,7 +310,7 @@
         """A member as it may be acted on: under the operators' bans, and as a draining one while the table's
         age is not known.
         """
-        state, born = bans.lay(host.name, host.state, host.born_unix_ms)
+        state, born = bans.apply_to(host.name, host.state, host.born_unix_ms)
         if state is State.READY and not self.current and host.kind != self.origin_kind:
             state = State.DRAINING
         same = state is host.state and born == host.born_unix_ms
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -421,7 +421,7 @@
         except OSError:
             pass
 
-    def see_off(self) -> None:
+    def drain_connection(self) -> None:
         """After an end of ours: say so, and read what crosses it, until the client has closed, too.
 
         Guards against a close over unread bytes: it resets the connection, and what the client has not read
@@ -458,7 +458,7 @@
         if exchange is not None:
             exchange.on_left()
         if self.leaving:
-            self.see_off()
+            self.drain_connection()
         self.over, self.leaving = True, False
         sockets.close(self.sock)
         self.server.forget(self)
--- a/lupintack/lifecycle/bans.py
+++ b/lupintack/lifecycle/bans.py
@@ -44,7 +44,7 @@
         self.back[name] = now
         return True
 
-    def lay(self, name: str, state: State, born_ms: float) -> tuple[State, float]:
+    def apply_to(self, name: str, state: State, born_ms: float) -> tuple[State, float]:
         """A member as it is to be held, where the list says this.
 
         What is out is draining, however often the list calls it ready. What came back may have been started
--- a/lupintack/lifecycle/upgrade_peer.py
+++ b/lupintack/lifecycle/upgrade_peer.py
@@ -72,7 +72,7 @@
         return self.place != before
 
 
-def ends_first(mine: tuple[int, int], others: list[UpgradePeer], stopping: str) -> bool:
+def older_ends_first(mine: tuple[int, int], others: list[UpgradePeer], stopping: str) -> bool:
     """Whether a process that ends has to go on listening: an older one ends, too, and has not closed yet.
 
     Guards against connections that go to its queue in the moment in which the older one's place is empty.
--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -350,13 +350,13 @@
         while self.mailbox and self.running.acquire(blocking=False):
             try:
                 while self.mailbox:
-                    self.heed(self.mailbox.popleft())
+                    self.handle(self.mailbox.popleft())
                 if self.waiting:
                     self.place()
             finally:
                 self.running.release()
 
-    def heed(self, message: Message) -> None:
+    def handle(self, message: Message) -> None:
         if isinstance(message, Send):
             self.waiting.append(message.order)
         elif isinstance(message, GiveUp):
--- a/lupintack/standins/soak.py
+++ b/lupintack/standins/soak.py
@@ -45,6 +45,7 @@
 COLD_FROM, WARM_AFTER_S, FALL_MULTIPLE, SHARE = 0.2, 4.0, 2.0, 1.0
 READY_MOST_S = 10.0
 CROWD = 50
+ITEMS = 20  # that are asked for again and again
 CALLS = (
     ("accept", 0.2, ("ECONNABORTED", "ENFILE", "EPROTO")),
     ("connect", 0.1, ("EADDRNOTAVAIL", "ENOBUFS", "ENETUNREACH")),
@@ -186,7 +187,9 @@
         self.say(f"{name} back, cold")
 
     def purge(self) -> None:
-        item = f"{self.random.randrange(1, 21):016x}"
+        self.purge_item(f"{self.random.randrange(1, ITEMS + 1):016x}")
+
+    def purge_item(self, item: str) -> None:
         now, unix_ms = time.monotonic(), int(time.time() * 1000)
         self.fleet.board.purge(asset=item)
         self.purges.append((now, unix_ms, item, self.counts_from(now)))
@@ -281,7 +284,7 @@
             self.spoil_discovery()
         self.start()
         self.wait_ready()
-        self.edge.load(8, gap_s=0.02, wait_ms=WAIT_MS, items=20)
+        self.edge.load(8, gap_s=0.02, wait_ms=WAIT_MS, items=ITEMS)
         others = [threading.Thread(target=one, daemon=True) for one in (self.write, self.leave)]
         for thread in others:
             thread.start()
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -23,7 +23,7 @@
     Share,
     Side,
     UpgradePeer,
-    ends_first,
+    older_ends_first,
     share,
     side,
 )
@@ -107,7 +107,7 @@
         assert parse(bans.dump()) == bans
         for one in ("s-1", "s-2", "p-1"):
             for state in State:
-                laid = bans.lay(one, state, 0.0)[0]
+                laid = bans.apply_to(one, state, 0.0)[0]
                 assert laid is not State.READY or one not in out
                 assert laid is state or (one in out and state is State.READY)
 
@@ -118,9 +118,9 @@
     bans.exclude("s-1", 2000.0)
     assert bans.out == {"s-1": 1000.0}
     bans.include("s-1", 5000.0)
-    assert bans.lay("s-1", State.READY, 0.0) == (State.READY, 5000.0)
-    assert bans.lay("s-1", State.READY, 6000.0) == (State.READY, 6000.0)
-    assert bans.lay("s-2", State.READY, 0.0) == (State.READY, 0.0)
+    assert bans.apply_to("s-1", State.READY, 0.0) == (State.READY, 5000.0)
+    assert bans.apply_to("s-1", State.READY, 6000.0) == (State.READY, 6000.0)
+    assert bans.apply_to("s-2", State.READY, 0.0) == (State.READY, 0.0)
     bans.include("s-2", 5000.0 + 700_000.0)
     assert bans.back == {}  # long warm
 
@@ -260,8 +260,8 @@
 
 def test_of_two_that_end_the_older_closes_first() -> None:
     older, mine, younger = UpgradePeer(1, 1, "stopping"), (2, 2), UpgradePeer(3, 3, "ready")
-    assert ends_first(mine, [older, younger], "stopping")
-    assert not ends_first(mine, [UpgradePeer(1, 1, CLOSED), younger], "stopping")
-    assert not ends_first(mine, [UpgradePeer(1, 1, "ready"), younger], "stopping")
-    assert not ends_first(mine, [older], "stopping"), "nobody steers: no place moves"
-    assert not ends_first((1, 1), [UpgradePeer(2, 2, "stopping"), younger], "stopping")
+    assert older_ends_first(mine, [older, younger], "stopping")
+    assert not older_ends_first(mine, [UpgradePeer(1, 1, CLOSED), younger], "stopping")
+    assert not older_ends_first(mine, [UpgradePeer(1, 1, "ready"), younger], "stopping")
+    assert not older_ends_first(mine, [older], "stopping"), "nobody steers: no place moves"
+    assert not older_ends_first((1, 1), [UpgradePeer(2, 2, "stopping"), younger], "stopping")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,6 +32,17 @@
         self.say("discovery is left alone")
 
 
+class Purging(Directed):
+    """A run in which every object is purged, and no member fails."""
+
+    def member_trouble(self) -> None:
+        self.say("members are left alone")
+
+    def purge(self) -> None:
+        for number in range(1, soak.ITEMS + 1):
+            self.purge_item(f"{number:016x}")
+
+
 class LateDiscovery(Directed):
     """A run that begins with members that drain while discovery's bytes are held back."""
 
@@ -69,7 +80,7 @@
     "gone_client": ("after_leaving", Directed),
     "long_deadline": ("long_deadlines", Soak),
     "no_budget": ("over_cold_budget", Directed),
-    "deaf_to_purges": ("stale", Directed),
+    "deaf_to_purges": ("stale", Purging),
 }
 
 
