--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -165,8 +165,8 @@
     ask = ClientRequest("0" * 16, 2, "0" * 16, 1, 0, 0, now_us() + 10_000_000, sink, cls_name="post")
     values: dict[str, Any] = dict(
         ask=ask, number=0, member=11, source=0, cls_name="post", source_host="", keep=0, max_age_ms=0.0,
-        join=False, renew=False, held_only=False, decided_us=now_us(), purges_known=0, stale=lambda one:
-        False,
+        join=False, renew=False, held_only=False, decided_us=now_us(), purges_known=0,
+        stale=lambda one: False,
     )  # fmt: skip
     return Order(**(values | changes))
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -656,6 +656,26 @@
             {fill}
         """)
 
+    def test_what_was_under_way_at_a_purge_is_not_kept_whatever_its_stamp_says(self) -> None:
+        fill = f"""client a send GET {TILE}
+            cache expect w
+            cache send w ok entity=t,issued={{now}} old
+            client a expect 200"""
+        Scenario(link=1e6).run(f"""
+            board expect watch 1
+            {fill}
+            client a send GET {TILE}
+            cache expect w
+            board send {{"rev":2,"flush":{{"asset":"00000000000000aa","ms":{{now-5000}}}}}}
+            board send 2
+            board heard 2
+            wait 150
+            cache send w ok entity=t,issued={{now}} old
+            client a expect 200
+            client a send GET {TILE}
+            cache expect v
+        """)
+
     def test_none_is_served_once_too_old_or_while_the_link_is_behind_or_the_board_silent(self) -> None:
         fill = f"""client a send GET {TILE}
             cache expect w
