Part HTTP/1.1's messages and arrival times from its connections

Change: http1_messages.py (heads, pure), arrivals.py (when bytes came, pure), one fixture for three test files; no behaviour changes.

--- a/lupintack/fronts/cdni/client.py
+++ b/lupintack/fronts/cdni/client.py
@@ -8,7 +8,7 @@
 
 from lupintack.clock import now_us
 from lupintack.fronts.exchange import Bad
-from lupintack.fronts.http1 import parse_fields
+from lupintack.fronts.http1_messages import parse_fields
 
 BODY_MOST = 1 << 20
 HEAD_MOST = 16384
--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -12,20 +12,19 @@
 import struct
 import threading
 import time
-from collections import deque
 from collections.abc import Callable, Iterable
 
 from lupintack import sockets
 from lupintack.clock import now_us
 from lupintack.core import presence
-from lupintack.fronts.exchange import REASONS, Bad, Exchange, HttpRequest, nothing
+from lupintack.fronts.arrivals import Arrivals
+from lupintack.fronts.exchange import Bad, Exchange, HttpRequest, nothing
+from lupintack.fronts.http1_messages import head, parse_head
 from lupintack.fronts.listener import BACKLOG, bound
 from lupintack.logs import LineLimit, fields
 
 LOG = logging.getLogger("http1")
 HEAD_MOST = 8192
-HEADERS_MOST = 64
-LENGTH_DIGITS = 12
 READ = 16384
 FIRST_S = 2.0  # for a connection's first whole request, and for the rest of any that has begun
 IDLE_S = 6.0  # between requests: over the 4 s after which clients close idle connections
@@ -42,68 +41,7 @@
 CROSS_LOOK_S = 0.01  # between two looks at a connection whose reading we have ended
 LINES_PER_S = 5  # on accepts that fail
 LOOK_S = 0.03  # between two looks whether a client has left, where its end can't be waited for
-TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+"
-REQUEST_LINE = re.compile(rf"({TOKEN}) ([!-~]+) HTTP/(\d\.\d)")
 BARE = re.compile(rb"(?<!\r)\n|\r[^\n]")  # a line end that others may read as one, and we don't
-FIELD = re.compile(rf"({TOKEN}):[ \t]*([^\0\r\n]*?)[ \t]*")
-
-
-def parse_fields(lines: list[str]) -> dict[str, str]:
-    """Header fields; of those given twice a list is made, but those that frame the message come once."""
-    if len(lines) > HEADERS_MOST:
-        raise Bad(431, "too many header fields")
-    headers: dict[str, str] = {}
-    field = FIELD.fullmatch
-    for line in lines:
-        match = field(line)
-        if match is None:
-            raise Bad(400, "not a header field")
-        key, value = match.groups()
-        key = key.lower()
-        if key in headers:
-            if key in ("content-length", "host", "transfer-encoding"):
-                raise Bad(400, f"two of {key}")
-            value = f"{headers[key]}, {value}"
-        headers[key] = value
-    return headers
-
-
-def parse_head(raw: bytes, bodyless: bool = False) -> tuple[HttpRequest, int]:
-    """A request's head, and the length of the body that follows; bodyless: a POST may name none."""
-    lines = raw.decode("latin-1").split("\r\n")
-    match = REQUEST_LINE.fullmatch(lines[0])
-    if match is None:
-        raise Bad(400, "not a request line")
-    method, target, version = match.groups()
-    if version not in ("1.1", "1.0"):
-        raise Bad(505, "not HTTP/1.1")
-    headers = parse_fields(lines[1:])
-    if version == "1.1" and "host" not in headers:
-        raise Bad(400, "no Host")
-    if "transfer-encoding" in headers:
-        if "content-length" in headers:
-            raise Bad(400, "Content-Length beside Transfer-Encoding")
-        raise Bad(501, "transfer codings are not supported")
-    length = headers.get("content-length", "0")
-    if not (length.isascii() and length.isdigit()):
-        raise Bad(400, "Content-Length is no number")
-    length = length.lstrip("0") or "0"
-    if len(length) > LENGTH_DIGITS:
-        raise Bad(413, "the body is too long")  # cut off, it would be another length: the rest a request
-    if method in ("PUT", "POST") and "content-length" not in headers and not bodyless:
-        raise Bad(411, "Content-Length is wanted")
-    options = headers["connection"].lower().replace(" ", "").split(",") if "connection" in headers else []
-    close = "close" in options or (version == "1.0" and "keep-alive" not in options)
-    return HttpRequest(method, target, headers, close=close), int(length)
-
-
-def head(status: int, headers: Iterable[tuple[str, object]], length: int | None) -> bytes:
-    """The head of an answer."""
-    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    if length is not None:
-        lines.append(f"Content-Length: {length}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
 
 
 class Http1Exchange:
@@ -145,8 +83,7 @@
         self.peer_ip = peer_ip
         self.buffer = bytearray()
         self.early_most = HEAD_MOST + server.body_most
-        self.total = self.consumed = 0  # bytes that came, and of them taken off the buffer
-        self.arrivals: deque[tuple[int, int]] = deque()  # how many had come, and when
+        self.arrivals = Arrivals()
         self.lock = threading.Lock()
         self.answered = threading.Condition(self.lock)
         self.open: Http1Exchange | None = None
@@ -284,17 +221,12 @@
     def received(self, data: bytes) -> None:
         """Bytes, and when they came."""
         self.buffer += data
-        self.total += len(data)
-        if data:
-            self.arrivals.append((self.total, now_us()))
+        self.arrivals.came(len(data), now_us())
 
     def consume(self, length: int) -> int:
-        """Take bytes off the buffer; when the last of them came, or the last before them."""
+        """Take bytes off the buffer; when the last of them came."""
         del self.buffer[:length]
-        self.consumed += length
-        while len(self.arrivals) > 1 and self.arrivals[0][0] < self.consumed:
-            self.arrivals.popleft()
-        return self.arrivals[0][1] if self.arrivals else now_us()
+        return self.arrivals.taken(length, now_us())
 
     def cut(self, where: str) -> Bad:
         """Why a request is not whole."""
--- /dev/null
+++ b/lupintack/fronts/http1_messages.py
@@ -0,0 +1,72 @@
+"""HTTP/1.1 messages: a request's head as bytes to a record, and the head of an answer. Pure."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+
+from lupintack.fronts.exchange import REASONS, Bad, HttpRequest
+
+HEADERS_MOST = 64
+LENGTH_DIGITS = 12
+TOKEN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+REQUEST_LINE = re.compile(rf"({TOKEN}) ([!-~]+) HTTP/(\d\.\d)")
+FIELD = re.compile(rf"({TOKEN}):[ \t]*([^\0\r\n]*?)[ \t]*")
+
+
+def parse_fields(lines: list[str]) -> dict[str, str]:
+    """Header fields; of those given twice a list is made, but those that frame the message come once."""
+    if len(lines) > HEADERS_MOST:
+        raise Bad(431, "too many header fields")
+    headers: dict[str, str] = {}
+    field = FIELD.fullmatch
+    for line in lines:
+        match = field(line)
+        if match is None:
+            raise Bad(400, "not a header field")
+        key, value = match.groups()
+        key = key.lower()
+        if key in headers:
+            if key in ("content-length", "host", "transfer-encoding"):
+                raise Bad(400, f"two of {key}")
+            value = f"{headers[key]}, {value}"
+        headers[key] = value
+    return headers
+
+
+def parse_head(raw: bytes, bodyless: bool = False) -> tuple[HttpRequest, int]:
+    """A request's head, and the length of the body that follows; bodyless: a POST may name none."""
+    lines = raw.decode("latin-1").split("\r\n")
+    match = REQUEST_LINE.fullmatch(lines[0])
+    if match is None:
+        raise Bad(400, "not a request line")
+    method, target, version = match.groups()
+    if version not in ("1.1", "1.0"):
+        raise Bad(505, "not HTTP/1.1")
+    headers = parse_fields(lines[1:])
+    if version == "1.1" and "host" not in headers:
+        raise Bad(400, "no Host")
+    if "transfer-encoding" in headers:
+        if "content-length" in headers:
+            raise Bad(400, "Content-Length beside Transfer-Encoding")
+        raise Bad(501, "transfer codings are not supported")
+    length = headers.get("content-length", "0")
+    if not (length.isascii() and length.isdigit()):
+        raise Bad(400, "Content-Length is no number")
+    length = length.lstrip("0") or "0"
+    if len(length) > LENGTH_DIGITS:
+        raise Bad(413, "the body is too long")  # cut off, it would be another length: the rest a request
+    if method in ("PUT", "POST") and "content-length" not in headers and not bodyless:
+        raise Bad(411, "Content-Length is wanted")
+    options = headers["connection"].lower().replace(" ", "").split(",") if "connection" in headers else []
+    close = "close" in options or (version == "1.0" and "keep-alive" not in options)
+    return HttpRequest(method, target, headers, close=close), int(length)
+
+
+def head(status: int, headers: Iterable[tuple[str, object]], length: int | None) -> bytes:
+    """The head of an answer."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,11 +4,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 from hypothesis import settings
 
+from lupintack.standins.edge import Edge
+
 # What a property holds must not depend on how busy the machine is: no example has a deadline.
 settings.register_profile("lupintack", deadline=None)
 settings.load_profile("lupintack")
@@ -24,6 +27,19 @@
 }  # fmt: skip
 
 
+@pytest.fixture
+def edge(tmp_path: Path) -> Iterator[Edge]:
+    """One router process before stand-ins, with a second address, and discovery that says its number at
+    once.
+    """
+    one = Edge(tmp_path, admin=True)
+    one.fleet.board.prompt = True
+    try:
+        yield one
+    finally:
+        one.close()
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """One worker has the lane, which is the longest, and so comes first."""
     for item in items:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -18,7 +18,7 @@
 from typing import Any
 
 from lupintack.core.ending import Ending
-from lupintack.fronts import http1
+from lupintack.fronts import http1, http1_messages
 from lupintack.fronts.cdni.conf import Content
 from lupintack.fronts.cdni.delivery import Delivery
 from lupintack.peers import actor
@@ -192,7 +192,7 @@
         """,
             close=False,
         )
-        gate, real = threading.Event(), http1.parse_head
+        gate, real = threading.Event(), http1_messages.parse_head
 
         def slow(raw: bytes, bodyless: bool = False) -> Any:
             gate.wait(5)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -20,7 +20,7 @@
 from lupintack import node as main
 from lupintack.core import actor as core
 from lupintack.discovery import client as discovery_client
-from lupintack.fronts import exchange, http1
+from lupintack.fronts import exchange, http1, http1_messages
 from lupintack.lifecycle import state
 from lupintack.peers import actor, resp
 from lupintack.standins import deployment
@@ -161,7 +161,7 @@
         """,
             close=False,
         )
-        gate, real = threading.Event(), http1.parse_head
+        gate, real = threading.Event(), http1_messages.parse_head
 
         def slow(raw: bytes, bodyless: bool = False) -> tuple[exchange.HttpRequest, int]:
             gate.wait(5)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -7,8 +7,6 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator
-from pathlib import Path
 from typing import Any
 
 import pytest
@@ -21,16 +19,6 @@
 PACE_PART = 0.5  # of the requests that are served without faults in the same time
 
 
-@pytest.fixture
-def edge(tmp_path: Path) -> Iterator[Edge]:
-    one = Edge(tmp_path, admin=True)
-    one.fleet.board.prompt = True
-    try:
-        yield one
-    finally:
-        one.close()
-
-
 def fault(call: str, name: str, part: float, **more: Any) -> dict[str, Any]:
     return {"call": call, "errno": name, "part": part, **more}
 
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -29,16 +29,6 @@
 STEPS_S = (30.0, 3600.0, -30.0, -3600.0)
 
 
-@pytest.fixture
-def edge(tmp_path: Path) -> Iterator[Edge]:
-    one = Edge(tmp_path, admin=True)
-    one.fleet.board.prompt = True
-    try:
-        yield one
-    finally:
-        one.close()
-
-
 def head(number: int, wait_ms: int) -> str:
     """A request's head, but for the empty line."""
     told = f"GET /ops/map-tiles/{number:016x} HTTP/1.1\r\nHost: x\r\nReq-Id: {number:016x}\r\n"
