--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -11,6 +11,7 @@
 import json
 import os
 import signal
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -18,12 +19,19 @@
 
 import pytest
 
+from lupintack import operator
+from lupintack.config import parse
 from lupintack.core.member_table import MemberTable
+from lupintack.fronts.cdni import conf as cdni_conf
 from lupintack.lifecycle.bans import Bans
 from lupintack.lifecycle.folder import BANS, BANS_COPY, Folder, read_bans
+from lupintack.node import Node
 from lupintack.standins.edge import Edge, End, read_answer
+from lupintack.standins.fleet import Fleet
 from lupintack.standins.net import free_ports
+from lupintack.standins.processes import call as call_staff
 from lupintack.standins.proxy import Fault
+from tests.site import CDNI
 
 SLACK_S = 0.15  # of a deadline that is passed on
 STEPS_S = (30.0, 3600.0, -30.0, -3600.0)
@@ -195,6 +203,33 @@
     assert "stopped before it served" in edge.log()
 
 
+def test_no_front_takes_a_connection_before_the_list_is_current() -> None:
+    """HTTP/1.1, HTTP/2 and CDNI over both: refused, and so never owed anything; the second address
+    answers.
+    """
+    fleet = Fleet()
+    fleet.board.prompt = False
+    http2 = {"enabled": True, "listen": "127.0.0.1:0", "cdni_listen": "127.0.0.1:0"}
+    wanted = operator.parse({"http2": http2}, "operator.toml")
+    conf = parse(fleet.configuration() | {"admin_addr": "127.0.0.1:0"}, {})
+    node = Node(conf, cdni_conf.parse(CDNI, "cdni.toml", conf.names.classes), wanted)
+    try:
+        node.begin()
+        assert len(node.servers) == 4 and node.admin is not None
+        for server in node.servers:
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(server.sock.getsockname(), timeout=1.0)
+        assert call_staff(node.admin.sock.getsockname(), "GET", "/api/ready")[0] == 503
+        node.member_table.confirmed.wait(3.0)
+        node.serve()
+        for server in node.servers:
+            socket.create_connection(server.sock.getsockname(), timeout=1.0).close()
+        assert call_staff(node.admin.sock.getsockname(), "GET", "/api/ready") == (200, "ready")
+    finally:
+        node.end()
+        fleet.close()
+
+
 def test_sighup_while_the_list_is_waited_for_moves_discovery_also_several_in_a_row(edge: Edge) -> None:
     edge.proxy.fault = Fault.HELD
     edge.start()
