--- a/lupintack/standins/soak.py
+++ b/lupintack/standins/soak.py
@@ -17,7 +17,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field, fields
+from dataclasses import fields
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -25,25 +25,29 @@
 import click
 
 from lupintack.standins import deployment
-from lupintack.standins.edge import Edge, End
+from lupintack.standins.edge import Edge
 from lupintack.standins.fleet import Fleet, Terms
 from lupintack.standins.processes import RUN
 from lupintack.standins.proxy import Fault, Proxy
+from lupintack.standins.soak_counts import (
+    COLD_FROM,
+    DELAY_S,
+    FALL_MULTIPLE,
+    GRACE_S,
+    SHARE,
+    WARM_AFTER_S,
+    Counts,
+    History,
+    Result,
+    Told,
+    count,
+)
 
 WAIT_MS = 1200
-DELAY_S = 0.02  # of each answer of a member: its sending time
-GRACE_S = 0.5  # the deployment's, for a drain
-PURGE_GRACE_S = 0.3
 NOTICE_S = 7.0  # after which an event counts as notified, whatever became of it
-SLACK_S = 0.1  # a limit on sockets is 50 ms longer, and a busy machine takes its time
-DEADLINE_SLACK_S = 0.15
-LEFT_SLACK_S = 0.1
 KILL_AFTER_S = WAIT_MS / 1000 + 0.7  # of SIGTERM: the longest deadline, and 0.7 s
-LATE_S = 0.5  # after its time an answer counts as none
 RECONNECT_S = 2.2  # from the end of discovery's trouble until all it told has come at the latest
 RUN_S = 8.0
-COLD_FROM, WARM_AFTER_S, FALL_MULTIPLE, SHARE = 0.2, 4.0, 2.0, 1.0
-READY_MOST_S = 10.0
 CROWD = 50
 ITEMS = 20  # that are asked for again and again
 CALLS = (
@@ -66,50 +70,6 @@
 }
 
 
-@dataclass
-class Counts:
-    """What a run broke; each is a number of cases."""
-
-    drained: int = 0  # calls to or from draining servers later than the grace
-    unanswered: int = 0
-    answered_twice: int = 0
-    written_twice: int = 0
-    after_leaving: int = 0  # attempts later than 0.1 s after their client went
-    long_deadlines: int = 0
-    over_cold_budget: int = 0
-    stale: int = 0  # copies from before a purge
-    late_starts: int = 0
-    crashes: int = 0
-
-    def broken(self) -> int:
-        return sum(getattr(self, one.name) for one in fields(self))
-
-    def line(self) -> str:
-        return " ".join(f"{one.name}={getattr(self, one.name)}" for one in fields(self))
-
-
-@dataclass
-class Told:
-    """An event as discovery has it: when, and from when on it counts as notified."""
-
-    at_s: float
-    name: str
-    counts_s: float
-
-
-@dataclass
-class Result:
-    """One run."""
-
-    seed: int
-    counts: Counts
-    script: list[str]
-    ready_s: list[float] = field(default_factory=list)
-    requests: int = 0
-    served: int = 0
-    notes: list[str] = field(default_factory=list)
-
-
 class Soak:
     """One run: a script drawn from the seed, then the counts."""
 
@@ -130,17 +90,8 @@
         pool = {"seq": 1, "whole": True, "hosts": hosts}
         self.edge.write(known={"rev": 1, "notices": [{"rev": 1, "pool": pool}]})
         self.result = Result(seed, Counts(), [])
-        self.began_s = time.monotonic()
-        self.starts: list[tuple[float, float]] = []  # of each process: started, ready
-        self.terms_s: list[float] = []  # SIGTERM
-        self.kills_s: list[
-            tuple[float, bool]
-        ] = []  # SIGKILL; whether it came at the earliest after a SIGTERM
+        self.history = History()
         self.trouble_until_s = 0.0  # discovery's
-        self.drains: list[Told] = []
-        self.returns: list[Told] = []
-        self.purges: list[tuple[float, int, str, float]] = []  # when, its Unix ms, the object, counts from
-        self.cold: list[Told] = []  # starts of members
         self.timers: list[threading.Timer] = []
 
     # The members
@@ -154,7 +105,7 @@
     # The script
 
     def say(self, text: str) -> None:
-        self.result.script.append(f"{time.monotonic() - self.began_s:.2f} {text}")
+        self.result.script.append(f"{time.monotonic() - self.history.began_s:.2f} {text}")
 
     def later(self, delay_s: float, what: Callable[[], None]) -> None:
         timer = threading.Timer(delay_s, what)
@@ -173,17 +124,17 @@
     def drain(self, names: list[str], health: str = "Terminating") -> None:
         for name in names:
             at = self.edge.tell(name, health)
-            self.drains.append(Told(at, name, self.counts_from(at)))
+            self.history.drains.append(Told(at, name, self.counts_from(at)))
             self.say(f"{name} {health}")
 
     def back(self, name: str) -> None:
         """The member comes back, as a process that has just started."""
         now, unix_ms = time.monotonic(), int(time.time() * 1000)
         line = deployment.line(name, self.fleet.members[name].address) | {"share": SHARE, "born_ms": unix_ms}
-        self.returns.append(Told(now, name, now))
+        self.history.returns.append(Told(now, name, now))
         self.fleet.members[name].held.clear()
         self.fleet.board.tell({"pool": {"seq": 3, "whole": False, "hosts": [line]}})
-        self.cold.append(Told(now, name, self.counts_from(now)))
+        self.history.cold.append(Told(now, name, self.counts_from(now)))
         self.say(f"{name} back, cold")
 
     def purge(self) -> None:
@@ -192,7 +143,7 @@
     def purge_item(self, item: str) -> None:
         now, unix_ms = time.monotonic(), int(time.time() * 1000)
         self.fleet.board.purge(asset=item)
-        self.purges.append((now, unix_ms, item, self.counts_from(now)))
+        self.history.purges.append((now, unix_ms, item, self.counts_from(now)))
 
     def spoil_discovery(self) -> None:
         """Trouble with discovery for a while."""
@@ -238,12 +189,12 @@
         self.say("start")
         began = time.monotonic()
         self.edge.start(words=self.words)
-        self.starts.append((began, math.inf))
+        self.history.starts.append((began, math.inf))
 
     def wait_ready(self) -> None:
         took_s = self.edge.ready(60.0)
-        began, _ = self.starts[-1]
-        self.starts[-1] = (began, began + took_s)
+        began, _ = self.history.starts[-1]
+        self.history.starts[-1] = (began, began + took_s)
         self.result.ready_s.append(took_s)
         self.say(f"ready after {took_s:.2f} s")
 
@@ -257,11 +208,10 @@
             if self.random.random() < 0.5:
                 self.hang_up()
             process.send_signal(signal.SIGTERM)
-            self.terms_s.append(time.monotonic())
             until = time.monotonic() + KILL_AFTER_S
             while process.poll() is None and time.monotonic() < until:
                 time.sleep(0.005)
-        self.kills_s.append((time.monotonic(), how == "term"))
+        self.history.kills_s.append((time.monotonic(), how == "term"))
         self.say(f"SIGKILL, {how}")
         self.edge.kill()
         if how != "term":
@@ -269,7 +219,7 @@
         if how == "kill in start":
             self.start()
             time.sleep(self.random.uniform(0.05, 1.0))
-            self.kills_s.append((time.monotonic(), False))
+            self.history.kills_s.append((time.monotonic(), False))
             self.edge.kill()
             self.say("SIGKILL while it starts")
         if self.random.random() < 0.6:
@@ -305,7 +255,7 @@
             thread.join()
         if self.edge.process is not None and self.edge.process.poll() is not None:
             self.result.counts.crashes += 1
-        return self.count()
+        return count(self.history, self.edge, self.result)
 
     def member_trouble(self) -> None:
         """A member hangs or resets for a while."""
@@ -356,106 +306,6 @@
                 self.edge.ask_and_leave(sock, WAIT_MS, random.uniform(0.0, 0.06))
             time.sleep(0.05)
 
-    # The counts
-
-    def note(self, text: str) -> None:
-        if len(self.result.notes) < 20:
-            self.result.notes.append(text)
-
-    def at(self, moment_s: float) -> str:
-        return f"{moment_s - self.began_s:.3f}"
-
-    def count(self) -> Result:
-        counts, edge = self.result.counts, self.edge
-        self.result.requests = len(edge.requests)
-        self.result.served = sum(one.status == 200 for one in edge.requests)
-        self.count_calls(counts)
-        self.count_requests(counts)
-        counts.over_cold_budget = self.over_cold_budget()
-        counts.written_twice = sum(runs > 1 for runs in self.fleet.ran.values())
-        counts.late_starts = sum(took_s > READY_MOST_S for took_s in self.result.ready_s)
-        return self.result
-
-    def count_calls(self, counts: Counts) -> None:
-        records = {one.wire_id: one for one in self.edge.requests}
-        for call in list(self.edge.calls):
-            record = records.get(call.wire_id)
-            if record is None:
-                continue  # of a client that was just beginning
-            for name in {call.member, call.fields.get("miss", "")}:
-                if name and self.drained(name, call.at_s):
-                    counts.drained += 1
-                    self.note(
-                        f"{self.at(call.at_s)} {call.wire_id} to {call.member} from {call.fields.get('miss')}"
-                    )
-            left_s = record.sent_s + record.wait_ms / 1000 - call.at_s
-            if int(call.fields["limit"]) / 1000 > left_s + DEADLINE_SLACK_S:
-                counts.long_deadlines += 1
-                self.note(f"{self.at(call.at_s)} limit {call.fields['limit']} with {left_s:.3f} s left")
-            if record.end is End.LEFT and call.at_s > record.ended_s + LEFT_SLACK_S:
-                counts.after_leaving += 1
-                self.note(
-                    f"{self.at(call.at_s)} {call.wire_id} at {call.member}, left {self.at(record.ended_s)}"
-                )
-
-    def drained(self, name: str, at_s: float) -> bool:
-        """Whether a member may not get new work at a moment, by when its last event counts as notified."""
-        came = max((one.at_s for one in self.returns if one.name == name), default=0.0)
-        for told in self.drains:
-            if told.name != name or told.at_s < came:
-                continue  # it has come back since: its calls before are not judged by this
-            if at_s > self.notified_s(told, at_s) + GRACE_S + SLACK_S:
-                return True
-        return False
-
-    def notified_s(self, told: Told, at_s: float) -> float:
-        """From when on the process that ran at a moment counts as notified: of what came before its start,
-        at once.
-        """
-        started = max((began for began, _ in self.starts if began <= at_s), default=0.0)
-        return told.at_s if told.at_s < started else told.counts_s
-
-    def count_requests(self, counts: Counts) -> None:
-        for one in self.edge.requests:
-            if one.answers > 1:
-                counts.answered_twice += 1
-            # What an outright kill cut off is nobody's fault, nor what was written to a process being killed.
-            killed = any(
-                one.sent_s - 0.05 <= kill <= one.ended_s + 0.05
-                for kill, planned in self.kills_s
-                if not planned
-            )
-            late = one.end is End.ANSWERED and one.ended_s - one.sent_s > one.wait_ms / 1000 + LATE_S
-            if (one.end in (End.CUT, End.OPEN) and not killed) or (late and not killed):
-                counts.unanswered += 1
-                self.note(f"{self.at(one.sent_s)} {one.wire_id} {one.end.value} until {self.at(one.ended_s)}")
-            for purge_s, unix_ms, item, counts_s in self.purges:
-                bound = counts_s + PURGE_GRACE_S + SLACK_S
-                started = max((began for began, _ in self.starts if began <= one.sent_s), default=0.0)
-                bound = min(bound, purge_s + PURGE_GRACE_S + SLACK_S) if purge_s < started else bound
-                if one.issued_ms and one.item == item and one.issued_ms < unix_ms and one.sent_s > bound:
-                    counts.stale += 1
-                    self.note(f"{self.at(one.sent_s)} {one.wire_id} older than {self.at(purge_s)}")
-
-    def over_cold_budget(self) -> int:
-        """Windows of a second in which a cold member got more than its present capacity bears, and chance."""
-        over = 0
-        for told in self.cold:
-            name, began = told.name, told.at_s
-            times = sorted(one.at_s for one in self.edge.calls_to([name], began))
-            times = [at for at in times if at < began + WARM_AFTER_S and at >= self.notified_s(told, at)]
-            for number, at in enumerate(times):
-                inside = sum(at <= other < at + 1.0 for other in times[number:])
-                warmth = min(1.0, COLD_FROM + (1.0 - COLD_FROM) * (at + 1.0 - began) / WARM_AFTER_S)
-                allowed = warmth * SHARE * FALL_MULTIPLE * 1.0 / DELAY_S
-                root = math.sqrt(allowed)
-                slack = 2 * root + 2 if allowed >= 30 else 3 * root + 3
-                if inside > allowed + slack:
-                    over += 1
-                    self.note(f"{self.at(at)} {name} got {inside}, {allowed:.0f} allowed")
-                    break
-        return over
-
     def close(self) -> None:
         for timer in self.timers:
             timer.cancel()
@@ -476,8 +326,8 @@
     """Seeds, runs, each count, and the worst ready time."""
     total = Counts()
     for one in results:
-        for count in fields(total):
-            setattr(total, count.name, getattr(total, count.name) + getattr(one.counts, count.name))
+        for each in fields(total):
+            setattr(total, each.name, getattr(total, each.name) + getattr(one.counts, each.name))
     seeds = f"{results[0].seed}-{results[-1].seed}"
     worst = max(took_s for one in results for took_s in one.ready_s)
     asked, served = sum(one.requests for one in results), sum(one.served for one in results)
--- /dev/null
+++ b/lupintack/standins/soak_counts.py
@@ -0,0 +1,190 @@
+"""What a run of the soak broke, counted from what members, clients and signals left on record."""
+
+from __future__ import annotations
+
+import math
+import time
+from dataclasses import dataclass, field, fields
+
+from lupintack.standins.edge import Edge, End
+
+DELAY_S = 0.02  # of each answer of a member: its sending time
+GRACE_S = 0.5  # the deployment's, for a drain
+PURGE_GRACE_S = 0.3
+SLACK_S = 0.1  # a limit on sockets is 50 ms longer, and a busy machine takes its time
+DEADLINE_SLACK_S = 0.15
+LEFT_SLACK_S = 0.1
+LATE_S = 0.5  # after its time an answer counts as none
+COLD_FROM, WARM_AFTER_S, FALL_MULTIPLE, SHARE = 0.2, 4.0, 2.0, 1.0
+READY_MOST_S = 10.0
+
+
+@dataclass
+class Counts:
+    """What a run broke; each is a number of cases."""
+
+    drained: int = 0  # calls to or from draining servers later than the grace
+    unanswered: int = 0
+    answered_twice: int = 0
+    written_twice: int = 0
+    after_leaving: int = 0  # attempts later than 0.1 s after their client went
+    long_deadlines: int = 0
+    over_cold_budget: int = 0
+    stale: int = 0  # copies from before a purge
+    late_starts: int = 0
+    crashes: int = 0
+
+    def broken(self) -> int:
+        return sum(getattr(self, one.name) for one in fields(self))
+
+    def line(self) -> str:
+        return " ".join(f"{one.name}={getattr(self, one.name)}" for one in fields(self))
+
+
+@dataclass
+class Told:
+    """An event as discovery has it: when, and from when on it counts as notified."""
+
+    at_s: float
+    name: str
+    counts_s: float
+
+
+@dataclass
+class Result:
+    """One run."""
+
+    seed: int
+    counts: Counts
+    script: list[str]
+    ready_s: list[float] = field(default_factory=list)
+    requests: int = 0
+    served: int = 0
+    notes: list[str] = field(default_factory=list)
+
+
+@dataclass
+class History:
+    """What happened in a run; moments are monotonic seconds."""
+
+    began_s: float = field(default_factory=time.monotonic)
+    starts: list[tuple[float, float]] = field(default_factory=list)  # of each process: started, ready
+    kills_s: list[tuple[float, bool]] = field(default_factory=list)  # SIGKILL; whether after a SIGTERM
+    drains: list[Told] = field(default_factory=list)
+    returns: list[Told] = field(default_factory=list)
+    cold: list[Told] = field(default_factory=list)  # starts of members
+    # Purges: when, their Unix ms, the object, and from when on they count as notified.
+    purges: list[tuple[float, int, str, float]] = field(default_factory=list)
+
+
+class Judge:
+    """Counts what one run broke."""
+
+    def __init__(self, history: History, edge: Edge, result: Result) -> None:
+        self.history = history
+        self.edge = edge
+        self.result = result
+
+    def note(self, text: str) -> None:
+        if len(self.result.notes) < 20:
+            self.result.notes.append(text)
+
+    def at(self, moment_s: float) -> str:
+        return f"{moment_s - self.history.began_s:.3f}"
+
+    def count(self) -> Result:
+        """All of them."""
+        counts, edge = self.result.counts, self.edge
+        self.result.requests = len(edge.requests)
+        self.result.served = sum(one.status == 200 for one in edge.requests)
+        self.count_calls(counts)
+        self.count_requests(counts)
+        counts.over_cold_budget = self.over_cold_budget()
+        counts.written_twice = sum(runs > 1 for runs in self.edge.fleet.ran.values())
+        counts.late_starts = sum(took_s > READY_MOST_S for took_s in self.result.ready_s)
+        return self.result
+
+    def count_calls(self, counts: Counts) -> None:
+        records = {one.wire_id: one for one in self.edge.requests}
+        for call in list(self.edge.calls):
+            record = records.get(call.wire_id)
+            if record is None:
+                continue  # of a client that was just beginning
+            for name in {call.member, call.fields.get("miss", "")}:
+                if name and self.drained(name, call.at_s):
+                    counts.drained += 1
+                    self.note(
+                        f"{self.at(call.at_s)} {call.wire_id} to {call.member} from {call.fields.get('miss')}"
+                    )
+            left_s = record.sent_s + record.wait_ms / 1000 - call.at_s
+            if int(call.fields["limit"]) / 1000 > left_s + DEADLINE_SLACK_S:
+                counts.long_deadlines += 1
+                self.note(f"{self.at(call.at_s)} limit {call.fields['limit']} with {left_s:.3f} s left")
+            if record.end is End.LEFT and call.at_s > record.ended_s + LEFT_SLACK_S:
+                counts.after_leaving += 1
+                self.note(
+                    f"{self.at(call.at_s)} {call.wire_id} at {call.member}, left {self.at(record.ended_s)}"
+                )
+
+    def drained(self, name: str, at_s: float) -> bool:
+        """Whether a member may not get new work at a moment, by when its last event counts as notified."""
+        came = max((one.at_s for one in self.history.returns if one.name == name), default=0.0)
+        for told in self.history.drains:
+            if told.name != name or told.at_s < came:
+                continue  # it has come back since: its calls before are not judged by this
+            if at_s > self.notified_s(told, at_s) + GRACE_S + SLACK_S:
+                return True
+        return False
+
+    def notified_s(self, told: Told, at_s: float) -> float:
+        """From when on the process that ran at a moment counts as notified: of what came before its start,
+        at once.
+        """
+        started = max((began for began, _ in self.history.starts if began <= at_s), default=0.0)
+        return told.at_s if told.at_s < started else told.counts_s
+
+    def count_requests(self, counts: Counts) -> None:
+        for one in self.edge.requests:
+            if one.answers > 1:
+                counts.answered_twice += 1
+            # What an outright kill cut off is nobody's fault, nor what was written to a process being killed.
+            killed = any(
+                one.sent_s - 0.05 <= kill <= one.ended_s + 0.05
+                for kill, planned in self.history.kills_s
+                if not planned
+            )
+            late = one.end is End.ANSWERED and one.ended_s - one.sent_s > one.wait_ms / 1000 + LATE_S
+            if (one.end in (End.CUT, End.OPEN) and not killed) or (late and not killed):
+                counts.unanswered += 1
+                self.note(f"{self.at(one.sent_s)} {one.wire_id} {one.end.value} until {self.at(one.ended_s)}")
+            for purge_s, unix_ms, item, counts_s in self.history.purges:
+                bound = counts_s + PURGE_GRACE_S + SLACK_S
+                started = max((began for began, _ in self.history.starts if began <= one.sent_s), default=0.0)
+                bound = min(bound, purge_s + PURGE_GRACE_S + SLACK_S) if purge_s < started else bound
+                if one.issued_ms and one.item == item and one.issued_ms < unix_ms and one.sent_s > bound:
+                    counts.stale += 1
+                    self.note(f"{self.at(one.sent_s)} {one.wire_id} older than {self.at(purge_s)}")
+
+    def over_cold_budget(self) -> int:
+        """Windows of a second in which a cold member got more than its present capacity bears, and chance."""
+        over = 0
+        for told in self.history.cold:
+            name, began = told.name, told.at_s
+            times = sorted(one.at_s for one in self.edge.calls_to([name], began))
+            times = [at for at in times if at < began + WARM_AFTER_S and at >= self.notified_s(told, at)]
+            for number, at in enumerate(times):
+                inside = sum(at <= other < at + 1.0 for other in times[number:])
+                warmth = min(1.0, COLD_FROM + (1.0 - COLD_FROM) * (at + 1.0 - began) / WARM_AFTER_S)
+                allowed = warmth * SHARE * FALL_MULTIPLE * 1.0 / DELAY_S
+                root = math.sqrt(allowed)
+                slack = 2 * root + 2 if allowed >= 30 else 3 * root + 3
+                if inside > allowed + slack:
+                    over += 1
+                    self.note(f"{self.at(at)} {name} got {inside}, {allowed:.0f} allowed")
+                    break
+        return over
+
+
+def count(history: History, edge: Edge, result: Result) -> Result:
+    """The run's result with its counts."""
+    return Judge(history, edge, result).count()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,8 @@
 
 from lupintack.standins import soak
 from lupintack.standins.proxy import Fault
-from lupintack.standins.soak import Result, Soak, closing_line, play
+from lupintack.standins.soak import Soak, closing_line, play
+from lupintack.standins.soak_counts import Result
 
 SEEDS = range(101, 107)
 BESIDE = 2
@@ -47,7 +48,7 @@
     """A run that begins with members that drain while discovery's bytes are held back."""
 
     def start(self) -> None:
-        if not self.starts:
+        if not self.history.starts:
             self.drain(["s-1", "p-1"])
             self.edge.proxy.fault = Fault.HELD
             self.later(2.5, lambda: setattr(self.edge.proxy, "fault", Fault.NONE))
