Ask again behind the events of a start, rather than wait for the next beat

Change: a watch whose list is not current, and that has had events and 50 ms of quiet, is ended for one from the last event, which discovery answers at once if nothing is missing; twice at most until a proof. Ruled out: the quiet as a proof, as bytes come in pieces.

--- a/lupintack/discovery/client.py
+++ b/lupintack/discovery/client.py
@@ -30,6 +30,8 @@
 CONNECT_S = 1.0  # for a connect: with SILENT_S it stays well under the 4 s after which all counts as told
 AGAIN_S = 0.2  # between two tries, but for the first after a connection that told something; in the mean
 APART = 0.4  # they differ by up to this part, or all routers would come back to discovery in one moment
+QUIET_S = 0.05  # behind events on a new connection: a watch that has all of them may be answered at once
+ASKS_MOST = 2  # such connections in a row, until one proves the list
 READS_MOST = 16  # behind a proof, before it is passed on
 
 
@@ -37,6 +39,10 @@
     """An event has not come: the connection ends, and the next one asks for it."""
 
 
+class AskAgainError(ConnectionError):
+    """A new connection may prove the list sooner than this one's next line."""
+
+
 class LineBuffer:
     """A connection's bytes as whole lines, and until when the next one has to come.
 
@@ -49,6 +55,7 @@
         self.connected_us = now
         self.proved_us = 0  # as of when a number has proved the table to be current, and is not passed on yet
         self.confirmed = False  # one has before
+        self.events = 0  # that have come
 
     def cut(self, data: bytes) -> list[bytes]:
         """The lines that are whole with these bytes; ValueError where one is too long."""
@@ -78,6 +85,7 @@
         self.turn = 0  # counts the moves: a reader of an earlier one ends
         self.stopped = threading.Event()
         self.started = False
+        self.asks = 0  # connections in a row that were given up for one that may prove the list sooner
         self.silent_tries = 0  # connections in a row that have told nothing yet
 
     @property
@@ -158,6 +166,8 @@
                 with socket.create_connection(address, timeout=CONNECT_S) as sock:
                     self.sock = sock
                     self.watch(sock, turn)
+            except AskAgainError:
+                self.counters.add("discovery.asked_again")
             except (OSError, ValueError) as error:
                 if turn == self.turn:
                     self.counters.add(f"discovery.lost.{type(error).__name__.lower()}")
@@ -174,11 +184,29 @@
         self.silent_tries += 1
         sock.sendall(self.request(turn))
         while turn == self.turn and not self.stopped.is_set():
-            sock.settimeout(max(0.01, (lines.until_us - now_us()) / 1e6))
-            self.feed(lines, sock.recv(READ_BYTES), turn)
+            self.feed(lines, self.receive(lines, sock), turn)
             self.read_behind(lines, sock, turn)
             self.confirm(lines, turn)
 
+    def receive(self, lines: LineBuffer, sock: socket.socket) -> bytes:
+        """The next bytes. TimeoutError where discovery has fallen silent, AskAgainError where a list that is
+        not current could be proved sooner.
+
+        Discovery says the last number at once to a watch that misses nothing, and else up to a second after
+        the events: one that has had them asks again, so that a start need not wait for that.
+        """
+        silent_s = max(0.01, (lines.until_us - now_us()) / 1e6)
+        hurries = lines.events and not lines.confirmed and not self.member_table.current
+        if not hurries or self.asks >= ASKS_MOST or silent_s <= QUIET_S:
+            sock.settimeout(silent_s)
+            return sock.recv(READ_BYTES)
+        sock.settimeout(QUIET_S)
+        try:
+            return sock.recv(READ_BYTES)
+        except TimeoutError:
+            self.asks += 1
+            raise AskAgainError("has all events, and asks whether they are all") from None
+
     def patience_s(self) -> float:
         """How long a new connection may tell nothing.
 
@@ -239,6 +267,7 @@
         if not isinstance(number, int) or isinstance(number, bool):
             LOG.warning("bad line", extra=fields(reason="no number", line=raw[:100]))
             return False
+        lines.events += event
         step = self.revisions.on_event(number) if event else self.revisions.on_number(number)
         self.carry_out(step, lines, notice, number)
         return True
@@ -258,7 +287,7 @@
                 self.counters.add("discovery.passed_over")
             # The first number proves no more than that all is here that was told before the connection.
             lines.proved_us = now_us() if lines.confirmed else lines.connected_us
-            lines.confirmed = True
+            lines.confirmed, self.asks = True, 0
         elif step is Step.BEHIND:
             self.counters.add("discovery.behind")
         elif step in (Step.ASK_AGAIN, Step.ASK_FOR_ALL):
--- a/lupintack/standins/board.py
+++ b/lupintack/standins/board.py
@@ -14,11 +14,13 @@
 class Board:
     """Event 1 is in the routers' configuration; each second every watcher gets the last number.
 
-    `prompt`: also right behind what a new watcher has missed, which the protocol does not promise.
+    The protocol does not promise more. `prompt`: also right behind what a new watcher has missed;
+    `prompt_if_current`: at once to one that has missed nothing.
     """
 
     def __init__(self, prompt: bool = True) -> None:
         self.prompt = prompt
+        self.prompt_if_current = False
         self.lock = threading.Lock()
         self.events: list[tuple[int, bytes]] = []
         self.rev = 1
@@ -39,7 +41,7 @@
                     for rev, raw in self.events:
                         if rev > int(number):
                             sock.sendall(raw)
-                    if self.prompt:
+                    if self.prompt or (self.prompt_if_current and int(number) == self.rev):
                         sock.sendall(b"%d\n" % self.rev)
                     self.watchers.append(sock)
                 reader.read()
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import signal
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -19,6 +20,7 @@
 
 import pytest
 
+from lupintack.discovery.client import ASKS_MOST
 from lupintack.standins.edge import Edge, End
 from lupintack.standins.proxy import Fault, Proxy
 
@@ -93,6 +95,31 @@
     assert not edge.calls_to(["s-1"]) and "list is current" in edge.log()
 
 
+def test_a_watch_that_had_events_asks_again_rather_than_wait_for_the_next_beat(edge: Edge) -> None:
+    """Discovery says the number at once to a watch that misses nothing: that proves the list a second
+    sooner.
+    """
+    edge.fleet.board.prompt_if_current = True
+    for member in DRAINED:
+        edge.tell(member, "Terminating")
+    edge.start()
+    edge.ready()
+    edge.signal(signal.SIGUSR1)
+    until = time.monotonic() + 3.0
+    while "event=counters" not in edge.log():
+        assert time.monotonic() < until
+        time.sleep(0.02)
+    assert "discovery.asked_again=1" in edge.log() and "discovery.connects=2" in edge.log()
+    assert "discovery.lost" not in edge.log()
+
+
+def test_a_discovery_that_never_answers_at_once_is_not_asked_again_and_again(edge: Edge) -> None:
+    edge.tell("s-1", "Terminating")
+    edge.start()
+    edge.ready()
+    assert edge.proxy.accepted <= 1 + ASKS_MOST
+
+
 @pytest.mark.parametrize("name", FAULTS)
 def test_nothing_goes_to_what_drained_before_the_start(edge: Edge, name: str) -> None:
     for member in DRAINED:
