--- a/lupintack/standins/shim/sitecustomize.py
+++ b/lupintack/standins/shim/sitecustomize.py
@@ -7,12 +7,15 @@
 
 `step_s` is added to the wall clock. `short` is the part of reads and writes that carry a few bytes only. A
 fault lets so many of the calls fail; `"connected"`: true, only those on connections that this process opened;
-false, only others; `"broken": true`: the connection is ended as well, as by a real ETIMEDOUT.
+false, only others; `"broken": true`: the connection is ended as well, as by a real ETIMEDOUT; `"first": 5`:
+only the first five of these calls; `"path": "run."`: only those on files whose path holds the text.
 """
 
 from __future__ import annotations
 
+import builtins
 import errno
+import fcntl
 import json
 import os
 import random
@@ -20,6 +23,7 @@
 import sys
 import time
 import weakref
+from collections import Counter
 from typing import Any
 
 FEW_BYTES = 5
@@ -35,6 +39,7 @@
         self.random = random.Random(0)
         self.stamp = (0, 0)
         self.looked = -1.0
+        self.calls: Counter[str] = Counter()  # that a fault was drawn for
 
     def now(self) -> dict[str, Any]:
         """The plan, as young as LOOK_S."""
@@ -42,23 +47,26 @@
         if at - self.looked > LOOK_S:
             self.looked = at
             try:
-                stat = os.stat(self.path)
+                stat = REAL_PATHS["stat"](self.path)
                 if (stat.st_ino, stat.st_mtime_ns) != self.stamp:
                     self.stamp = (stat.st_ino, stat.st_mtime_ns)
-                    with open(self.path) as file:
+                    with REAL_OPEN(self.path) as file:
                         self.data = json.load(file)
                     self.random = random.Random(self.data.get("seed", 0))
             except (OSError, ValueError):
                 pass  # being replaced just now
         return self.data
 
-    def fail(self, call: str, sock: Any = None) -> None:
+    def fail(self, call: str, sock: Any = None, path: str = "") -> None:
         """Raise what the plan has for this call."""
         for fault in self.now().get("faults", ()):
-            if fault["call"] != call:
+            if fault["call"] != call or fault.get("path", "") not in path:
                 continue
             if "connected" in fault and fault["connected"] != (sock in CONNECTED):
                 continue
+            if "first" in fault and self.calls[call] >= fault["first"]:
+                continue
+            self.calls[call] += 1
             if self.random.random() < fault["part"]:
                 if fault.get("broken") and sock is not None:
                     REAL["shutdown"](sock, socket.SHUT_RDWR)
@@ -75,11 +83,13 @@
 REAL = {
     name: getattr(socket.socket, name)
     for name in (
-        "accept", "connect", "recv", "recv_into", "send", "sendall", "sendmsg", "setsockopt", "shutdown",
-        "__init__",
+        "accept", "bind", "connect", "listen", "recv", "recv_into", "send", "sendall", "sendmsg",
+        "setsockopt", "shutdown", "__init__",
     )
 }  # fmt: skip
 REAL_OS = {name: getattr(os, name) for name in ("fsync", "replace", "pwrite")}
+REAL_PATHS = {name: getattr(os, name) for name in ("listdir", "mkdir", "open", "stat", "unlink")}
+REAL_FLOCK, REAL_OPEN = fcntl.flock, builtins.open
 CONNECTED: weakref.WeakSet[socket.socket] = weakref.WeakSet()
 PLAN = Plan(os.environ.get("LUPINTACK_SHIM", ""))
 
@@ -129,6 +139,22 @@
     return call
 
 
+def faulty_path(name: str, real: Any) -> Any:
+    """A call whose first argument is a path."""
+
+    def call(path: Any, *args: Any, **more: Any) -> Any:
+        if isinstance(path, str | os.PathLike):
+            PLAN.fail(name, path=str(path))
+        return real(path, *args, **more)
+
+    return call
+
+
+def flock(file: Any, operation: int) -> None:
+    PLAN.fail("flock")
+    REAL_FLOCK(file, operation)
+
+
 def init(sock: socket.socket, *args: Any, **more: Any) -> None:
     if more.get("fileno") is None and len(args) < 4:  # not of an accept
         PLAN.fail("socket")
@@ -138,11 +164,15 @@
 def install() -> None:
     """Put it all in place."""
     cls: Any = socket.socket
-    for name in ("accept", "connect", "setsockopt"):
+    for name in ("accept", "bind", "connect", "listen", "setsockopt"):
         setattr(cls, name, faulty(name))
     cls.recv, cls.recv_into, cls.send, cls.sendmsg, cls.__init__ = recv, recv_into, send, sendmsg, init
     for name in REAL_OS:
         setattr(os, name, faulty_os(name))
+    for name, real in REAL_PATHS.items():
+        setattr(os, name, faulty_path(name, real))
+    builtins.open = faulty_path("open", REAL_OPEN)
+    fcntl.flock = flock
     time.time = lambda: REAL_TIME() + PLAN.now().get("step_s", 0.0)
     time.time_ns = lambda: REAL_TIME_NS() + int(PLAN.now().get("step_s", 0.0) * 1e9)
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -154,12 +154,28 @@
         assert edge.staff("/api/exclude?name=s-1", "POST")[1].startswith("out already")
 
 
-def test_a_folder_that_can_t_be_used_at_the_start_is_read_all_the_same_and_joined_later(edge: Edge) -> None:
+FOLDER_CALLS = {
+    "mkdir": [fault("mkdir", "EROFS", 1.0, path="lupintack-")],
+    "lock": [fault("open", "EIO", 1.0, path="/lock")],
+    "flock": [fault("flock", "ENOLCK", 1.0)],
+    "own file": [fault("open", "ENOSPC", 1.0, path="/run.")],
+    "writes": [fault("pwrite", "EIO", 1.0), fault("fsync", "EIO", 1.0)],
+    "first file of bans": [fault("open", "EIO", 1.0, path="/bans.json")],
+}
+
+
+@pytest.mark.parametrize("calls", FOLDER_CALLS)
+def test_a_folder_that_can_t_be_used_at_the_start_is_read_all_the_same_and_joined_later(
+    edge: Edge, calls: str
+) -> None:
+    """Whatever fails there, a member that staff took out gets nothing, and what staff says next is kept once
+    it can be.
+    """
     edge.start()
     edge.ready()
     assert edge.staff("/api/exclude?name=s-1", "POST")[0] == 200
     edge.kill()
-    edge.shim(seed=7, faults=[fault("pwrite", "EIO", 1.0), fault("fsync", "EIO", 1.0)])
+    edge.shim(seed=7, faults=FOLDER_CALLS[calls])
     edge.start()
     edge.ready()
     started = time.monotonic()
@@ -167,6 +183,38 @@
     time.sleep(1.0)
     edge.stop()
     assert edge.calls and not edge.calls_to(["s-1"], started)
+    edge.staff("/api/exclude?name=s-2", "POST")
+    edge.shim()
+    until = time.monotonic() + 5.0
+    while b"s-2" not in next(edge.tmp.glob("lupintack-*/bans.json")).read_bytes():
+        assert time.monotonic() < until, edge.log()
+        time.sleep(0.05)
+    kept = next(edge.tmp.glob("lupintack-*/bans.json")).read_bytes()
+    assert b"s-1" in kept, "what was said first is owed as well"
+
+
+START_CALLS = (
+    ("socket", "ENFILE"), ("socket", "ENOBUFS"), ("setsockopt", "ENOBUFS"), ("setsockopt", "ENOMEM"),
+    ("bind", "EADDRINUSE"), ("bind", "EADDRNOTAVAIL"), ("bind", "ENOBUFS"), ("listen", "EADDRINUSE"),
+)  # fmt: skip
+
+
+@pytest.mark.parametrize(("name", "error"), START_CALLS)
+def test_a_listener_that_can_t_be_made_at_once_does_not_end_the_start(
+    edge: Edge, name: str, error: str
+) -> None:
+    """A router restarted under a fault that lasted a moment ended with `can't listen`, and was a failed
+    start: any error of socket, setsockopt, bind or listen was taken for a port that somebody else has.
+    """
+    edge.shim(seed=7, faults=[fault(name, error, 1.0, first=6)])
+    edge.start()
+    edge.ready()
+    assert edge.staff("/api/ready")[0] == 200
+    sock = edge.connect()
+    assert sock is not None
+    record, _ = edge.ask(sock)
+    sock.close()
+    assert record.status == 200, edge.log()
 
 
 def test_sockets_of_other_families_and_options_that_never_take_are_no_fault() -> None:
