Give no port to two processes that ask for free ones at the same time

Change: a record lock for each port given, for as long as the process lives. Ruled out: a crash of the router (2,000 starts, none ended), a start that takes too long (the failed run's took 4.84 s at most).

--- a/lupintack/standins/net.py
+++ b/lupintack/standins/net.py
@@ -2,14 +2,50 @@
 
 from __future__ import annotations
 
+import fcntl
+import os
 import secrets
 import socket
+import tempfile
 import threading
 from collections.abc import Callable
+from pathlib import Path
+from typing import BinaryIO
 
 PORTS = range(15_000, 32_000)
 
 
+class PortLocks:
+    """The ports that this process was given, for as long as it lives.
+
+    Other processes see them as record locks (fcntl(2)) on one file, a byte for each port, so that none has to
+    be given back, whatever ends the process.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.file: BinaryIO | None = None  # never closed: that would give all of them back
+        self.own: set[int] = set()
+        self.lock = threading.Lock()
+
+    def take(self, port: int) -> bool:
+        """Whether nobody has it, who asks here; then it is this process's."""
+        with self.lock:
+            if port in self.own:
+                return False
+            if self.file is None:
+                self.file = open(self.path, "ab")
+            try:
+                fcntl.lockf(self.file, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+            except (BlockingIOError, PermissionError):
+                return False
+            self.own.add(port)
+            return True
+
+
+LOCKS = PortLocks(Path(tempfile.gettempdir()) / f"lupintack-ports-{os.getuid()}")
+
+
 def listen(
     serve: Callable[[socket.socket], None], address: tuple[str, int] = ("127.0.0.1", 0)
 ) -> socket.socket:
@@ -48,8 +84,8 @@
 def free_ports(count: int) -> list[int]:
     """Ports of both kinds that nobody has, on loopback, below those that the kernel gives out by itself.
 
-    Guards against a port that is somebody's by the time it is listened on: the kernel may have given it to a
-    connection meanwhile, where tests run beside one another.
+    Guards against a port that is somebody's by the time it is listened on, where tests run beside one
+    another: the kernel may have given it to a connection meanwhile, or this function to another process.
     """
     found: dict[int, None] = {}
     while len(found) < count:
@@ -60,5 +96,6 @@
                 datagrams.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        found[port] = None
+        if LOCKS.take(port):
+            found[port] = None
     return list(found)
