Read all stamps of the start's list before any member's start is worked out from them

Cause: a start's age is what the newest stamp read so far proves (core/stamps.py), so after a restart each member in the configuration's list was dated by those before it alone, and counted as just started: next to nothing is sent to it while it ramps. Safe, but costly. Change: DiscoveryClient.known() and on_list() show the clock every stamp first. Measured: a list with starts 60, 30 and 1 s ago gave ages 0, 0, 0 s before and 59, 29, 0 s now (tests/test_discovery_state.py, failed before); 94 tests of discovery, catching up, terms, fleet and adapter pass. Ruled out: an age greater than the true one, as the own clock bounds it as before.

--- a/lupintack/core/member_table.py
+++ b/lupintack/core/member_table.py
@@ -12,7 +12,7 @@
 import math
 import threading
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from queue import Empty, SimpleQueue
 
@@ -165,6 +165,12 @@
         """The list has changed."""
         self.mailbox.put(ListUpdate(whole, hosts, version, number))
 
+    def observe_stamps(self, unix_ms: Iterable[float]) -> None:
+        """What the log's own clock says, before any of it is applied; before the table's thread runs."""
+        now = now_us()
+        for stamp in unix_ms:
+            self.observe(stamp, now)
+
     def confirm(self, proved_us: int) -> None:
         """All that was told before that moment is in the table, or in the mailbox before this."""
         self.mailbox.put(Confirmation(proved_us))
@@ -316,8 +322,15 @@
         same = state is host.state and born == host.born_unix_ms
         return host if same else replace(host, state=state, born_unix_ms=born)
 
+    def observe(self, unix_ms: float, now: int) -> None:
+        """A stamp of the log; 0 is none."""
+        if unix_ms > 0 and math.isfinite(unix_ms):
+            self.clock.observe(int(unix_ms * 1000), now)
+
     def on_list(self, update: ListUpdate) -> Change:
         now = now_us()
+        for listed in update.hosts:
+            self.observe(listed.born_unix_ms, now)
         bans = self.bans
         members = []
         pairs = []
--- a/lupintack/discovery/client.py
+++ b/lupintack/discovery/client.py
@@ -95,8 +95,11 @@
 
     def known(self, known: Mapping[str, Any]) -> None:
         """The events of the start. They prove nothing: how old they are is not known."""
-        for notice in known.get("notices", []):
-            self.apply(notice)
+        events = [self.parsed(notice) for notice in known.get("notices", [])]
+        # All stamps first: each shows how late it is in the log's own time, and so how long ago others were.
+        self.member_table.observe_stamps(stamp for event in events if event for stamp in event.stamps())
+        for event in events:
+            self.apply(event)
         self.revisions.last = max(self.revisions.last, int(known.get("rev", 0)))
 
     def parsed(self, notice: Any) -> Event | None:
@@ -108,9 +111,8 @@
             LOG.warning("notice can't be used", extra=fields(reason=error, notice=str(notice)[:200]))
             return None
 
-    def apply(self, notice: Any) -> None:
+    def apply(self, event: Event | None) -> None:
         """One event, into the table; what was told before would undo what has been told since."""
-        event = self.parsed(notice)
         if event is None or event.number <= self.last:
             return
         if isinstance(event, ListEvent):
@@ -275,7 +277,7 @@
     def carry_out(self, step: Step, lines: LineBuffer, notice: Any, number: int) -> None:
         """Do what the numbers ask for; GapError ends the connection, and the next one asks again."""
         if step is Step.APPLY:
-            self.apply(notice)
+            self.apply(self.parsed(notice))
         elif step is Step.COLLECT:
             event = self.parsed(notice)
             if event is not None:
--- a/lupintack/discovery/events.py
+++ b/lupintack/discovery/events.py
@@ -29,6 +29,10 @@
     endpoints: tuple[Endpoint, ...]
     sequence: int
 
+    def stamps(self) -> tuple[float, ...]:
+        """Unix milliseconds by the log's clock."""
+        return tuple(one.born_unix_ms for one in self.endpoints)
+
 
 @dataclass(frozen=True, slots=True)
 class PurgeEvent:
@@ -41,6 +45,10 @@
     group: int
     unix_ms: float
 
+    def stamps(self) -> tuple[float, ...]:
+        """Unix milliseconds by the log's clock."""
+        return (self.unix_ms,)
+
 
 @dataclass(frozen=True, slots=True)
 class OtherEvent:
@@ -48,6 +56,10 @@
 
     number: int
 
+    def stamps(self) -> tuple[float, ...]:
+        """None that is known."""
+        return ()
+
 
 Event = ListEvent | PurgeEvent | OtherEvent
 
--- a/tests/test_discovery_state.py
+++ b/tests/test_discovery_state.py
@@ -9,9 +9,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lupintack.clock import UNIX_OFFSET_US
+from lupintack.clock import UNIX_OFFSET_US, module_ms
 from lupintack.config import Names
-from lupintack.core.member_table import Endpoint, Expiry, MemberTable
+from lupintack.core.member_table import Endpoint, Expiry, MemberTable, member_id
 from lupintack.core.messages import ClientRequest, Order
 from lupintack.core.stamps import AHEAD_MOST_US, CopyClock, LogClock
 from lupintack.discovery.client import DiscoveryClient, GapError, LineBuffer
@@ -76,6 +76,13 @@
     return {"rev": number, "pool": {"seq": number, "whole": whole, "hosts": hosts}}
 
 
+def born(notice: dict[str, Any], **unix_ms: float) -> dict[str, Any]:
+    """The same event with members' starts in it."""
+    for host in notice["pool"]["hosts"]:
+        host["born_ms"] = unix_ms.get(host["host"], 0.0)
+    return notice
+
+
 # What proves that a watch has caught up
 
 
@@ -333,3 +340,30 @@
     following.settle()
     host = Endpoint("s1", ("127.0.0.1", 9))
     assert following.table.started_ms(host, following.now) == following.now / 1000.0 + 1e9
+
+
+def test_a_restart_counts_a_member_by_all_stamps_of_its_list_not_only_by_those_before(
+    following: Following,
+) -> None:
+    """Restarted routers held members that had started half a minute before to be just started, and sent them
+    next to nothing: each stamp was read by those that stood before it in the list.
+    """
+    unix_ms = (following.now + UNIX_OFFSET_US) / 1000
+    starts: dict[str, float] = {}
+
+    def notice(change: Any) -> None:
+        for event in change.events:
+            starts.update({names.get(one.id, ""): one.started for one in event.members})
+
+    names = {member_id(name): name for name in ("s1", "s2", "s3")}
+    table = MemberTable(6000.0, ORIGIN_KIND)
+    table.notify = notice
+    client = DiscoveryClient(None, NAMES, table)
+    first = born(pool(1, True, s1="Ready", s2="Ready"), s1=unix_ms - 60_000, s2=unix_ms - 30_000)
+    client.known({"rev": 2, "notices": [first, born(pool(2, False, s3="Ready"), s3=unix_ms - 1000)]})
+    while not table.mailbox.empty():
+        update = table.mailbox.get()
+        assert update is not None
+        table.receive(update)
+    now_ms = module_ms(following.now)
+    assert [round(now_ms - starts[name]) for name in ("s1", "s2", "s3")] == [59_000, 29_000, 0]
