--- a/lupintack/standins/net.py
+++ b/lupintack/standins/net.py
@@ -6,7 +6,6 @@
 import os
 import secrets
 import socket
-import tempfile
 import threading
 from collections.abc import Callable
 from pathlib import Path
@@ -43,7 +42,8 @@
             return True
 
 
-LOCKS = PortLocks(Path(tempfile.gettempdir()) / f"lupintack-ports-{os.getuid()}")
+# Not under $TMPDIR, which runs have one each of.
+LOCKS = PortLocks(Path("/tmp") / f"lupintack-ports-{os.getuid()}")
 
 
 def listen(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import signal
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -16,6 +17,10 @@
 settings.register_profile("lupintack", deadline=None)
 settings.load_profile("lupintack")
 
+# A shell starts what runs in the background with SIGINT ignored: all processes under test would inherit that.
+if signal.getsignal(signal.SIGINT) is signal.SIG_IGN:
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+
 LANE = {
     "test_adapter", "test_admin", "test_catch_up", "test_cdni", "test_client", "test_closes",
     "test_crossings", "test_demo", "test_descriptors", "test_division", "test_gone", "test_http2",
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -16,6 +16,7 @@
 import time
 from collections.abc import Iterator
 from pathlib import Path
+from typing import IO
 
 import pytest
 
@@ -184,6 +185,45 @@
     folder.close()
 
 
+class HalfWritten:
+    """A file whose writer is killed in the middle of its first write."""
+
+    def __init__(self, file: IO[bytes]) -> None:
+        self.file = file
+
+    def __enter__(self) -> HalfWritten:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.file.close()
+
+    def write(self, text: bytes) -> None:
+        self.file.write(text[: len(text) // 2])
+        self.file.flush()
+        raise KeyboardInterrupt
+
+
+@pytest.mark.parametrize("which", [0, 1])
+def test_a_write_that_is_killed_half_done_leaves_one_state_whole(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, which: int
+) -> None:
+    """Of the two files, each in turn; bans written in place were lost with the rest of their file."""
+    folder = Folder(str(tmp_path), "n0", "127.0.0.1:1")
+    folder.write(Bans({"s-1": 1.0}).dump())
+    done = itertools.count()
+
+    def half(path: Path, mode: str = "r") -> object:
+        file = open(path, mode)
+        return HalfWritten(file) if "w" in mode and next(done) == which else file
+
+    with monkeypatch.context() as patch:
+        patch.setattr("lupintack.lifecycle.folder.open", half, raising=False)
+        with pytest.raises(KeyboardInterrupt):
+            folder.write(Bans({"s-1": 1.0, "p-1": 2.0}).dump())
+    assert "s-1" in usable(read_bans(folder.path)).out
+    folder.close()
+
+
 # SIGTERM, SIGHUP and SIGKILL while a start waits for the list
 
 
