Plant the missing cold budget in a run where one cache comes back cold while there is no other

Cause: the planted fault of a start with no budget was found by one window in a run in which chance sent the cold cache its requests, and once by none (one full suite on this machine: no_budget 0). Change: a directed run that sends all of them to one cold cache. Ruled out: a budget that is kept in spite of the fault.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import tempfile
+import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -44,6 +45,24 @@
             self.purge_item(f"{number:016x}")
 
 
+class ColdReturn(Directed):
+    """A run in which one cache comes back cold while there is no other, and nothing else happens."""
+
+    def member_trouble(self) -> None:
+        self.say("members are left alone")
+
+    def restart(self) -> None:
+        self.say("the process is left alone")
+
+    def member_comes_and_goes(self) -> None:
+        self.drain(["s-1", "s-2"])
+        time.sleep(0.4)
+        self.drain(["s-1", "s-2"], "Gone")
+        time.sleep(0.4)
+        self.back("s-1")
+        time.sleep(2.0)
+
+
 class LateDiscovery(Directed):
     """A run that begins with members that drain while discovery's bytes are held back."""
 
@@ -80,7 +99,7 @@
     "second_run": ("written_twice", Directed),
     "gone_client": ("after_leaving", Directed),
     "long_deadline": ("long_deadlines", Soak),
-    "no_budget": ("over_cold_budget", Directed),
+    "no_budget": ("over_cold_budget", ColdReturn),
     "deaf_to_purges": ("stale", Purging),
 }
 
