Rank a tier's members as far as is asked, so that a request's cost does not grow with them

Cause: each new object was hashed with every cache of the location, weights compared all loads with all others each second, and each list event sorted all members: at sixteen times the caches a decision took more processor time than is allowed (1.4 times in all). Change: limits/scoreboard.py, weighted rendezvous hashing whose highest byte is worked out for all members at once (tabulation), the rest for those among the best; a tier's members change one by one; the mean load is taken once. The hash is another one: routers of both versions rank differently in a release. Ruled out: groups of members hashed first (a leaver would move its mates' objects).

--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -12,7 +12,6 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
-from hashlib import blake2b
 from random import Random
 
 from lupintack.interface import (
@@ -20,6 +19,7 @@
     Log, Member, MemberList, Note, Outcome, Purged, Refuse, Repeat, Request, ServeOwn, ServiceClass, SetTimer,
     Settings, State, Subscribe, TimerFired,
 )  # fmt: skip
+from lupintack.limits.scoreboard import Scoreboard, pair_hash
 from lupintack.limits.shared import Store, Turns, Wanted, part
 from lupintack.limits.sizes import Sizes, Terms as Sending
 from lupintack.limits.strain import Strain, Terms
@@ -27,7 +27,6 @@
 # Ordinary path
 HOLD_MS = 5000.0  # an object's fills stay with another parent this long after its top parent failed one
 HOLDS = 4096  # objects under a hold at once; the oldest goes first
-BOARDS = 2048  # objects whose scores are kept; hashing them anew is a good part of a request's cost
 LAST_SEEN = 40000  # parts whose last request time is remembered; several keep-times of busy traffic
 SEEN_MS = 60000.0  # and for how long: several keep-times, as new objects come all day
 RANK_STEP = 0.05  # step of the running quantile of log(gap x size) that parts the upper two ranks
@@ -100,12 +99,6 @@
 HEARD = frozenset({Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS})  # answers of a member that lives
 
 
-def score(object_id: int, member: int) -> int:
-    """The scoreboard's hash: stable in every process, for the object and the member together."""
-    raw = object_id.to_bytes(8, "big") + member.to_bytes(8, "big")
-    return int.from_bytes(blake2b(raw, digest_size=8).digest(), "big")
-
-
 @dataclass(slots=True, eq=False)
 class Peer:
     """What this router has seen of one member: a cache, a parent or the origin."""
@@ -230,15 +223,13 @@
         self.now = 0.0
         self.out: list[Action] = []
         self.peers: dict[int, Peer] = {}
-        self.caches: list[Peer] = []
-        self.parents: list[Peer] = []
-        self.origin: Peer | None = None
+        self.cache_board: Scoreboard[Peer] = Scoreboard()  # of the own location
+        self.parent_board: Scoreboard[Peer] = Scoreboard()
+        self.origins: Scoreboard[Peer] = Scoreboard()
+        self.caches, self.parents = self.cache_board.members, self.parent_board.members
         self.pending: dict[int, Pending] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.last_seen: OrderedDict[tuple[int, int], float] = OrderedDict()
-        self.logs: dict[int, dict[int, float]] = {}
-        self.cache_boards: dict[int, list[Peer]] = {}
-        self.parent_boards: dict[int, list[Peer]] = {}
         self.split = self.weighed_at = 0.0
         self.holds: OrderedDict[int, tuple[int, float]] = OrderedDict()
         self.purged: OrderedDict[tuple[int, int], float] = OrderedDict()
@@ -261,6 +252,11 @@
         fields = settings.report_fields
         self.util_at = fields.index("cpu_share") if "cpu_share" in fields else None
 
+    @property
+    def origin(self) -> Peer | None:
+        """The origin, or the first of several."""
+        return self.origins.members[0] if self.origins.members else None
+
     def retune(self, settings: Settings) -> None:
         """Other settings from now on; a class that keeps its name and number keeps what was learned of it."""
         self.settings = settings
@@ -268,6 +264,7 @@
         for peer in self.peers.values():
             shared = self.new_peer(peer.info)
             peer.routers, peer.turns = shared.routers, shared.turns
+            self.place(peer)
 
     def handle(self, now: float, events: Iterable[Event]) -> Sequence[Action]:
         """Turn what happened at one moment into what is done about it."""
@@ -289,27 +286,36 @@
             if self.settings.must_subscribe:
                 self.out.append(SetTimer(self.now + RESUBSCRIBE_MS, 0))
             return
-        if event.kind != ListKind.DELTA:
-            for peer in self.peers.values():
-                peer.ready = False
+        touched = {} if event.kind == ListKind.DELTA else dict(self.peers)
+        for peer in touched.values():
+            peer.ready = False
         for info in event.members:
-            peer = self.peers.get(info.id) or self.peers.setdefault(info.id, self.new_peer(info))
+            peer = touched[info.id] = self.peers.get(info.id) or touched.get(info.id) or self.new_peer(info)
             started = min(info.started, self.now)
             if started > peer.started:
                 # A restarted member is a cold one: its past health and budget are another process's.
                 peer.tokens, peer.good, peer.bad, peer.ejections, peer.strikes = 0.0, 0.0, 0.0, 0, 0
                 peer.ejected_until, peer.lost_at, peer.load, peer.weight = -math.inf, -math.inf, None, 1.0
             peer.info, peer.started, peer.ready = info, started, info.state == State.READY
-            peer.share = peer.weight * info.size**SIZE_POWER
-        self.peers = {id_: peer for id_, peer in sorted(self.peers.items()) if peer.ready}
-        known = list(self.peers.values())
-        upper = (self.settings.parent_kind, self.settings.origin_kind)
-        self.caches = [p for p in known if p.info.zone == self.settings.zone and p.info.kind not in upper]
-        self.parents = [p for p in known if p.info.kind == self.settings.parent_kind]
-        self.cache_boards.clear()
-        self.parent_boards.clear()
-        self.logs.clear()  # or the scores of members long gone would stay
-        self.origin = next((p for p in known if p.info.kind == self.settings.origin_kind), None)
+        for peer in touched.values():
+            self.place(peer)
+
+    def place(self, peer: Peer) -> None:
+        """Rank a member among those of its tier, or no longer; the cost does not grow with all others."""
+        known, info = self.settings, peer.info
+        if peer.ready:
+            self.peers[peer.id] = peer
+        else:
+            self.peers.pop(peer.id, None)
+        upper = info.kind in (known.parent_kind, known.origin_kind)
+        share = peer.weight * info.size**SIZE_POWER
+        changed, peer.share = share != peer.share, share
+        for board, belongs in (
+            (self.cache_board, info.zone == known.zone and not upper),
+            (self.parent_board, info.kind == known.parent_kind),
+            (self.origins, info.kind == known.origin_kind),
+        ):
+            board.put(peer, peer.ready and belongs, changed)
 
     def new_peer(self, info: Member) -> Peer:
         """A member just heard of, with the figures of its tier and how many routers share its budget."""
@@ -321,7 +327,7 @@
             local = known.routers_by_zone
             figures = (known.cold_from, known.warm_after, known.cold_multiple)
             routers = local[info.zone] if info.zone < len(local) else known.siblings
-        turns = Turns(score(max(0, known.me), info.id))
+        turns = Turns(pair_hash(max(0, known.me), info.id))
         return Peer(info.id, info, self.fills, now, now, *figures, max(1, routers), turns)
 
     def on_purged(self, event: Purged) -> None:
@@ -472,13 +478,13 @@
         if self.now - self.weighed_at < WEIGH_MS:
             return
         self.weighed_at = self.now
-        self.cache_boards.clear()
         warm = (p for p in self.caches if p.warmth(self.now) >= 1.0)
         known = [(p, p.load + LOAD_LEAST) for p in warm if p.load is not None]
+        mean = sum(load for _, load in known) / len(known) if known else 0.0
         for p, load in known:
-            mean = sum(other for _, other in known) / len(known)
             p.weight = min(WEIGH_MOST, max(1.0 / WEIGH_MOST, p.weight * (mean / load) ** WEIGH_POWER))
             p.share = p.weight * p.info.size**SIZE_POWER
+        self.cache_board.weights_changed()
 
     def idle_cache(self, req: Pending) -> Peer | None:
         """In place of a refusal: the next cache with free places, while the location has enough of them.
@@ -488,7 +494,8 @@
         """
         if self.strained():
             return None
-        ready = [p for p in self.board(req, self.caches) if not self.ejected(p) and p.warmth(self.now) >= 1.0]
+        board = self.cache_board.ranked(req.ask.object_id)
+        ready = [p for p in board if not self.ejected(p) and p.warmth(self.now) >= 1.0]
         if not self.settings.joins:
             free = sum(self.expected(req, p) <= 0.0 for p in ready)
             ready = ready[:NEXT] if free * 2 >= len(ready) else []
@@ -499,10 +506,11 @@
     def pick_cache(self, req: Pending) -> tuple[Peer | None, bool]:
         """The top live cache of the own location's scoreboard that may be sent this request."""
         need = self.sizes.sending[req.ask.cls]
-        board = self.board(req, self.caches)
+        first = self.cache_board.first(req.ask.object_id)
         # Nearly always the top member is in use and warm, and nothing further need be looked at.
-        if board and not req.sent and not board[0].ejections and self.fits(board[0], need):
-            return board[0], False
+        if first and not req.sent and not first.ejections and self.fits(first, need):
+            return first, False
+        board = self.cache_board.ranked(req.ask.object_id)
         fit = [p for p in board if self.fits(p, need) and self.may_repeat(req, p)]
         peer, trial = self.top(fit, req.tried, req.cls.repeat == Repeat.SAFE)
         return peer or next(iter(fit), None), trial
@@ -522,10 +530,10 @@
         held = self.peers.get(number) if until > self.now and number not in req.sources else None
         if held is not None and not self.ejected(held) and self.fits(held, need):
             return held, False
-        board = self.board(req, self.parents)
-        if board and not req.sent and not board[0].ejections and self.fits(board[0], need):
-            return board[0], False
-        fit = [p for p in board if self.fits(p, need)]
+        first = self.parent_board.first(req.ask.object_id)
+        if first and not req.sent and not first.ejections and self.fits(first, need):
+            return first, False
+        fit = [p for p in self.parent_board.ranked(req.ask.object_id) if self.fits(p, need)]
         # Only a first request is likely to need a fill, and so to show how a parent fares.
         peer, trial = self.top(fit, req.sources, req.first and req.cls.repeat == Repeat.SAFE)
         return peer or self.origin or next(iter(fit), None), trial
@@ -538,25 +546,6 @@
                 return peer, trial
         return next((p for p in fit if not self.ejected(p)), None), False
 
-    def board(self, req: Pending, members: list[Peer]) -> list[Peer]:
-        """Members by their score for the object, best first; a changed weight moves few objects only."""
-        key = req.ask.object_id
-        boards = self.cache_boards if members is self.caches else self.parent_boards
-        board = boards.get(key)
-        if board is None:
-            if len(boards) >= BOARDS:
-                boards.clear()
-            logs = self.logs.get(key)
-            if logs is None:
-                if len(self.logs) >= BOARDS:
-                    self.logs.clear()
-                logs = self.logs[key] = {}
-            for p in members:
-                if p.id not in logs:
-                    logs[p.id] = math.log((score(key, p.id) + 1) / 2.0**64)
-            board = boards[key] = sorted(members, key=lambda p: -(logs[p.id] / p.share))
-        return board
-
     def fits(self, peer: Peer, need: float) -> bool:
         """A cold member has a hard budget: every attempt and every fill that may reach it counts."""
         known, now = self.settings, self.now
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from lupintack import interface as i
-from lupintack.policy import Router, score
+from lupintack.limits.scoreboard import score
+from lupintack.policy import Router
 
 CACHES = (11, 12, 13, 14)
 PARENTS = (21, 22, 23)
