Read a configuration again for a second where one call failed, at a start and at SIGHUP

Cause: an open or read that failed once (ENFILE, EIO, EINTR, ...) ended a start with code 2, and made a SIGHUP keep the old configuration, with the old address of discovery. Change: settings/files.py content() tries errors that may pass 20 times in a second. Ruled out: further calls of a start that can end it (socket, setsockopt, bind, listen have tests).

--- a/lupintack/config.py
+++ b/lupintack/config.py
@@ -11,7 +11,7 @@
 from lupintack.interface import Settings
 from lupintack.settings.changes import check_sound
 from lupintack.settings.errors import ConfigError, SettingsError
-from lupintack.settings.files import address
+from lupintack.settings.files import address, content
 from lupintack.settings.instance import read_settings
 
 __all__ = ["Config", "ConfigError", "Limits", "Names", "address", "load", "parse"]
@@ -60,7 +60,7 @@
     """The configuration that the environment names."""
     path = environ.get("EDGE_CONFIG", "")
     try:
-        data = json.loads(Path(path).read_bytes())
+        data = json.loads(content(Path(path)))
     except OSError as error:
         raise ConfigError(f"EDGE_CONFIG: {path!r} can't be read: {error.strerror}") from None
     except (ValueError, RecursionError) as error:  # the latter: brackets in brackets by the thousand
--- a/lupintack/settings/files.py
+++ b/lupintack/settings/files.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import errno
 import re
+import time
 import tomllib
 from pathlib import Path
 from typing import Any, TypeVar
@@ -14,6 +16,12 @@
 from lupintack.settings.errors import ConfigError
 
 T = TypeVar("T")
+TRIES = 20
+AGAIN_S = 0.05
+PASSING = frozenset(
+    {errno.EINTR, errno.EIO, errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EAGAIN, errno.ENOBUFS}
+)
+"""Of open and read (their manual pages): may be otherwise a moment later."""
 AT = re.compile(r"(?P<what>.*?)(?: - at `\$(?P<path>[^`]*)`)?", re.S)
 STEP = re.compile(r"\.?([^.\[\]]+)|\[(\d+|\.\.\.)\]")
 
@@ -26,10 +34,28 @@
     return host.strip("[]"), int(port)
 
 
+def content(path: Path) -> bytes:
+    """A file's bytes; OSError as the last try had it.
+
+    Errors that may pass are tried again for a second: a start would be over, and a SIGHUP lost, for one call
+    that failed once.
+    """
+    for _ in range(TRIES - 1):
+        try:
+            with open(path, "rb") as file:
+                return file.read()
+        except OSError as error:
+            if error.errno not in PASSING:
+                raise
+        time.sleep(AGAIN_S)
+    with open(path, "rb") as file:
+        return file.read()
+
+
 def read(path: Path) -> dict[str, Any] | None:
     """A TOML file's content; None where there is no such file, ConfigError for one that can't be read."""
     try:
-        return tomllib.loads(path.read_text())
+        return tomllib.loads(content(path).decode())
     except FileNotFoundError:
         return None
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
--- a/lupintack/standins/shim/sitecustomize.py
+++ b/lupintack/standins/shim/sitecustomize.py
@@ -16,6 +16,7 @@
 import builtins
 import errno
 import fcntl
+import io
 import json
 import os
 import random
@@ -171,7 +172,7 @@
         setattr(os, name, faulty_os(name))
     for name, real in REAL_PATHS.items():
         setattr(os, name, faulty_path(name, real))
-    builtins.open = faulty_path("open", REAL_OPEN)
+    builtins.open = io.open = faulty_path("open", REAL_OPEN)  # pathlib has it from io
     fcntl.flock = flock
     time.time = lambda: REAL_TIME() + PLAN.now().get("step_s", 0.0)
     time.time_ns = lambda: REAL_TIME_NS() + int(PLAN.now().get("step_s", 0.0) * 1e9)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -243,6 +243,22 @@
     assert record.status == 200, edge.log()
 
 
+@pytest.mark.parametrize("error", ["ENFILE", "EIO", "EINTR"])
+def test_a_configuration_that_can_t_be_read_at_once_is_read_a_moment_later(edge: Edge, error: str) -> None:
+    """At a start, which was over, and at SIGHUP, whose new configuration was never read."""
+    edge.shim(seed=7, faults=[fault("open", error, 1.0, path="config.json", first=6)])
+    edge.start()
+    edge.ready()
+    edge.shim(seed=8, faults=[fault("open", error, 1.0, path="config.json", first=12)])
+    edge.write(board=edge.fleet.board.address)
+    edge.signal(signal.SIGHUP)
+    until = time.monotonic() + 5.0
+    while 'event="board moves"' not in edge.log():
+        assert time.monotonic() < until, edge.log()
+        time.sleep(0.02)
+    assert "reload.refused" not in edge.log()
+
+
 def test_a_port_that_stays_somebody_s_ends_the_start_with_a_word(edge: Edge) -> None:
     with socket.create_server(("127.0.0.1", edge.port)):
         edge.start()
