Replace "heard" and "heed" by the field's words in the files that were touched

Change: comments, names of variables, `board applied` in the tests' scenarios; log lines, file names and wire forms keep theirs. No behaviour changes.

--- a/lupintack/budgets/spending.py
+++ b/lupintack/budgets/spending.py
@@ -86,7 +86,7 @@
     def take(self, wants: Mapping[str, int], now: int) -> str:
         """Take all of it, or nothing; the name of the first budget that lacks, "" where it was taken.
 
-        `now` is read at the spend itself: a lease that has run out since it was heard of gives nothing.
+        `now` is read at the spend itself: a lease that has run out since it was received gives nothing.
         """
         for name, units in wants.items():
             balance = self.balances[name]
--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -130,7 +130,7 @@
         self.keys = Keys()
         self.bands = Bands()
         self.requests = RequestLog()
-        self.purges_known = 0  # the number of the last purge that the module has heard of
+        self.purges_known = 0  # the number of the last purge that the module has been told of
         self.updates_known = 0  # and of the last news of any kind (MemberTable.news)
         self.early: list[Ended] = []  # attempts held back by news that the module has yet to hear
         self.now = now_us()
--- a/lupintack/core/handoff.py
+++ b/lupintack/core/handoff.py
@@ -92,7 +92,7 @@
 
 
 def adopt(router: Router, told: Any) -> bool:
-    """Into a module that has heard its first list, before its first request; False where it can't be used."""
+    """Into a module that has its first list, before its first request; False where it can't be used."""
     try:
         if told["version"] != VERSION:
             return False
--- a/lupintack/core/member_table.py
+++ b/lupintack/core/member_table.py
@@ -208,7 +208,7 @@
 
         Guards against a want that waited in a mailbox, or for a connect, while a member began to drain or
         the object was purged: the rules count from the first byte, not from the decision. A purge counts from
-        when the table has it, and by its number: one that the module had not heard of yet when it decided,
+        when the table has it, and by its number: one that the module did not know yet when it decided,
         as its turn came late, forbids the attempt as well, however the times lie. So does a table that has
         grown too old meanwhile.
         """
--- a/lupintack/core/messages.py
+++ b/lupintack/core/messages.py
@@ -80,7 +80,7 @@
     renew: bool
     held_only: bool
     decided_us: int
-    purges_known: int  # the number of the last purge that the module had heard of
+    purges_known: int  # the number of the last purge that the module knew
     stale: Callable[[Order], bool] = field(repr=False)
     link: Link | None = None
     until_us: int = 0  # the last moment at which it may be written, by the archive's window; 0: any
--- a/lupintack/core/settings_update.py
+++ b/lupintack/core/settings_update.py
@@ -30,12 +30,12 @@
 
 
 def apply(core: Hosted, new: SettingsUpdate) -> None:
-    """Inside the core's turn: all of it, before anything else is heard."""
+    """Inside the core's turn: all of it, before any other message."""
     if new.processes is not None:
         core.processes = new.processes
     settings = replace(core.settings, processes=core.processes)
     if new.settings is not None:
-        # What the front has read and the core not heard keeps its number, too.
+        # What the front has read and the core not received keeps its number, too.
         used = {one.ask.cls for one in core.owed.values()}
         used |= {message.cls for message in list(core.mailbox) if isinstance(message, ClientRequest)}
         classes = numbered(core.settings.classes, new.settings.classes, used)
--- a/lupintack/core/trace.py
+++ b/lupintack/core/trace.py
@@ -1,4 +1,4 @@
-"""What the module heard and did, a line each, to be counted across a fleet (docs/fleet.md); off by default.
+"""What the module received and did, a line each, to be counted over a fleet (docs/fleet.md); off by default.
 
 Lines go to the standard error as they are: `~`, the Unix time in ms, a word, its figures. `LUPINTACK_TRACE=1`
 in the environment switches it on. A word's figures stand in `event` and `action`.
--- a/lupintack/discovery/client.py
+++ b/lupintack/discovery/client.py
@@ -212,8 +212,8 @@
     def patience_s(self) -> float:
         """How long a new connection may tell nothing.
 
-        Guards against a discovery that is slow, not cut off: given up again and again it would never be
-        heard.
+        Guards against a discovery that is slow, not cut off: given up again and again it would never
+        prove anything.
         """
         return SILENT_S * SLOW_PART if self.silent_tries % 2 else SILENT_S
 
--- a/lupintack/fronts/http2.py
+++ b/lupintack/fronts/http2.py
@@ -2,7 +2,7 @@
 
 What a connection may hold is decided in `limits/streams.py`, what is written next in `http2/schedule.py`,
 when a connection ends in `limits/drain.py`; here they meet the wire. A stream is refused with REFUSED_STREAM
-only while the core has not heard of it. docs/http2.md has the life of a stream.
+only while the core has not received it. docs/http2.md has the life of a stream.
 """
 
 from __future__ import annotations
--- a/lupintack/limits/shared.py
+++ b/lupintack/limits/shared.py
@@ -50,7 +50,7 @@
             return False
         if now >= self.until:
             first = self.until == -math.inf
-            # The first turn is shorter, or all that heard of the member in one moment would draw in one.
+            # The first turn is shorter, or all that were told of the member in one moment would draw in one.
             self.until = now + span * (self.random() if first else 1.0)
             self.draw = self.random()
         return have >= self.draw * need
--- a/lupintack/limits/streams.py
+++ b/lupintack/limits/streams.py
@@ -31,7 +31,7 @@
 
 
 class Cost(Enum):
-    """Frames that are free for a client to send and not for us to heed."""
+    """Frames that are free for a client to send and not for us to act on."""
 
     RESET = auto()  # a stream given up, or made to fail, by its client
     CONTROL = auto()  # PING, SETTINGS, PRIORITY, empty DATA
--- a/lupintack/peers/actor.py
+++ b/lupintack/peers/actor.py
@@ -151,8 +151,8 @@
         self.lock = threading.Lock()
         self.backlog = bytearray()  # the rest of what is begun; nothing new is written here before it is out
         self.used_us = now_us()
-        self.quiet_us = 0  # when the first write went out since something was heard; 0: none has
-        self.asked_us = 0  # when `there` was sent, until something is heard
+        self.quiet_us = 0  # when the first write went out since something was received; 0: none has
+        self.asked_us = 0  # when `there` was sent, until something is received
         self.silent = False
         self.yielding = False  # to be closed for another member's first
         self.leaving = False  # the member has closed it
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -53,7 +53,7 @@
 EXTRA_RATE = 0.15  # further attempts earned by each request: trouble must not multiply the load
 EXTRA_MOST = 15.0  # further attempts that may be saved up
 RETRY_AFTER_MS = 100.0  # advised wait after a refusal, in the mean
-APART = 0.4  # waits differ by up to this part of them, or all routers that heard the same act in one moment
+APART = 0.4  # waits differ by up to this part of them, or all that were told alike would act in one moment
 SIZES = Sending(guess=1.0, pace=0.02)  # of a class nobody has measured: rather too much (limits/sizes.py)
 
 # Overload
@@ -96,7 +96,7 @@
 
 _ATTEMPT_BITS = 8
 FILL_NOTES = frozenset({Note.UNTOLD, Note.FILLED, Note.FILLED_BY_ORIGIN})
-HEARD = frozenset({Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS})  # answers of a member that lives
+ANSWERS = frozenset({Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS})  # of a member that lives
 
 
 @dataclass(slots=True, eq=False)
@@ -106,7 +106,7 @@
     id: int
     info: Member
     faded_at: float
-    heard_at: float
+    answered_at: float
     token_at: float
     cold_from: float
     ramp: float
@@ -281,7 +281,7 @@
     # Membership
 
     def on_list(self, event: MemberList) -> None:
-        """Heed the list at once; a member that is draining or gone is passed over from this batch on."""
+        """Apply the list at once; a member that is draining or gone is passed over from this batch on."""
         if event.kind == ListKind.FAILED:
             if self.settings.must_subscribe:
                 self.out.append(SetTimer(self.now + RESUBSCRIBE_MS, 0))
@@ -318,7 +318,7 @@
             board.put(peer, peer.ready and belongs, changed)
 
     def new_peer(self, info: Member) -> Peer:
-        """A member just heard of, with the figures of its tier and how many routers share its budget."""
+        """A new member, with the figures of its tier and how many routers share its budget."""
         known, now = self.settings, self.now
         if info.kind == known.parent_kind:
             figures = (known.parent_cold_from, known.parent_ramp, known.parent_multiple)
@@ -635,12 +635,12 @@
         return self.fills_allowed() < 1.0
 
     def book_overdue(self, attempt: Attempt) -> None:
-        """Silence is told apart by who else answers: a cache heard since points to the source.
+        """Silence is told apart by who else answers: a cache that has answered since points to the source.
 
         Danger: a fixed time without answers is nothing at a router that asks a cache twice a second.
         """
         one, source = attempt.peer, attempt.source
-        if one.heard_at > attempt.sent_at:
+        if one.answered_at > attempt.sent_at:
             if source is not None:
                 self.book_bad(source, attempt)
                 self.failing.book(self.now, True)
@@ -732,8 +732,8 @@
             attempt.peer.count(self.now, -1)
             self.store.back(attempt.fills)
             self.weigh(attempt.peer, event.load)
-            if event.outcome in HEARD:
-                attempt.peer.heard_at = self.now
+            if event.outcome in ANSWERS:
+                attempt.peer.answered_at = self.now
                 attempt.peer.strikes *= event.outcome == Outcome.ERROR
             self.book(attempt, event, req)
         if req is None:
--- a/lupintack/settings/operator.py
+++ b/lupintack/settings/operator.py
@@ -63,7 +63,7 @@
     enabled: bool = False
     listen: Annotated[str, Meta(pattern=ADDRESS, description="datagrams and exchanges")] = "127.0.0.1:9092"
     fleet: Annotated[
-        str, Meta(min_length=1, max_length=64, description="its name: routers of another are not heard")
+        str, Meta(min_length=1, max_length=64, description="its name: routers of another are ignored")
     ] = "lupintack"
     secret: Annotated[
         str, Meta(max_length=256, description="keys the code of each message; the same at all routers")
--- a/lupintack/standins/planted.py
+++ b/lupintack/standins/planted.py
@@ -84,7 +84,7 @@
 
 
 def deaf_to_purges() -> None:
-    """Purges are not heard."""
+    """Purges are not applied."""
     from lupintack.core.member_table import MemberTable
 
     MemberTable.purge = lambda self, *args, **more: None  # type: ignore[method-assign]
--- a/tests/app.py
+++ b/tests/app.py
@@ -111,9 +111,9 @@
             if not data:
                 self.closed = True
                 continue
-            self.heed(data)
+            self.receive(data)
 
-    def heed(self, data: bytes) -> None:
+    def receive(self, data: bytes) -> None:
         for event in self.session.receive_data(data):
             stream = self.streams.get(getattr(event, "stream_id", 0) or 0, Stream())
             if isinstance(event, e.ResponseReceived):
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -94,7 +94,7 @@
         self.vars: dict[str, str] = {}
         self.boards: list[socket.socket] = []
         self.boards_late = False  # they say no number of their own accord
-        self.heard: list[socket.socket] = []  # the stand-ins' connections
+        self.accepted: list[socket.socket] = []  # the stand-ins' connections
         self.members = {name: listen(self.member(name)) for name in HOSTS}
         self.cdns = {name: listen(self.cdn(name)) for name in ("up", "down")}
         self.vars |= {name: f"http://{at(sock)}" for name, sock in self.cdns.items()}
@@ -119,7 +119,7 @@
 
     def new_board(self) -> socket.socket:
         def serve(sock: socket.socket) -> None:
-            self.heard.append(sock)
+            self.accepted.append(sock)
             line = Lines(sock).until(b"\n").decode()
             if not self.boards_late:
                 sock.sendall(line.split()[-1].encode() + b"\n")  # the list is current
@@ -142,7 +142,7 @@
 
     def member(self, name: str) -> Callable[[socket.socket], None]:
         def serve(sock: socket.socket) -> None:
-            self.heard.append(sock)
+            self.accepted.append(sock)
             reader = resp.Reader(sock)
             try:
                 while True:
@@ -178,7 +178,7 @@
             close(listener)
         for lines in self.clients.values():
             lines.sock.close()
-        for sock in self.heard:
+        for sock in self.accepted:
             end(sock)
 
     def wait(self, ms: str) -> None:
@@ -297,7 +297,7 @@
             assert not sock.recv(1), "one call a connection"
 
     def board(self, verb: str, *words: str) -> None:
-        """The notice board: expect a watch, send a line or half of one, close; heard N: wait until the core
+        """The notice board: expect a watch, send a line or half of one, close; applied N: wait until the core
         knows all up to event N.
         """
         if verb == "expect":
@@ -305,7 +305,7 @@
             assert line == " ".join(words), line
         elif verb == "send":
             self.watching.sendall(" ".join(words).encode() + b"\n")
-        elif verb == "heard":
+        elif verb == "applied":
             until, done = time.monotonic() + PATIENCE, threading.Event()
             while self.node.discovery.last < int(words[0]):
                 assert time.monotonic() < until, f"{self.node.discovery.last} is the last that came"
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -327,8 +327,8 @@
     the ban held back after the ban itself, and does not spend its tries on members that are out.
     """
     play = Scenario()
-    heard, tell = threading.Event(), play.node.member_table.notify
-    play.node.member_table.notify = lambda change: (heard.wait(5.0), tell(change))[1]
+    told, notify = threading.Event(), play.node.member_table.notify
+    play.node.member_table.notify = lambda change: (told.wait(5.0), notify(change))[1]
     play.run(
         f"""
         staff call POST /api/exclude?name=s-1 200
@@ -338,7 +338,7 @@
         close=False,
     )
     eventually(lambda: play.node.core.counters["taken.map-tiles"] == 1 and len(play.node.core.early) == 1)
-    heard.set()
+    told.set()
     play.run("cache expect w at=p-*\ncache send w ok - one\nclient a expect 200 body=one", close=False)
     assert play.node.core.counters["ended.withdrawn"] == 1
     play.close()
@@ -371,7 +371,7 @@
 
 @given(STEPS)
 def test_a_banned_member_is_never_written_to(steps: list[tuple[str, str | State]]) -> None:
-    """Whatever is said and told in whatever order: before the member table has heard of it, and after."""
+    """Whatever is said and told in whatever order: before the member table knows it, and after."""
     member_table, bans = MemberTable(6000.0), Bans()
     other = Endpoint("r-1", ("127.0.0.1", 1))  # always there, and ready
     member_table.apply(ListUpdate(True, (other,)))
@@ -384,8 +384,8 @@
             bans = Bans(dict(bans.out), dict(bans.back))
             (bans.exclude if what == "exclude" else bans.include)(name, float(now))
             member_table.ban(bans)
-        for heard in (False, True):
-            while heard and not member_table.mailbox.empty():
+        for applied in (False, True):
+            while applied and not member_table.mailbox.empty():
                 news = member_table.mailbox.get()
                 assert news is not None
                 member_table.apply(news)
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -82,7 +82,7 @@
     old = copies((1, 1000, b"a" * 600), (2, 3000, b"b" * 600), (3, 3000, b"c" * 600))
     data = b"".join(HandoffState({"version": 1}, list(old.held.items())).records(1300))
     new = copies()
-    new.purge(3, 0, 4000.0)  # heard by the new process alone
+    new.purge(3, 0, 4000.0)  # known to the new process alone
     records = read(io.BytesIO(data).read)
     assert next(records) == ({"version": 1}, b"")
     for told, body in records:
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -61,8 +61,8 @@
 
     def test_the_clients_retry_goes_out_beside_the_routers_own_try_and_not_after_the_window(self) -> None:
         play = Scenario(settings=window(700.0))
-        heard: list[int] = []
-        play.node.core.trace = lambda now, events, actions: heard.extend(
+        sent: list[int] = []
+        play.node.core.trace = lambda now, events, actions: sent.extend(
             one.risk_member for one in events if isinstance(one, i.Request)
         )
         play.run(f"""
@@ -77,7 +77,7 @@
             client c expect 503
             cache expect nothing 50
         """)
-        self.assertEqual([member != 0 for member in heard], [False, True, True])
+        self.assertEqual([member != 0 for member in sent], [False, True, True])
 
     def test_what_is_proved_never_to_have_run_opens_no_window(self) -> None:
         Scenario(settings=window(200.0, **{"try-limit": 1})).run(f"""
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -44,9 +44,9 @@
     file = tmp / "config.json"
     file.write_text(raw or json.dumps(data))
     play.node.reload({"EDGE_CONFIG": str(file)})
-    heard = threading.Event()  # the core's turn may be on another thread: until it has come, the old holds
-    play.node.core.post(SettingsUpdate(done=lambda numbers: heard.set()))
-    assert heard.wait(5.0)
+    applied = threading.Event()  # the core's turn may be on another thread: until it has come, the old holds
+    play.node.core.post(SettingsUpdate(done=lambda numbers: applied.set()))
+    assert applied.wait(5.0)
 
 
 def services(data: Data) -> list[Data]:
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -235,7 +235,7 @@
         Scenario().run(f"""
             board expect watch 1
             board send {{"rev":2,"pool":{{"seq":2,"hosts":[{{line s-1 Terminating}},{{line p-1 Gone}}]}}}}
-            board heard 2
+            board applied 2
             client a send GET {TILE}
             cache expect w at=s-2 miss=p-2
             cache send w ok - x
@@ -281,7 +281,7 @@
             board send {{"rev":2,"flush":{{"collection":18,"ms":{{now}}}}}}
             board send {{"rev":3,"flush":{{"collection":17,"ms":{{now-500}}}}}}
             board send 3
-            board heard 3
+            board applied 3
             client a send GET {TILE} X-Batch:17
             cache expect w within=???
             cache send w ok - x
@@ -460,11 +460,11 @@
         play.run(f"""
             board expect watch 1
             board send {{"rev":2,"pool":{{"whole":false,"hosts":[{{line s-1 Gone}}]}}}}
-            board heard 2
+            board applied 2
             client a send GET {TILE}
             cache expect w at=s-2
             board send {{"rev":3,"pool":{{"whole":true,"hosts":[{{line p-1 Ready}}, {{line o-1 Ready}}]}}}}
-            board heard 3
+            board applied 3
             client b send GET {TILE}?nth=1
             cache expect v at=p-1
         """)
@@ -475,14 +475,14 @@
         play.run(f"""
             board expect watch 1
             board send {{"rev":2,"pool":{{"whole":false,"hosts":[{{line s-2 Gone}}]}}}}
-            board heard 2
+            board applied 2
             client a send GET {TILE}
             cache expect old at=s-1
         """, close=False)  # fmt: skip
         new = json.dumps(play.line("s-1", host="s-9"))
         play.run(f"""
             board send {{"rev":3,"pool":{{"whole":false,"hosts":[{{line s-1 Gone}}, {new}]}}}}
-            board heard 3
+            board applied 3
             client b send GET {TILE}?nth=1
             cache expect fresh at=s-1
             cache send old ok - x
@@ -504,7 +504,7 @@
                 board send {pool % (2, "{line s-2 Terminating}")}
                 board send {pool % (2, "{line s-2 Ready}")}
                 board send 2
-                board heard 2
+                board applied 2
                 client a send GET {TILE}
                 cache expect w at=s-1
                 cache send w ok - x
@@ -651,7 +651,7 @@
             client a expect 304 ETag:"t"
             cache expect nothing 50
             board send {{"rev":2,"flush":{{"collection":17,"ms":{{now+1}}}}}}
-            board heard 2
+            board applied 2
             {ask}
             {fill}
         """)
@@ -668,7 +668,7 @@
             cache expect w
             board send {{"rev":2,"flush":{{"asset":"00000000000000aa","ms":{{now-5000}}}}}}
             board send 2
-            board heard 2
+            board applied 2
             wait 150
             cache send w ok entity=t,issued={{now}} old
             client a expect 200
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -16,7 +16,7 @@
 
 
 def cold(number: int, **told: object) -> Router:
-    """A router that has just heard that this member started."""
+    """A router that has just been told that this member started."""
     made = h.router(WARM_AT, **told)
     made.handle(WARM_AT, [h.delta(h.member(number, 1, WARM_AT, 40.0))])
     return made
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -48,7 +48,7 @@
     assert call(second, "POST", "/api/exclude?name=s-1") == (200, "out already")
     assert call(second, "POST", "/api/exclude?name=s-2")[0] == 200
     until = time.monotonic() + 5
-    while call(first, "POST", "/api/exclude?name=s-2")[1].find("already") < 0:  # the old one has heard
+    while call(first, "POST", "/api/exclude?name=s-2")[1].find("already") < 0:  # the old one knows
         assert time.monotonic() < until
     old.send_signal(signal.SIGTERM)
     assert old.wait(10) == 0
