Part the keeping of the operators' bans from the admin service

Measured: 140 tests of admin, lifecycle, upgrade, handoff, terms, system calls and rooms pass. No behaviour changes, but for a lock that is taken at each look.

--- a/lupintack/admin_service.py
+++ b/lupintack/admin_service.py
@@ -11,13 +11,12 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
-from dataclasses import replace
 from queue import Empty, SimpleQueue
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
-from lupintack.clock import now_us, unix_now_ms
+from lupintack.clock import now_us
 from lupintack.core.actor import Core
+from lupintack.core.ban_keeper import BanKeeper, FolderPlace
 from lupintack.core.copies import room
 from lupintack.core.handoff import HandoffRequest, HandoffState, adopt, adopt_copy, read
 from lupintack.core.member_table import MemberTable
@@ -25,9 +24,8 @@
 from lupintack.fronts.admin import Verdict
 from lupintack.fronts.steer import steer
 from lupintack.interface import State
-from lupintack.lifecycle import bans as state_of_bans
 from lupintack.lifecycle.bans import NAME_MOST, OUT_MOST, Bans
-from lupintack.lifecycle.folder import LOCK_S, Folder, folder_path, read_bans
+from lupintack.lifecycle.folder import Folder
 from lupintack.lifecycle.state import Leave, Life, Phase, leave
 from lupintack.lifecycle.upgrade_peer import (
     CLOSED,
@@ -39,17 +37,14 @@
     share,
     side,
 )
-from lupintack.logs import LineLimit, fields
+from lupintack.logs import fields
 from lupintack.peers.actor import Room
 
 LOG = logging.getLogger("upkeep")
-Word = Callable[[Bans, str, float], bool]
 LOOK_S = 0.05
-LINES_PER_S = 2  # on a folder that can't be used
 JOIN_S = 0.5  # of a start, for a folder that can't be used at first
 HANDOFF_S = 0.4  # of a start, for what the older process leaves
 HANDOFF_AGAIN_S = 0.005
-RETRY_S = 0.5  # between two tries to keep what staff said
 STOCK_S = 1.0  # for the core's turn that takes it
 TURN_S = 0.6  # of an end, for an older process that ends as well to close its listener first
 
@@ -79,14 +74,6 @@
     def busy(self) -> bool: ...
 
 
-class FolderPlace(NamedTuple):
-    """What the folder of a router goes by."""
-
-    base: str
-    name: str
-    listen: str
-
-
 class AdminService:
     """The operators' desk, the folder shared with a partner, and the node's life."""
 
@@ -105,21 +92,22 @@
         self.servers = servers
         self.limits = (sockets.most, memory_mb, own_sockets)
         self.life = Life()
-        self.place: FolderPlace | None = None  # where the folder is, whether it can be used just now or not
-        self.folder: Folder | None = None
-        self.lines = LineLimit(LINES_PER_S)
+        self.ban_keeper = BanKeeper(member_table)
         self.lock = threading.Lock()  # of the life, and of what is said of members
-        self.unkept: dict[str, tuple[Word, float]] = {}  # said here, and not in the folder yet
         self.partners: list[UpgradePeer] = []
         self.share = Share(sockets.most, memory_mb, 1)
         self.told: Phase | None = None
         self.handed_to: tuple[int, int] | None = None  # for whom a handoff was taken last
         self.looking = threading.Lock()  # SIGTERM looks at the partners, too
-        self.retried_us = 0
         self.closing = False
         self.listeners: Listeners | None = None  # of the port, where this process is the youngest on it
         self.closed = False  # it listens no more, and the folder says so
 
+    @property
+    def folder(self) -> Folder | None:
+        """What the processes of this router share, where it can be used."""
+        return self.ban_keeper.folder
+
     # The operators' calls
 
     def ready(self) -> Verdict:
@@ -143,7 +131,7 @@
             was = name in self.member_table.bans.out
             if len(self.member_table.bans.out) >= OUT_MOST and not was:
                 return Verdict(507, f"{OUT_MOST} are out already; put some back first")
-            kept = self.change(name, Bans.exclude)
+            kept = self.ban_keeper.change(name, Bans.exclude)
         LOG.info("cache taken out", extra=fields(cache=name, again=was, kept=kept or "yes"))
         if kept:
             return Verdict(500, f"out in this process, but not kept for the next one: {kept}")
@@ -155,7 +143,7 @@
             return Verdict(404, "no such cache is listed or out")
         with self.lock:
             was = name in self.member_table.bans.out
-            kept = self.change(name, Bans.include)
+            kept = self.ban_keeper.change(name, Bans.include)
         LOG.info("cache put back", extra=fields(cache=name, was_out=was, kept=kept or "yes"))
         if kept:
             return Verdict(500, f"back in this process, but not kept for the next one: {kept}")
@@ -188,98 +176,20 @@
         some = any(h.zone == host.zone and h.kind not in upper for h in ready)
         return "" if some else "; no cache of its location is left"
 
-    def change(self, name: str, call: Word) -> str:
-        """Bring the operators' word into force, and keep it; why it could not be kept. Under the lock."""
-        now = unix_now_ms()
-        bans = copied(self.member_table.bans)
-        call(bans, name, now)
-        self.member_table.ban(bans)  # binding first: whatever the disk says, nothing more goes there
-        if self.place is None:
-            return ""
-        self.unkept[name] = (call, now)
-        if self.folder is None:
-            return "the folder can't be used"
-        return self.keep(self.folder, LOCK_S)
-
-    def keep(self, folder: Folder, patience_s: float) -> str:
-        """What was said since it could last be kept, laid over what the folder holds. Under the lock."""
-        self.retried_us = now_us()
-        try:
-            with folder.locked(patience_s):
-                bans = self.said(self.kept() or copied(self.member_table.bans))
-                folder.write(bans.dump())
-        except OSError as error:
-            LOG.error("bans can't be kept", extra=fields(reason=error))
-            return str(error)
-        self.unkept.clear()
-        self.member_table.ban(bans)
-        return ""
-
-    def said(self, bans: Bans) -> Bans:
-        """With what was said here and could not be kept so far: the last word on each member.
-
-        Guards against a ban that is in force here alone being lifted by the next one that can be kept.
-        """
-        for name, (call, at) in self.unkept.items():
-            call(bans, name, at)
-        return bans
-
-    def kept(self) -> Bans | None:
-        """What the folder holds; None where it holds nothing that can be used, which the log says."""
-        if self.folder is None:
-            return None
-        try:
-            return self.usable(self.folder.read())
-        except OSError as error:
-            if self.lines.allow(now_us()) >= 0:
-                LOG.error("kept bans can't be read", extra=fields(file=self.folder.bans, reason=error))
-            return None
-
-    def usable(self, texts: list[bytes]) -> Bans | None:
-        """The first of the kept states that is whole: a crash may have cut one of them short."""
-        for number, text in enumerate(texts):
-            try:
-                return state_of_bans.parse(text)
-            except state_of_bans.BansError as error:
-                LOG.error("kept bans can't be used", extra=fields(copy=number, reason=error))
-        return None
-
     # The process
 
     def join(self, place: FolderPlace | None) -> None:
         """Before the first request: what the folder holds is in force from the start, also where nothing can
         be written there now.
         """
-        self.place = place
+        self.ban_keeper.place = place
         if place is None:
             return
         until = time.monotonic() + JOIN_S
-        while not self.try_to_join(place) and time.monotonic() < until:
+        while not self.ban_keeper.join(self.life.phase.value) and time.monotonic() < until:
             time.sleep(LOOK_S)
         self.look_at_partners()
 
-    def try_to_join(self, place: FolderPlace) -> bool:
-        """Join the processes of this router, and take over its bans; False where either failed."""
-        self.retried_us = now_us()
-        try:
-            if self.folder is None:
-                self.folder = Folder(place.base, place.name, place.listen)
-                self.folder.tell(self.life.phase.value)
-            texts = self.folder.read()
-        except OSError as error:
-            if self.lines.allow(now_us()) >= 0:
-                LOG.error("no folder to share with an upgrade", extra=fields(reason=error))
-            try:
-                texts = read_bans(folder_path(place.base, place.name, place.listen))
-            except OSError:
-                return False
-        found = self.usable(texts)
-        if found is not None and found != self.member_table.bans:
-            self.member_table.ban(self.said(found))
-            if found.out:
-                LOG.info("bans found", extra=fields(out=",".join(sorted(found.out))))
-        return self.folder is not None
-
     def older_serves(self) -> bool:
         """Whether an older process of this router is ready: nothing is lost while this one waits."""
         return any(one.phase == Phase.READY.value for one in self.partners)
@@ -323,10 +233,7 @@
 
     def close(self) -> None:
         """The very end."""
-        self.place = None
-        folder, self.folder = self.folder, None
-        if folder is not None:
-            folder.close()
+        self.ban_keeper.close()
 
     def run(self) -> None:
         """Look after all of it, until the core is over."""
@@ -335,7 +242,8 @@
             try:
                 self.look_at_life()
                 self.look_at_partners()
-                self.look_at_bans()
+                with self.lock:
+                    self.ban_keeper.look(self.life.phase.value)
             except Exception:  # one look's fault must not end the others
                 LOG.exception("look failed")
 
@@ -441,28 +349,3 @@
             fault = repr(error)
         held = len(copies.held) if copies is not None else 0
         LOG.info("legacy", extra=fields(learned=adopted, copies=held, fault=fault or "none"))
-
-    def look_at_bans(self) -> None:
-        """What was said to the partner binds here as well; and what could not be kept is tried again."""
-        if self.folder is None and self.place is not None and now_us() - self.retried_us >= RETRY_S * 1e6:
-            with self.lock:
-                self.try_to_join(self.place)
-        folder = self.folder
-        if folder is None:
-            return
-        with self.lock:
-            if self.unkept and now_us() - self.retried_us >= RETRY_S * 1e6:
-                self.keep(folder, 0.0)
-            if not folder.changed():
-                return
-            found = self.kept()
-            if found is not None:
-                found = self.said(found)
-            if found is not None and found != self.member_table.bans:
-                self.member_table.ban(found)
-                LOG.info("bans heard from the other process", extra=fields(out=",".join(sorted(found.out))))
-
-
-def copied(bans: Bans) -> Bans:
-    """One that may be changed: those of the member table never are."""
-    return replace(bans, out=dict(bans.out), back=dict(bans.back))
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -9,9 +9,10 @@
 from typing import TYPE_CHECKING
 
 from lupintack import config, logs
-from lupintack.admin_service import AdminService, FolderPlace, Listener
+from lupintack.admin_service import AdminService, Listener
 from lupintack.clock import UNIX_OFFSET_US, module_ms, now_us
 from lupintack.core.actor import Close, Core, Stop
+from lupintack.core.ban_keeper import FolderPlace
 from lupintack.core.copies import Copies, room
 from lupintack.core.member_table import Change, Endpoint
 from lupintack.core.messages import Link
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -22,6 +22,7 @@
 
 from lupintack import operator
 from lupintack.config import parse
+from lupintack.core.ban_keeper import BanKeeper
 from lupintack.core.member_table import MemberTable
 from lupintack.fronts.cdni import conf as cdni_conf
 from lupintack.lifecycle.bans import Bans
@@ -150,10 +151,7 @@
 
 def usable(texts: list[bytes]) -> Bans:
     """As the process reads them."""
-    from lupintack.admin_service import AdminService
-
-    service = AdminService.__new__(AdminService)
-    bans = service.usable(texts)
+    bans = BanKeeper(MemberTable(6000.0)).usable(texts)
     assert bans is not None
     return bans
 
