Part the start of a process into small functions

Change: StartTimes, build() and Node.print_ready(); one handler. Log lines are as before. No behaviour changes.

--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -20,7 +20,6 @@
 if TYPE_CHECKING:  # nothing of the program is imported before the signals are blocked
     from lupintack.node import Node
 
-LOG = logging.getLogger("lupintack")
 STACK = 256 * 1024
 SWITCH_S = 0.02  # turns are short, and every thread that waits for the interpreter wakes this often
 # Of the collector: nothing on a request's way makes cycles, and a full collection is a stall.
@@ -30,51 +29,43 @@
 LIST_LOOK_S = 0.01  # between two looks whether the list is current, while signals are waited for
 
 
+class StartTimes:
+    """When the process began, and its CPU seconds at the end of each part of the start."""
+
+    def __init__(self) -> None:
+        self.began_s = time.monotonic()
+        self.spent = [0.0, time.process_time()]
+
+    def part_ends(self) -> None:
+        """Another part is over."""
+        self.spent.append(time.process_time())
+
+    def told(self) -> dict[str, str]:
+        """For the line `ready`; cpu_ms: interpreter, list, imports, node."""
+        parts = "/".join(f"{(b - a) * 1000:.0f}" for a, b in zip(self.spent, self.spent[1:], strict=False))
+        return {"cpu_ms": parts, "start_ms": f"{(time.monotonic() - self.began_s) * 1000:.0f}"}
+
+
 def main() -> int:
     """Run until SIGTERM; a configuration that can't be used ends it with one line and code 2."""
-    began = time.monotonic()
-    spent = [0.0, time.process_time()]  # CPU seconds at the end of each part of the start
+    times = StartTimes()
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     threading.stack_size(STACK)
     sys.setswitchinterval(SWITCH_S)
-    from lupintack import config, logs, operator
-    from lupintack.discovery.follow import follow
+    from lupintack.settings.errors import ConfigError
 
     try:
-        conf = config.load(os.environ)
-    except config.ConfigError as error:
-        print(f"lupintack: {error}", file=sys.stderr)
-        return 2
-    logs.set_up(conf.name)
-    followed = follow(conf)
-    # Discovery takes up to a second to prove the list, so it is asked before the rest is imported.
-    followed.client.start(spawn)
-    spent.append(time.process_time())
-    from lupintack.fronts.cdni.conf import FILE, load
-    from lupintack.node import Node
-
-    spent.append(time.process_time())
-    try:
-        wanted = operator.load(os.environ)
-        cdni = load(Path(os.environ.get("LUPINTACK_CDNI") or FILE), conf.names.classes)
-        gc.freeze()
-        gc.set_threshold(*COLLECTIONS)
-        node = Node(conf, cdni, wanted, followed)
+        node = build(times)
         node.begin()
-        if not wait_for_list(node, began):
+        if not wait_for_list(node, times.began_s):
             node.abandon()
-            LOG.info("stopped before it served", extra=logs.fields(node=conf.name))
             return 0
         node.serve()
-    except (config.ConfigError, OSError) as error:  # also what only a router with its name and port can tell
+    except (ConfigError, OSError) as error:  # also what only a router with its name and port can tell
         print(f"lupintack: {error}", file=sys.stderr)
         return 2
-    spent.append(time.process_time())
-    parts = "/".join(f"{(b - a) * 1000:.0f}" for a, b in zip(spent, spent[1:], strict=False))
-    told = {"node": conf.name, "listen": f"{conf.listen[0]}:{conf.listen[1]}", "cpu_ms": parts}
-    told["start_ms"] = f"{(time.monotonic() - began) * 1000:.0f}"
-    # cpu_ms: interpreter, list, imports, node
-    LOG.info("ready", extra=logs.fields(**told, **node.list_state()))
+    times.part_ends()
+    node.print_ready(times.told())
     while (got := signal.sigwait(SIGNALS)) not in ENDS:
         on_signal(node, got)
     node.stop()
@@ -83,6 +74,28 @@
     return 0
 
 
+def build(times: StartTimes) -> Node:
+    """The router, with its ports bound; ConfigError or OSError where it can't be had."""
+    from lupintack import config, logs, operator
+    from lupintack.discovery.follow import follow
+
+    conf = config.load(os.environ)
+    logs.set_up(conf.name)
+    followed = follow(conf)
+    # Discovery takes up to a second to prove the list, so it is asked before the rest is imported.
+    followed.client.start(spawn)
+    times.part_ends()
+    from lupintack.fronts.cdni.conf import FILE, load
+    from lupintack.node import Node
+
+    times.part_ends()
+    wanted = operator.load(os.environ)
+    cdni = load(Path(os.environ.get("LUPINTACK_CDNI") or FILE), conf.names.classes)
+    gc.freeze()
+    gc.set_threshold(*COLLECTIONS)
+    return Node(conf, cdni, wanted, followed)
+
+
 def spawn(target: Callable[[], None], name: str) -> None:
     """A thread that does not hold the program up."""
     threading.Thread(target=target, name=name, daemon=True).start()
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -225,6 +225,7 @@
     def abandon(self) -> None:
         """SIGTERM before anything was served: nothing has been taken."""
         self.admin_service.close()
+        LOG.info("stopped before it served", extra=logs.fields(node=self.conf.name))
 
     def reload(self, environ: Mapping[str, str]) -> None:
         """SIGHUP."""
@@ -275,7 +276,13 @@
         if self.fleet is not None:
             self.fleet.close()
 
+    def print_ready(self, times: Mapping[str, str]) -> None:
+        """The line that says that requests are served."""
+        told = {"node": self.conf.name, "listen": f"{self.conf.listen[0]}:{self.conf.listen[1]}"}
+        LOG.info("ready", extra=logs.fields(**told, **times, **self.list_state()))
+
     def print_counters(self) -> None:
+        """The line of counters."""
         now = {f"http2.{n}.now.{k}": v for n, one in enumerate(self.http2) for k, v in one.explain().items()}
         told = self.core.counters | self.discovery.counters
         LOG.info("counters", extra=logs.fields(**dict(sorted(told.items())), **now, **self.list_state()))
