Tell the rankings of weights that an upgrade brings, and hold these to their bounds

Cause: adopt() changed members' shares behind the scoreboard's back, so that what was ranked stayed so until the next weighing, and took any weight that the older process left, also a negative one. Change: Peer.weigh() is the one place that sets weight and share; both boards are told.

--- a/lupintack/core/handoff.py
+++ b/lupintack/core/handoff.py
@@ -122,8 +122,10 @@
         for name in ("ejections", "trials", "strikes"):
             setattr(peer, name, int(found[name] or 0))
         peer.good, peer.bad = found["good"] or 0.0, found["bad"] or 0.0
-        peer.load, peer.weight = found["load"], found["weight"] or 1.0
-        peer.share = peer.share * peer.weight
+        peer.load = found["load"]
+        peer.weigh(found["weight"] or 1.0)
+    router.cache_board.weights_changed()
+    router.parent_board.weights_changed()
     return True
 
 
--- a/lupintack/policy.py
+++ b/lupintack/policy.py
@@ -134,6 +134,11 @@
     share: float = 1.0
     wanted: Wanted = field(default_factory=Wanted)
 
+    def weigh(self, weight: float) -> None:
+        """Change the share of the objects; its scoreboard is to be told."""
+        self.weight = min(WEIGH_MOST, max(1.0 / WEIGH_MOST, weight))
+        self.share = self.weight * self.info.size**SIZE_POWER
+
     def fade(self, fills: float) -> None:
         """Let old experience fade, by the router's own count of fills."""
         factor = math.exp((self.faded_at - fills) / FADE_FILLS)
@@ -308,14 +313,14 @@
         else:
             self.peers.pop(peer.id, None)
         upper = info.kind in (known.parent_kind, known.origin_kind)
-        share = peer.weight * info.size**SIZE_POWER
-        changed, peer.share = share != peer.share, share
+        before = peer.share
+        peer.weigh(peer.weight)
         for board, belongs in (
             (self.cache_board, info.zone == known.zone and not upper),
             (self.parent_board, info.kind == known.parent_kind),
             (self.origins, info.kind == known.origin_kind),
         ):
-            board.put(peer, peer.ready and belongs, changed)
+            board.put(peer, peer.ready and belongs, peer.share != before)
 
     def new_peer(self, info: Member) -> Peer:
         """A new member, with the figures of its tier and how many routers share its budget."""
@@ -482,8 +487,7 @@
         known = [(p, p.load + LOAD_LEAST) for p in warm if p.load is not None]
         mean = sum(load for _, load in known) / len(known) if known else 0.0
         for p, load in known:
-            p.weight = min(WEIGH_MOST, max(1.0 / WEIGH_MOST, p.weight * (mean / load) ** WEIGH_POWER))
-            p.share = p.weight * p.info.size**SIZE_POWER
+            p.weigh(p.weight * (mean / load) ** WEIGH_POWER)
         self.cache_board.weights_changed()
 
     def idle_cache(self, req: Pending) -> Peer | None:
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -13,7 +13,8 @@
 from lupintack.core.copies import Copies
 from lupintack.core.handoff import HEAD, HandoffState, adopt, adopt_copy, learned, read
 from lupintack.core.messages import Answer
-from lupintack.policy import Router
+from lupintack.limits.scoreboard import score
+from lupintack.policy import WEIGH_MOST, Router
 from lupintack.standins.processes import Load, Processes, call
 from tests import helpers as h
 
@@ -48,6 +49,26 @@
     assert new.peers[h.CACHES[1]].lost_at == -math.inf
 
 
+@pytest.mark.parametrize("weight", [1.4, 7.0, -3.0])
+def test_weights_that_are_left_rank_the_members_at_once_and_keep_their_bounds(weight: float) -> None:
+    """Danger: a ranking that was worked out by other weights, or by a weight that means nothing."""
+    caches = [h.member(100 + n) for n in range(200)]
+    old, new = h.router(), h.router()
+    for made in (old, new):
+        made.handle(1.0, [h.delta(*caches)])
+        for object_id in range(400):
+            made.cache_board.first(object_id)
+    for member in caches[:20]:
+        old.peers[member.id].weight = weight
+    assert adopt(new, learned(old))
+    assert new.peers[100].weight == max(1 / WEIGH_MOST, min(WEIGH_MOST, weight))
+    for object_id in range(400):
+        assert new.cache_board.first(object_id) is min(
+            new.caches,
+            key=lambda p, o=object_id: -math.log((score(o, p.id) + 1) / 2.0**64) / p.share,  # type: ignore[misc]
+        )
+
+
 def test_a_member_started_since_is_another_process() -> None:
     old, new = router(), h.router()
     new.peers[h.CACHES[0]].started = 5_000.0
