--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from lupintack import interface as i
 from lupintack.core.copies import Copies
 from lupintack.core.handoff import HEAD, HandoffState, adopt, adopt_copy, learned, read
 from lupintack.core.messages import Answer
@@ -52,7 +53,7 @@
 @pytest.mark.parametrize("weight", [1.4, 7.0, -3.0])
 def test_weights_that_are_left_rank_the_members_at_once_and_keep_their_bounds(weight: float) -> None:
     """Danger: a ranking that was worked out by other weights, or by a weight that means nothing."""
-    caches = [h.member(100 + n) for n in range(200)]
+    caches = [i.Member(100 + n, size=10.0) for n in range(200)]
     old, new = h.router(), h.router()
     for made in (old, new):
         made.handle(1.0, [h.delta(*caches)])
