--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -109,7 +109,8 @@
 def test_each_count_can_fail(names: list[str]) -> None:
     def run(name: str) -> int:
         count, kind = PLANTED[name]
-        seeds = (1, 2) if kind is Soak else (1,)
+        # What a script hits by chance, and on a busy machine seldom, is looked for in several.
+        seeds = {Soak: (1, 2), Directed: (1, 2, 3, 4)}.get(kind, (1,))
         return sum(getattr(directed(seed, name, kind).counts, count) for seed in seeds)
 
     with ThreadPoolExecutor(2 * BESIDE) as pool:
