--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,15 +75,31 @@
         super().start()
 
 
-def test_no_rule_is_broken_on_fixed_seeds() -> None:
+@pytest.fixture(scope="module")
+def results() -> list[Result]:
+    """The runs of the fixed seeds."""
     with ThreadPoolExecutor(BESIDE) as pool:
-        results = list(pool.map(play, SEEDS))
-    print(closing_line(results))
-    broken = [(one.seed, one.counts.line(), one.script, one.notes) for one in results if one.counts.broken()]
+        found = list(pool.map(play, SEEDS))
+    print(closing_line(found))
+    return found
+
+
+def test_no_rule_is_broken_on_fixed_seeds(results: list[Result]) -> None:
+    """All counts but that of deadlines, which a machine with far too much to do can break."""
+    broken = [
+        (one.seed, one.counts.line(), one.script, one.notes)
+        for one in results
+        if one.counts.broken() > one.counts.long_deadlines
+    ]
     assert not broken, broken
     assert all(one.served > one.requests / 2 for one in results)
 
 
+def test_no_deadline_is_passed_on_too_long_on_fixed_seeds(results: list[Result]) -> None:
+    late = [(one.seed, one.script, one.notes) for one in results if one.counts.long_deadlines]
+    assert not late, late
+
+
 def directed(seed: int, planted: str, kind: type[Soak]) -> Result:
     with tempfile.TemporaryDirectory() as folder:
         run = kind(seed, Path(folder), planted)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -256,7 +256,7 @@
     while 'event="board moves"' not in edge.log():
         assert time.monotonic() < until, edge.log()
         time.sleep(0.02)
-    assert "reload.refused" not in edge.log()
+    assert "can't be used" not in edge.log()
 
 
 def test_a_port_that_stays_somebody_s_ends_the_start_with_a_word(edge: Edge) -> None:
