Count a request's time from when its bytes came, and not from when they were read

Cause: a process that was kept from running (SIGSTOP, a machine with far too much to do) read a request late and passed on a deadline as of the read: 0.4 s too much in the test with a stopped process.

Change: the age of the last bytes comes from the kernel (tcpi_last_data_recv), on both fronts. It is the least that is certain: of several requests that lie unread on one connection only the last one's is exact. The stand-ins' record of a call uses the same, so that a late stand-in is not held against the router.

Ruled out: a look at late ticks, which does not say when the bytes came.

--- a/lupintack/fronts/http1.py
+++ b/lupintack/fronts/http1.py
@@ -219,9 +219,9 @@
         return False
 
     def received(self, data: bytes) -> None:
-        """Bytes, and when they came."""
+        """Bytes, and when they came: a process that was kept from running reads them long after."""
         self.buffer += data
-        self.arrivals.came(len(data), now_us())
+        self.arrivals.came(len(data), now_us() - sockets.since_received_us(self.sock))
 
     def consume(self, length: int) -> int:
         """Take bytes off the buffer; when the last of them came."""
--- a/lupintack/fronts/http2.py
+++ b/lupintack/fronts/http2.py
@@ -155,7 +155,7 @@
             exchange = self.open[stream] = StreamExchange(self, stream, HttpRequest("GET", "/"), -1)
             self.rejected(exchange, error)
             return
-        request.came_us = now
+        request.came_us = self.wire.received_us
         exchange = self.open[stream] = StreamExchange(self, stream, request, want)
         priority = server.prefer(request)
         if "priority" in request.headers:
@@ -204,7 +204,7 @@
         request.body = exchange.chunks[0] if len(exchange.chunks) == 1 else b"".join(exchange.chunks)
         exchange.chunks = []
         if exchange.had:
-            request.came_us = now_us()  # its time counts from its last byte
+            request.came_us = self.wire.received_us  # its time counts from its last byte
         with self.server.lock:
             self.server.book.taken(self.number, stream)
         if self.server.blocking:
--- a/lupintack/http2/wire.py
+++ b/lupintack/http2/wire.py
@@ -122,6 +122,7 @@
         self.calling = False  # what has come is on its way to the role
         self.why = ""
         self.ended_us = 0
+        self.received_us = now_us()  # when the bytes that are read now came
         sockets.set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sockets.set_option(sock, socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT)
 
@@ -144,6 +145,8 @@
                 if not data:
                     self.why = self.why or "closed"
                     break
+                # A process that was kept from running reads them long after.
+                self.received_us = now_us() - sockets.since_received_us(self.sock)
                 self.receive(data)
             if self.ended and not self.dead:
                 self._linger()
--- a/lupintack/sockets.py
+++ b/lupintack/sockets.py
@@ -9,6 +9,7 @@
 
 import errno
 import socket
+import struct
 import time
 from collections.abc import Callable
 
@@ -21,6 +22,7 @@
 PAUSE_S = 0.001  # between two tries of a call that failed for a moment
 TRIES = 200
 CONNECT_TRIES = 3
+LAST_DATA_RECEIVED = struct.Struct("=52xI")  # tcpi_last_data_recv in ms: Linux, include/uapi/linux/tcp.h
 ACCEPT_FIRST_S = 0.0001  # between two tries of an accept, doubled with each that fails in a row
 ACCEPT_PAUSE_S = 0.02  # and at most
 ACCEPT_LASTS_S = 0.001  # from this pause on the want is no matter of a moment: connections are ended for room
@@ -43,6 +45,18 @@
     return sock.recv(size)
 
 
+def since_received_us(sock: socket.socket) -> int:
+    """How long ago the last bytes came, in microseconds, whenever they are read; 0 where that isn't known.
+
+    The kernel counts in whole ticks of some milliseconds, on a clock that no step of the wall clock moves.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
+        return int(LAST_DATA_RECEIVED.unpack(info)[0]) * 1000
+    except (OSError, struct.error):  # no TCP, or a kernel that tells less
+        return 0
+
+
 def write(sock: socket.socket, data: bytes | bytearray | memoryview) -> None:
     """Like sendall, again where a call failed for a moment."""
     view = memoryview(data)
--- a/lupintack/standins/fleet.py
+++ b/lupintack/standins/fleet.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from lupintack import sockets
 from lupintack.peers import resp
 from lupintack.standins import deployment
 from lupintack.standins.audit import BROKEN, Audit, Place, Run
@@ -47,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A want as its member took it; the time is monotonic seconds."""
+    """A want as it came to its member, which may read it later; the time is monotonic seconds."""
 
     at_s: float
     member: str
@@ -149,7 +150,8 @@
                         runs.append(run)
                     dropped.discard(wire_id)
                     if self.fleet.on_call is not None:
-                        self.fleet.on_call(Call(time.monotonic(), self.name, wire_id, told))
+                        came_s = time.monotonic() - sockets.since_received_us(sock) / 1e6
+                        self.fleet.on_call(Call(came_s, self.name, wire_id, told))
                     if self.fleet.watch is not None:
                         ends[wire_id] = self.fleet.watch(self.name, told)
                     self.want(wire_id, told, body, reply, cut, run)
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import time
 from collections.abc import Callable, Sequence
@@ -23,8 +24,10 @@
     WindowUpdateFrame,
 )
 
+from lupintack import sockets
 from lupintack.clock import now_us
 from lupintack.fronts import fields, http2
+from lupintack.http2 import wire as http2_wire
 from lupintack.standins.fleet import Terms, content
 from tests.app import PREFACE, App
 from tests.site import ACK, TILE, VIDEO, Site, eventually, site
@@ -40,6 +43,32 @@
 # What is served
 
 
+def test_a_stream_that_is_read_late_passes_on_no_more_than_its_client_has_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The time of a request counted from its read: a process kept from running passed on too much."""
+    read, late = sockets.read, dict[tuple[str, int], float]()  # seconds, by the address that was connected to
+
+    def read_late(sock: socket.socket, size: int) -> bytes:
+        select.select([sock], [], [])
+        time.sleep(late.get(sock.getsockname(), 0.0))
+        return read(sock, size)
+
+    monkeypatch.setattr(http2_wire.sockets, "read", read_late)
+    with site() as play:
+        limits: dict[str, int] = {}
+        play.fleet.on_call = lambda call: limits.update({call.wire_id: int(call.fields["limit"])})
+        app = play.app()
+        assert app.answer(app.ask("GET", TILE)).status == 200
+        late[play.http2] = 0.4
+        for stream in (
+            app.ask("GET", VIDEO, req_id="00000000000000a1", req_wait_ms="1200"),
+            app.ask("PUT", ACK, b"seen", req_id="00000000000000a2", req_wait_ms="1200"),
+        ):
+            assert app.answer(stream).status == 200
+        assert max(limits["00000000000000a1"], limits["00000000000000a2"]) <= 1200 - 400 + 150
+
+
 def test_streams_are_served_as_http1_requests_are() -> None:
     with site() as play:
         app = play.app()
