Leave a handoff to the start that it is for, and wait for it while the old process serves

Cause: the look at the other processes, beside the start, removed handoffs as too late from its second turn on, also while the start was still waiting for one. And a start waited for 0.4 s alone, although nothing is lost meanwhile. What is lost with it: which caches are cold, so their budget in slow start.

Change: the look removes what is left to a process that has started, and nothing before; a start beside an old process that serves waits 3 s for the handoff, takes SIGHUP and ends at SIGTERM meanwhile, and goes on at once where the old process stops serving.

Ruled out: an earlier first look of the old process, which still loses the race.

--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -26,7 +26,8 @@
 COLLECTIONS = (50_000, 20, 50)
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
 ENDS = {signal.SIGTERM, signal.SIGINT}
-LIST_LOOK_S = 0.01  # between two looks whether the list is current, while signals are waited for
+LOOK_S = 0.005  # between two looks at what a start waits for, while signals are waited for
+HANDOFF_S = 3.0  # of a start beside an older process that serves, which may be kept from running for a moment
 
 
 class StartTimes:
@@ -57,7 +58,7 @@
     try:
         node = build(times)
         node.begin()
-        if not wait_for_list(node, times.began_s):
+        if not wait_for_start(node, times.began_s):
             node.abandon()
             return 0
         node.serve()
@@ -101,10 +102,10 @@
     threading.Thread(target=target, name=name, daemon=True).start()
 
 
-def wait_for_list(node: Node, began: float) -> bool:
-    """Until the list is current, or its time is up; False where the process is to end."""
-    while not node.member_table.confirmed.is_set() and time.monotonic() < began + node.list_wait_s():
-        got = signal.sigtimedwait(SIGNALS, LIST_LOOK_S)
+def wait_until(node: Node, done: Callable[[], bool], until_s: float) -> bool:
+    """Until that is done, or its time is up; False where the process is to end."""
+    while not done() and time.monotonic() < until_s:
+        got = signal.sigtimedwait(SIGNALS, LOOK_S)
         if got is None:
             continue
         if got.si_signo in ENDS:
@@ -113,6 +114,15 @@
     return True
 
 
+def wait_for_start(node: Node, began_s: float) -> bool:
+    """Until the list is current and an older process has left what it knows, or the time of either is up;
+    False where the process is to end.
+    """
+    return wait_until(node, node.list_is_proved, began_s + node.list_wait_s()) and wait_until(
+        node, node.handoff_is_over, time.monotonic() + HANDOFF_S
+    )
+
+
 def on_signal(node: Node, number: int) -> None:
     """SIGHUP or SIGUSR1."""
     if number == signal.SIGHUP:
--- a/lupintack/admin_service.py
+++ b/lupintack/admin_service.py
@@ -43,8 +43,6 @@
 LOG = logging.getLogger("upkeep")
 LOOK_S = 0.05
 JOIN_S = 0.5  # of a start, for a folder that can't be used at first
-HANDOFF_S = 0.4  # of a start, for what the older process leaves
-HANDOFF_AGAIN_S = 0.005
 STOCK_S = 1.0  # for the core's turn that takes it
 TURN_S = 0.6  # of an end, for an older process that ends as well to close its listener first
 
@@ -98,6 +96,7 @@
         self.share = Share(sockets.most, memory_mb, 1)
         self.told: Phase | None = None
         self.handed_to: tuple[int, int] | None = None  # for whom a handoff was taken last
+        self.handed_over = False  # what an older process has left to this one is taken over
         self.looking = threading.Lock()  # SIGTERM looks at the partners, too
         self.closing = False
         self.listeners: Listeners | None = None  # of the port, where this process is the youngest on it
@@ -291,7 +290,9 @@
         elif self.listeners is not None and self.listeners.look(others):
             done = self.steer_to(self.listeners.place)
             LOG.info("steered anew", extra=fields(place=self.listeners.place, steered=done))
-        if others and self.told is not None and (late := folder.handoff()) is not None:
+        # What is left to a start is for that alone: this look runs beside it.
+        starting = self.life.phase is Phase.STARTING
+        if others and not starting and (late := folder.handoff()) is not None:
             late.close()  # it was left after the start had gone on without
         wanted = share(which, len(others), *self.limits)
         if which is Side.OLD:
@@ -326,17 +327,16 @@
         self.core.post(HandoffRequest(taken.put))
         threading.Thread(target=write, name="handoff", daemon=True).start()
 
-    def receive_handoff(self) -> None:
-        """Before the first request: what an older process has left, waited for in vain for HANDOFF_S."""
+    def handoff_is_awaited(self) -> bool:
+        """Whether an older process may still leave something; it serves meanwhile, so nothing is lost."""
+        return self.folder is not None and not self.handed_over and self.older_serves()
+
+    def receive_handoff(self) -> bool:
+        """Before the first request: take over what an older process left; False where there is nothing."""
         folder = self.folder
-        if folder is None or not self.older_serves():
-            return
-        until = time.monotonic() + HANDOFF_S
-        while (file := folder.handoff()) is None:
-            if time.monotonic() >= until:
-                LOG.info("nothing was left by the older process")
-                return
-            time.sleep(HANDOFF_AGAIN_S)
+        if folder is None or self.handed_over or (file := folder.handoff()) is None:
+            return False
+        self.handed_over = True
         adopted, fault, copies = False, "", self.core.copies
         try:
             with file:
@@ -349,3 +349,4 @@
             fault = repr(error)
         held = len(copies.held) if copies is not None else 0
         LOG.info("legacy", extra=fields(learned=adopted, copies=held, fault=fault or "none"))
+        return True
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -164,7 +164,7 @@
         return Peer(host.name, host.dial, self.terms, self.core.ended, spawn)
 
     def start(self) -> None:
-        """Begin, wait for the list within its limit, and serve."""
+        """Begin, wait for the list within its limit, and serve; no older process is waited for."""
         self.begin()
         self.member_table.confirmed.wait(self.list_wait_s())
         self.serve()
@@ -196,15 +196,23 @@
         """How long a start may wait for the list: longer beside an older process, which goes on serving."""
         return UPGRADE_WAIT_S if self.admin_service.older_serves() else LIST_WAIT_S
 
+    def list_is_proved(self) -> bool:
+        """Whether discovery has proved that the list is current."""
+        return self.member_table.confirmed.is_set()
+
+    def handoff_is_over(self) -> bool:
+        """Take over what an older process has left; whether nothing more is to be waited for."""
+        return self.admin_service.receive_handoff() or not self.admin_service.handoff_is_awaited()
+
     def serve(self) -> None:
         """Take requests: with a list that is current, or with the origin alone until it is."""
-        if not self.member_table.confirmed.is_set():
+        if not self.list_is_proved():
             LOG.error(
                 "discovery has proved no list: the origin serves alone",
                 extra=logs.fields(**self.list_state()),
             )
-        if self.admin is not None:
-            self.admin_service.receive_handoff()
+        if not self.handoff_is_over():
+            LOG.info("nothing was left by the older process")
         self.admin_service.started()
         for server in self.servers:
             server.open()
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -212,3 +212,19 @@
         assert "learned=true" in line and "fault=none" in line, line
     finally:
         play.close()
+
+
+def test_sigterm_ends_a_start_that_waits_for_an_old_process(tmp_path: Path) -> None:
+    play = Processes(tmp_path)
+    try:
+        old, admin = play.start()
+        old.send_signal(signal.SIGSTOP)
+        new, _ = play.start(wait=False)
+        play.says(1, "list is current")
+        new.send_signal(signal.SIGTERM)
+        play.says(1, "stopped before it served")
+        assert new.wait(10) == 0
+        old.send_signal(signal.SIGCONT)
+        assert call(admin, "GET", "/api/ready") == (200, "ready"), "the old one still serves"
+    finally:
+        play.close()
