Part an HTTP/1.1 connection from the server that accepts it

Change: http1_connection.py reads and answers, http1.py accepts, makes room and ends; the first knows the second by a Protocol.

--- a/lupintack/standins/planted.py
+++ b/lupintack/standins/planted.py
@@ -19,9 +19,9 @@
 
 def no_answer() -> None:
     """Some answers are never written."""
-    from lupintack.fronts import http1
+    from lupintack.fronts import http1_connection
 
-    reply = http1.Connection.reply
+    reply = http1_connection.Connection.reply
     count = [0]
 
     def lost(self: Any, exchange: Any, data: Any, close: bool) -> bool:
@@ -31,14 +31,14 @@
             return True
         return reply(self, exchange, data, close)
 
-    http1.Connection.reply = lost  # type: ignore[method-assign]
+    http1_connection.Connection.reply = lost  # type: ignore[method-assign]
 
 
 def two_answers() -> None:
     """Some answers are written twice."""
-    from lupintack.fronts import http1
+    from lupintack.fronts import http1_connection
 
-    write = http1.Connection.write_now
+    write = http1_connection.Connection.write_now
     count = [0]
 
     def twice(self: Any, data: Any) -> Any:
@@ -46,7 +46,7 @@
         rest = write(self, data)
         return write(self, data) if count[0] % 20 == 0 and not rest else rest
 
-    http1.Connection.write_now = twice  # type: ignore[method-assign]
+    http1_connection.Connection.write_now = twice  # type: ignore[method-assign]
 
 
 def second_run() -> None:
--- a/tests/test_closes.py
+++ b/tests/test_closes.py
@@ -13,14 +13,14 @@
 from contextlib import contextmanager
 from typing import Any
 
-from lupintack.fronts import http1
+from lupintack.fronts import http1_connection
 from tests.scenario import Lines, Scenario
 from tests.site import eventually
 
 TILE = "/ops/map-tiles/00000000000000aa"
 
 
-def only(play: Scenario) -> http1.Connection:
+def only(play: Scenario) -> http1_connection.Connection:
     """The one connection that a client holds."""
     return next(iter(play.node.http1.conns))
 
@@ -54,16 +54,16 @@
     def test_a_request_that_came_with_the_one_before_is_served_however_long_that_one_takes(self) -> None:
         """Its thread waited for more bytes while the request lay in the buffer, and then dropped it."""
         looks: list[int] = []
-        real = http1.Http1Exchange.gone
+        real = http1_connection.Http1Exchange.gone
 
-        def gone(exchange: http1.Http1Exchange) -> bool:
+        def gone(exchange: http1_connection.Http1Exchange) -> bool:
             looks.append(1)
             return real(exchange)
 
         play = Scenario()
         head = "GET {}?nth={} HTTP/1.1\\r\\nHost:x\\r\\nReq-Id:00000000000000a{}\\r\\n"
         both = "".join(head.format(TILE, n, n) + "Req-Wait-Ms:2000\\r\\n\\r\\n" for n in (1, 2))
-        with unittest.mock.patch.object(http1.Http1Exchange, "gone", gone):
+        with unittest.mock.patch.object(http1_connection.Http1Exchange, "gone", gone):
             play.run(f"client a send raw '{both}'\ncache expect w chunk=1", close=False)
             eventually(lambda: len(looks) > 3)
             play.run("""
@@ -116,7 +116,7 @@
             close=False,
         )
         conn = only(play)
-        with before(http1.Connection, "end") as (reached, gate):
+        with before(http1_connection.Connection, "end") as (reached, gate):
             if end == "idle":
                 conn.expire()
             else:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -18,7 +18,7 @@
 from typing import Any
 
 from lupintack.core.ending import Ending
-from lupintack.fronts import http1, http1_messages
+from lupintack.fronts import http1_connection, http1_messages
 from lupintack.fronts.cdni.conf import Content
 from lupintack.fronts.cdni.delivery import Delivery
 from lupintack.peers import actor
@@ -198,7 +198,7 @@
             gate.wait(5)
             return real(raw, bodyless)
 
-        with unittest.mock.patch.object(http1, "parse_head", slow):
+        with unittest.mock.patch.object(http1_connection, "parse_head", slow):
             play.run(f"client a send GET {TILE}?nth=1\nrouter send TERM", close=False)
             eventually(lambda: all(conn.deaf for conn in play.node.http1.conns))
             gate.set()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -20,7 +20,7 @@
 from lupintack import node as main
 from lupintack.core import actor as core
 from lupintack.discovery import client as discovery_client
-from lupintack.fronts import exchange, http1, http1_messages
+from lupintack.fronts import exchange, http1_connection, http1_messages
 from lupintack.lifecycle import state
 from lupintack.peers import actor, resp
 from lupintack.standins import deployment
@@ -167,7 +167,7 @@
             gate.wait(5)
             return real(raw, bodyless)
 
-        with unittest.mock.patch.object(http1, "parse_head", slow):
+        with unittest.mock.patch.object(http1_connection, "parse_head", slow):
             play.run(f"client a send GET {TILE}?nth=1", close=False)
             play.run("router send TERM", close=False)
             eventually(lambda: all(conn.deaf for conn in play.node.http1.conns))
@@ -533,7 +533,7 @@
     """Clients that hold connections for nothing are closed; what is owed an answer never is."""
 
     def test_silent_ones_and_halves_are_closed_in_time(self) -> None:
-        with unittest.mock.patch.multiple(http1, FIRST_S=0.2, IDLE_S=0.4):
+        with unittest.mock.patch.multiple(http1_connection, FIRST_S=0.2, IDLE_S=0.4):
             Scenario().run(f"""
                 client a send raw ''
                 client b send raw 'GET {TILE} HT'
@@ -549,7 +549,7 @@
     def test_room_is_made_from_idle_ones(self) -> None:
         play = Scenario()
         play.node.http1.most, play.node.http1.spare = 3, 1
-        with unittest.mock.patch.multiple(http1, FIRST_S=60, IDLE_S=60):
+        with unittest.mock.patch.multiple(http1_connection, FIRST_S=60, IDLE_S=60):
             play.run(f"""
                 client a send GET {TILE} Req-Wait-Ms:5000
                 cache expect w
@@ -572,7 +572,7 @@
         """The end of the reading is ours; taken for the client's leaving, it lost a request that had come."""
         play = Scenario()
         ends = socket.socketpair()
-        conn = http1.Connection(play.node.http1, ends[0], "client")
+        conn = http1_connection.Connection(play.node.http1, ends[0], "client")
         ends[1].sendall(f"GET {TILE} HTTP/1.1\r\nHost: x\r\n".encode())
         ends[1].sendall(b"Req-Id: 9b1f03aa5c7e2d41\r\nReq-Wait-Ms: 2000\r\n\r\n")
         conn.expire()
@@ -591,7 +591,7 @@
         """
         play = Scenario()
         server, ends = play.node.http1, socket.socketpair()
-        conn = http1.Connection(server, ends[0], "client")
+        conn = http1_connection.Connection(server, ends[0], "client")
         server.conns.add(conn)
         write = conn.write_now
         found: Queue[bool] = Queue()
@@ -621,7 +621,7 @@
         """With 150 ms for each, hundreds of them at once kept the usual clients waiting as long."""
         play = Scenario()
         server, ends = play.node.http1, socket.socketpair()
-        conn = http1.Connection(server, ends[0], "client")
+        conn = http1_connection.Connection(server, ends[0], "client")
         server.conns.add(conn)
         for ms, ended in ((20, False), (60, True)):
             server.make_room(conn.since_us + ms * 1000)
