Part an HTTP/2 connection from the server that accepts it

Change: http2_connection.py serves the streams of one connection (Http2Connection), http2.py accepts, looks after time and ends. No behaviour changes otherwise.

--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -26,7 +26,7 @@
 COLLECTIONS = (50_000, 20, 50)
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
 ENDS = {signal.SIGTERM, signal.SIGINT}
-LOOK_S = 0.005  # between two looks at what a start waits for, while signals are waited for
+LOOK_S = 0.01  # between two looks at what a start waits for, while signals are waited for
 HANDOFF_S = 3.0  # of a start beside an older process that serves, which may be kept from running for a moment
 
 
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -26,7 +26,7 @@
 
 from lupintack import sockets
 from lupintack.clock import now_us
-from lupintack.fronts import fields, http2
+from lupintack.fronts import fields, http2_connection
 from lupintack.standins.fleet import Terms, content
 from tests.app import PREFACE, App
 from tests.site import ACK, TILE, VIDEO, Site, eventually, site
@@ -606,7 +606,9 @@
         conn.wire.calling = True  # or the sweep would end it before it is asked
         conn.begin_drain(at_once=True)
         conn.last = 3  # the next stream is told as taken
-        monkeypatch.setattr(http2, "words", SimpleNamespace(parse=fields.parse, answer=slow_answer))
+        monkeypatch.setattr(
+            http2_connection, "words", SimpleNamespace(parse=fields.parse, answer=slow_answer)
+        )
         assert app.answer(app.ask("GET", TILE)).status == 200
         looks[0].join()
 
