Add two failing tests: calls that fail beside an upgrade, and a handoff left to a crashed process

A handoff left to a process that a crash ended is taken over by the next process of its number, as containers give them.

--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -5,6 +5,7 @@
 import io
 import json
 import math
+import os
 import signal
 import threading
 import time
@@ -214,6 +215,16 @@
         play.close()
 
 
+def test_what_was_left_to_an_earlier_process_of_the_same_number_is_not_taken_over(tmp_path: Path) -> None:
+    """In a container each start may have the number of the one before, which a crash ended unread."""
+    first = Folder(str(tmp_path), "n0", "127.0.0.1:1")
+    first.leave(first.pid, [b"of an earlier life"])
+    os.close(first.fd)  # as a crash would
+    again = Folder(str(tmp_path), "n0", "127.0.0.1:1")
+    assert again.handoff() is None
+    again.close()
+
+
 def test_sigterm_ends_a_start_that_waits_for_an_old_process(tmp_path: Path) -> None:
     play = Processes(tmp_path)
     try:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import socket
 import threading
@@ -14,6 +15,7 @@
 
 from lupintack.sockets import ACCEPT_PAUSE_S, TRIES, AcceptFailures
 from lupintack.standins.edge import START_PATIENCE_S, ClientRecord, Edge, End
+from lupintack.standins.net import free_ports
 
 LOOK_S = 1.2
 SERVED_PART = 0.9  # of all requests
@@ -219,6 +221,39 @@
     assert b"s-1" in kept, "what was said first is owed as well"
 
 
+UPGRADE_CALLS = {
+    "the handoff opened": [fault("open", "EIO", 1.0, path="/legacy.", first=20)],
+    "the handoff opened, for want of descriptors": [fault("open", "EMFILE", 1.0, path="/legacy.", first=20)],
+    "its name removed": [fault("unlink", "EIO", 1.0, path="/legacy.")],
+    "the other processes listed": [fault("listdir", "EIO", 0.5, path="/lupintack-")],
+    "the other process looked at": [fault("open", "ENFILE", 0.5, path="/run.")],
+}
+
+
+@pytest.mark.parametrize("calls", UPGRADE_CALLS)
+def test_a_start_beside_an_old_process_takes_over_what_that_left_whatever_fails(
+    edge: Edge, calls: str
+) -> None:
+    """A handoff that could not be opened once ended the start; a look at the old process that failed once was
+    taken for its end, so nothing was waited for any more.
+    """
+    edge.start()
+    edge.ready()
+    edge.load(2)
+    time.sleep(0.5)
+    edge.stop()
+    plan = edge.tmp / "upgrade.json"
+    plan.write_text(json.dumps({"seed": 7, "faults": UPGRADE_CALLS[calls]}))
+    edge.start({"EDGE_ADMIN_ADDR": f"127.0.0.1:{free_ports(1)[0]}", "LUPINTACK_SHIM": str(plan)})
+    until = time.monotonic() + START_PATIENCE_S
+    while edge.log().count("event=ready") < 2:
+        assert edge.process is not None and edge.process.poll() is None, edge.log()
+        assert time.monotonic() < until, edge.log()
+        time.sleep(0.05)
+    line = next((one for one in edge.log().splitlines() if "event=legacy" in one), edge.log())
+    assert "learned=true" in line and "fault=none" in line, line
+
+
 START_CALLS = (
     ("socket", "ENFILE"), ("socket", "ENOBUFS"), ("setsockopt", "ENOBUFS"), ("setsockopt", "ENOMEM"),
     ("bind", "EADDRINUSE"), ("bind", "EADDRNOTAVAIL"), ("bind", "ENOBUFS"), ("listen", "EADDRINUSE"),
