Let no call that fails beside an upgrade end a start, or stand for the old process's end

Cause: an error of opening a handoff, or of removing its name, passed through to the start, which ended with code 2. A folder that could not be listed, or a file that could not be opened, counted as "no other process". A state that could not be written was not written again. A handoff left to a crashed process kept its name.

The log says why nothing was taken over.

--- a/lupintack/admin_service.py
+++ b/lupintack/admin_service.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import socket
 import threading
@@ -95,8 +96,11 @@
         self.partners: list[UpgradePeer] = []
         self.share = Share(sockets.most, memory_mb, 1)
         self.told: Phase | None = None
+        self.written = ""  # what the folder says of this process
+        self.telling = threading.Lock()
         self.handed_to: tuple[int, int] | None = None  # for whom a handoff was taken last
         self.handed_over = False  # what an older process has left to this one is taken over
+        self.handoff_fault = ""  # why it could not be opened
         self.looking = threading.Lock()  # SIGTERM looks at the partners, too
         self.closing = False
         self.listeners: Listeners | None = None  # of the port, where this process is the youngest on it
@@ -185,9 +189,14 @@
         if place is None:
             return
         until = time.monotonic() + JOIN_S
-        while not self.ban_keeper.join(self.life.phase.value) and time.monotonic() < until:
+        while not self.joined() and time.monotonic() < until:
             time.sleep(LOOK_S)
+
+    def joined(self) -> bool:
+        """Join the folder; whether all other processes of this router are known."""
+        done = self.ban_keeper.join(self.life.phase.value)
         self.look_at_partners()
+        return done and self.folder is not None and not self.folder.unsure
 
     def older_serves(self) -> bool:
         """Whether an older process of this router is ready: nothing is lost while this one waits."""
@@ -262,18 +271,19 @@
         self.tell()
         if stopping and not self.closed and all(server.accepted for server in self.servers):
             self.closed = True
-            if self.folder is not None:
-                self.folder.tell(CLOSED)
+            self.tell()
 
     def tell(self) -> None:
-        """A new phase is logged, and the partner's to read."""
-        phase = self.life.phase
-        if phase is not self.told:
-            if self.told is not None:
-                LOG.info("phase", extra=fields(phase=phase.value, before=self.told.value))
-            self.told = phase
-            if self.folder is not None:
-                self.folder.tell(phase.value)
+        """A new phase is logged, and the partner's to read; where it can't be written, the next look does."""
+        with self.telling:
+            phase = self.life.phase
+            if phase is not self.told:
+                if self.told is not None:
+                    LOG.info("phase", extra=fields(phase=phase.value, before=self.told.value))
+                self.told = phase
+            word = CLOSED if self.closed else phase.value
+            if self.folder is not None and word != self.written and self.folder.tell(word):
+                self.written = word
 
     def look_at_partners(self) -> None:
         """Share the limits with whoever else lives."""
@@ -292,8 +302,10 @@
             LOG.info("steered anew", extra=fields(place=self.listeners.place, steered=done))
         # What is left to a start is for that alone: this look runs beside it.
         starting = self.life.phase is Phase.STARTING
-        if others and not starting and (late := folder.handoff()) is not None:
-            late.close()  # it was left after the start had gone on without
+        if others and not starting:
+            with contextlib.suppress(OSError):
+                if (late := folder.handoff()) is not None:
+                    late.close()  # it was left after the start had gone on without
         wanted = share(which, len(others), *self.limits)
         if which is Side.OLD:
             self.send_handoff(folder, max(others, key=lambda o: (o.born_ns, o.pid)), wanted.handoff_bytes)
@@ -332,9 +344,17 @@
         return self.folder is not None and not self.handed_over and self.older_serves()
 
     def receive_handoff(self) -> bool:
-        """Before the first request: take over what an older process left; False where there is nothing."""
-        folder = self.folder
-        if folder is None or self.handed_over or (file := folder.handoff()) is None:
+        """Before the first request: take over what an older process left; False where there is nothing, or it
+        can't be opened now.
+        """
+        if self.folder is None or self.handed_over:
+            return False
+        try:
+            file = self.folder.handoff()
+        except OSError as error:
+            self.handoff_fault = repr(error)
+            return False
+        if file is None:
             return False
         self.handed_over = True
         adopted, fault, copies = False, "", self.core.copies
--- a/lupintack/lifecycle/folder.py
+++ b/lupintack/lifecycle/folder.py
@@ -26,6 +26,7 @@
 LOCK_S = 0.4  # an answer at the second address is due within 1 s, whatever holds the lock
 LOCK_AGAIN_S = 0.005
 FILE_MOST = 1 << 20
+PEER_BYTES = 96  # of a process's own file
 BANS = "bans.json"
 BANS_COPY = "bans.copy.json"
 
@@ -108,6 +109,8 @@
         self.pid = os.getpid()
         self.born_ns = time.monotonic_ns()
         self.seen: tuple[int, int, int] | None = None
+        self.known: dict[str, UpgradePeer] = {}  # by the name of its file, as of the last look that told
+        self.unsure = False  # the last look could not tell of all
         self.fd = -1
         try:
             self.path.mkdir(mode=0o700, exist_ok=True)
@@ -115,6 +118,10 @@
                 self.fd = os.open(self.mine, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
                 # A partner's look may hold it for the blink of an eye, between its making and this.
                 flock(self.fd, LOCK_S)
+                # Of unknown age: left to an earlier process of this number, which a crash ended. Nothing is
+                # left to this one before it has told that it starts.
+                if self.handoff_path.exists():
+                    self.handoff_path.unlink()
         except OSError as error:
             if self.fd >= 0:
                 os.close(self.fd)
@@ -125,6 +132,11 @@
     def mine(self) -> Path:
         return self.path / f"run.{self.pid}"
 
+    @property
+    def handoff_path(self) -> Path:
+        """What an older process leaves to this one."""
+        return self.path / f"legacy.{self.pid}"
+
     @property
     def bans(self) -> Path:
         return self.path / BANS
@@ -139,45 +151,58 @@
         finally:
             os.close(fd)  # and the lock with it
 
-    def tell(self, phase: str) -> None:
-        """How this process stands, for the other one. One write: a reader sees the old text or the new."""
-        text = json.dumps({"born_ns": self.born_ns, "phase": phase}).encode().ljust(96)
+    def tell(self, phase: str) -> bool:
+        """How this process stands, for the other one; False where that can't be written now. One write: a
+        reader sees the old text or the new.
+        """
+        text = json.dumps({"born_ns": self.born_ns, "phase": phase}).encode().ljust(PEER_BYTES)
         try:
-            os.pwrite(self.fd, text, 0)
+            return os.pwrite(self.fd, text, 0) == len(text)
         except OSError as error:
             LOG.warning("own state can't be written", extra=fields(reason=error))
+            return False
 
     def others(self) -> list[UpgradePeer]:
-        """The other living processes of this router; what crashed ones left is removed."""
-        found = []
+        """The other living processes of this router; what crashed ones left is removed.
+
+        A call that fails says nothing of a process: until the next look it stands as it was known.
+        """
         try:
             names = [n for n in os.listdir(self.path) if n.startswith("run.") and n != self.mine.name]
         except OSError:
-            return []
+            self.unsure = True
+            return list(self.known.values())
+        found = {}
+        self.unsure = False
         for name in names:
-            one = self.partner(name)
+            try:
+                one = self.partner(name)
+            except (OSError, ValueError, KeyError, TypeError, AttributeError):  # or it is just being written
+                self.unsure = True
+                one = self.known.get(name)
             if one is not None:
-                found.append(one)
-        return found
+                found[name] = one
+        self.known = found
+        return list(found.values())
 
     def partner(self, name: str) -> UpgradePeer | None:
+        """The living process that a file is of, None where there is none; an error where it can't be told."""
         try:
             fd = os.open(self.path / name, os.O_RDWR | os.O_CLOEXEC)
-        except OSError:
+        except FileNotFoundError:
             return None
         try:
             try:
                 fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
             except BlockingIOError:
-                data = json.loads(os.read(fd, 96) or b"{}")
+                data = json.loads(os.read(fd, PEER_BYTES))
                 return UpgradePeer(int(name.partition(".")[2]), int(data["born_ns"]), str(data["phase"]))
             # Made and not locked yet is told from left behind by the folder's lock, under which both happen.
             fcntl.flock(fd, fcntl.LOCK_UN)
-            self.remove(name)
-        except (OSError, ValueError, KeyError, TypeError, AttributeError):
-            pass  # being written just now: the next look tells
         finally:
             os.close(fd)
+        with contextlib.suppress(OSError):  # the next look tries again
+            self.remove(name)
         return None
 
     def remove(self, name: str) -> None:
@@ -232,13 +257,15 @@
             raise
 
     def handoff(self) -> BinaryIO | None:
-        """What was left to this process; its name is gone once it is open."""
-        path = self.path / f"legacy.{self.pid}"
+        """What was left to this process, None where nothing is; its name is gone once it is open. An OSError
+        where it can't be opened now.
+        """
         try:
-            file = open(path, "rb")
+            file = open(self.handoff_path, "rb")
         except FileNotFoundError:
             return None
-        path.unlink(missing_ok=True)
+        with contextlib.suppress(OSError):  # it goes with the next look, or with this process
+            self.handoff_path.unlink(missing_ok=True)
         return file
 
     def close(self) -> None:
@@ -246,7 +273,7 @@
         try:
             with self.locked():
                 os.unlink(self.mine)
-                (self.path / f"legacy.{self.pid}").unlink(missing_ok=True)
+                self.handoff_path.unlink(missing_ok=True)
         except OSError:
             pass
         fd, self.fd = self.fd, -1  # a look that is under way must not write to a number given anew
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -212,7 +212,8 @@
                 extra=logs.fields(**self.list_state()),
             )
         if not self.handoff_is_over():
-            LOG.info("nothing was left by the older process")
+            fault = self.admin_service.handoff_fault or "none"
+            LOG.info("nothing was left by the older process", extra=logs.fields(fault=fault))
         self.admin_service.started()
         for server in self.servers:
             server.open()
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 import subprocess
@@ -191,6 +192,36 @@
     other_router.close()
 
 
+@pytest.mark.parametrize("call", ["listdir", "open"])
+def test_a_look_that_fails_says_nothing_of_a_partner(
+    tmp_path: Path, call: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One call that failed was taken for its end: the limits were this process's alone, and nothing was
+    waited for.
+    """
+    folder = Folder(str(tmp_path), "n0", "127.0.0.1:1")
+
+    def fails(*args: object, **more: object) -> object:
+        raise OSError(errno.ENFILE, "no room")
+
+    with subprocess.Popen(
+        [sys.executable, "-c", SLEEPER, str(tmp_path), "crash"],
+        stdin=subprocess.PIPE, stdout=subprocess.PIPE, cwd=Path(__file__).parents[1],
+    ) as partner:  # fmt: skip
+        assert partner.stdout is not None and partner.stdout.readline()
+        with monkeypatch.context() as patch:
+            patch.setattr(os, call, fails)
+            assert folder.others() == [] and folder.unsure, "nothing is known yet"
+        (known,) = folder.others()
+        assert known.pid == partner.pid and not folder.unsure
+        with monkeypatch.context() as patch:
+            patch.setattr(os, call, fails)
+            assert folder.others() == [known] and folder.unsure
+        partner.communicate(b"\n")
+    assert folder.others() == [] and not folder.unsure
+    folder.close()
+
+
 def test_bans_are_replaced_whole_and_heard_by_the_other(tmp_path: Path) -> None:
     folder = Folder(str(tmp_path), "n0", "127.0.0.1:1")
     assert folder.read() == [] and not folder.changed()
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -254,6 +254,17 @@
     assert "learned=true" in line and "fault=none" in line, line
 
 
+def test_a_state_that_could_not_be_written_is_written_with_the_next_look(edge: Edge) -> None:
+    """It was written once for each change: to the other process a router that served was starting for good."""
+    edge.shim(seed=7, faults=[fault("pwrite", "ENOSPC", 1.0, first=6)])
+    edge.start()
+    edge.ready()
+    until = time.monotonic() + 3.0
+    while b'"ready"' not in next(edge.tmp.glob("lupintack-*/run.*")).read_bytes():
+        assert time.monotonic() < until, edge.log()
+        time.sleep(0.05)
+
+
 START_CALLS = (
     ("socket", "ENFILE"), ("socket", "ENOBUFS"), ("setsockopt", "ENOBUFS"), ("setsockopt", "ENOMEM"),
     ("bind", "EADDRINUSE"), ("bind", "EADDRNOTAVAIL"), ("bind", "ENOBUFS"), ("listen", "EADDRINUSE"),
