--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -255,7 +255,7 @@
 
 
 def test_a_state_that_could_not_be_written_is_written_with_the_next_look(edge: Edge) -> None:
-    """It was written once for each change: to the other process a router that served was starting for good."""
+    """It was written once for each change: to the other process, one that served was starting for good."""
     edge.shim(seed=7, faults=[fault("pwrite", "ENOSPC", 1.0, first=6)])
     edge.start()
     edge.ready()
