Add two failing tests: HTTP/2 clients that leave before their streams are read

Seen while the paths beside the late requests were read: an HTTP/2 stream's client counts as there until its reset, or the connection's end, has been read and handed on.

--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -42,24 +42,69 @@
 # What is served
 
 
-def test_a_stream_that_is_read_late_passes_on_no_more_than_its_client_has_left(
+class LateReads:
+    """Reads of connections that were made to an address come late, as of a process kept from running."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.late_s: dict[tuple[str, int], float] = {}
+        self.read = sockets.read
+        monkeypatch.setattr(sockets, "read", self.read_late)
+
+    def read_late(self, sock: socket.socket, size: int) -> bytes:
+        select.select([sock], [], [])
+        time.sleep(self.late_s.get(sock.getsockname(), 0.0))
+        return self.read(sock, size)
+
+
+def test_a_stream_whose_client_has_closed_before_it_was_read_gets_no_attempt(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """The time of a request counted from its read: a process kept from running passed on too much."""
-    read, late = sockets.read, dict[tuple[str, int], float]()  # seconds, by the address that was connected to
+    """The end of the connection is read after the requests before it, which were sent on meanwhile."""
+    late = LateReads(monkeypatch)
+    with site() as play:
+        app = play.app()
+        assert app.answer(app.ask("GET", TILE)).status == 200
+        late.late_s[play.http2] = 0.3
+        app.ask("GET", VIDEO)
+        app.sock.close()
+        eventually(lambda: play.count("left") == 1)
+        assert play.asked("river-video") == 0
 
-    def read_late(sock: socket.socket, size: int) -> bytes:
-        select.select([sock], [], [])
-        time.sleep(late.get(sock.getsockname(), 0.0))
-        return read(sock, size)
 
-    monkeypatch.setattr(sockets, "read", read_late)
+def test_a_stream_that_is_reset_before_it_was_read_gets_no_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Request and reset were read at once, and the request was sent on before the reset was looked at."""
+    reset = http2_connection.Http2Connection.on_reset
+
+    def slow_reset(conn: http2_connection.Http2Connection, stream: int, code: int) -> None:
+        time.sleep(0.3)
+        reset(conn, stream, code)
+
+    monkeypatch.setattr(http2_connection.Http2Connection, "on_reset", slow_reset)
+    late = LateReads(monkeypatch)
+    with site() as play:
+        app = play.app()
+        assert app.answer(app.ask("GET", TILE)).status == 200
+        late.late_s[play.http2] = 0.1
+        app.reset(app.ask("GET", VIDEO))
+        app.reset(app.ask("PUT", ACK, b"seen"))
+        eventually(lambda: play.count("http2.reset") == 2)
+        assert play.asked("river-video") == 0 and play.asked("alert-ack") == 0
+        eventually(lambda: play.front.book.open == 0 and play.front.book.bytes == 0)
+        late.late_s.clear()
+        assert app.answer(app.ask("GET", TILE)).status == 200, "the connection goes on"
+
+
+def test_a_stream_that_is_read_late_passes_on_no_more_than_its_client_has_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The time of a request counted from its read: a process kept from running passed on too much."""
+    late = LateReads(monkeypatch)
     with site() as play:
         limits: dict[str, int] = {}
         play.fleet.on_call = lambda call: limits.update({call.wire_id: int(call.fields["limit"])})
         app = play.app()
         assert app.answer(app.ask("GET", TILE)).status == 200
-        late[play.http2] = 0.4
+        late.late_s[play.http2] = 0.4
         for stream in (
             app.ask("GET", VIDEO, req_id="00000000000000a1", req_wait_ms="1200"),
             app.ask("PUT", ACK, b"seen", req_id="00000000000000a2", req_wait_ms="1200"),
