Add a failing test: an old line of discovery, read after a pause, proves the list current

Seen while the other uses of "when it was read" were gone through: a router that stood still for 9.5 s found a line of discovery's in the kernel that had come before the cut, dated its proof by the read, and sent 56 requests within a second to a cache and a parent that had drained 8 s before. The incident's own rule, by a pause in place of a restart.

--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -394,6 +394,28 @@
     assert 'event="list is too old to act on"' in edge.log()
 
 
+def test_a_number_that_was_read_long_after_it_came_proves_no_more_than_that(edge: Edge) -> None:
+    """A process kept from running found discovery's last line in the kernel, and held the list to be current
+    as of its read: servers that had drained since, behind a discovery cut off, got new work for 7 s more.
+    """
+    edge.start()
+    edge.ready()
+    edge.signal(signal.SIGSTOP)
+    time.sleep(1.5)  # a line or two come
+    edge.proxy.fault = Fault.HELD
+    cut = time.monotonic()
+    edge.tell("s-1", "Terminating")
+    edge.tell("p-1", "Terminating")
+    time.sleep(8.0)
+    edge.signal(signal.SIGCONT)
+    edge.load(4)
+    time.sleep(1.0)
+    requests = edge.stop()
+    late = edge.calls_to(["s-1", "p-1"], cut + 7.3)
+    assert not late, (len(late), late[0].at_s - cut)
+    assert requests and all(one.end is End.ANSWERED for one in requests)
+
+
 # What production adds
 
 
