Date a proof of the list by the arrival of its bytes, and not by their read

Cause: discovery's number was dated when it was read; a process kept from running reads it long after, and takes it for a proof of now. Change: bytes of discovery come with the moment at which the system got them (Received), and a number proves the list as of then.

Ruled out: dating by the connection alone, which a discovery that says its number each second would make too old after 7 s.

--- a/lupintack/discovery/client.py
+++ b/lupintack/discovery/client.py
@@ -12,8 +12,9 @@
 import threading
 from collections.abc import Callable, Mapping
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
+from lupintack import sockets
 from lupintack.clock import now_us
 from lupintack.config import Names
 from lupintack.core.counters import Counters
@@ -43,6 +44,13 @@
     """A new connection may prove the list sooner than this one's next line."""
 
 
+class Received(NamedTuple):
+    """Bytes of a connection, and when they came; a process kept from running reads them long after."""
+
+    data: bytes
+    at_us: int
+
+
 class LineBuffer:
     """A connection's bytes as whole lines, and until when the next one has to come.
 
@@ -53,6 +61,7 @@
         self.rest = bytearray()
         self.until_us = now + int(patience_s * 1e6)
         self.connected_us = now
+        self.received_us = now  # when the last bytes came
         self.proved_us = 0  # as of when a number has proved the table to be current, and is not passed on yet
         self.confirmed = False  # one has before
         self.events = 0  # that have come
@@ -67,6 +76,12 @@
         return [bytes(line) for line in lines]
 
 
+def read(sock: socket.socket) -> Received:
+    """The next bytes, within the socket's own limit."""
+    data = sock.recv(READ_BYTES)
+    return Received(data, now_us() - sockets.since_received_us(sock))
+
+
 class DiscoveryClient:
     """Follows discovery and words its events for the member table."""
 
@@ -190,7 +205,7 @@
             self.read_behind(lines, sock, turn)
             self.confirm(lines, turn)
 
-    def receive(self, lines: LineBuffer, sock: socket.socket) -> bytes:
+    def receive(self, lines: LineBuffer, sock: socket.socket) -> Received:
         """The next bytes. TimeoutError where discovery has fallen silent, AskAgainError where a list that is
         not current could be proved sooner.
 
@@ -201,10 +216,10 @@
         hurries = lines.events and not lines.confirmed and not self.member_table.current
         if not hurries or self.asks >= ASKS_MOST or silent_s <= QUIET_S:
             sock.settimeout(silent_s)
-            return sock.recv(READ_BYTES)
+            return read(sock)
         sock.settimeout(QUIET_S)
         try:
-            return sock.recv(READ_BYTES)
+            return read(sock)
         except TimeoutError:
             self.asks += 1
             raise AskAgainError("has all events, and asks whether they are all") from None
@@ -222,7 +237,7 @@
         sock.settimeout(0.0)
         for _ in range(READS_MOST if lines.proved_us else 0):
             try:
-                self.feed(lines, sock.recv(READ_BYTES), turn)
+                self.feed(lines, read(sock), turn)
             except BlockingIOError:
                 break
 
@@ -234,13 +249,14 @@
             self.whole_log = WholeLog(self.last)
             return b"watch %d\n" % self.revisions.connect()
 
-    def feed(self, lines: LineBuffer, data: bytes, turn: int) -> None:
+    def feed(self, lines: LineBuffer, received: Received, turn: int) -> None:
         """Bytes of a connection of this turn; none where discovery closed it. ConnectionError or ValueError
         ends the connection.
         """
-        if not data:
+        if not received.data:
             raise ConnectionResetError("closed by the board")
-        for line in lines.cut(data):
+        lines.received_us = received.at_us
+        for line in lines.cut(received.data):
             with self.lock:
                 if turn == self.turn and self.line(line, lines):
                     self.member_table.notified_us = now_us()
@@ -287,8 +303,9 @@
                 return
             if self.revisions.passed_over():
                 self.counters.add("discovery.passed_over")
-            # The first number proves no more than that all is here that was told before the connection.
-            lines.proved_us = now_us() if lines.confirmed else lines.connected_us
+            # The first number proves no more than that all is here that was told before the connection, and a
+            # later one nothing of the time since it came, however late it is read.
+            lines.proved_us = lines.received_us if lines.confirmed else lines.connected_us
             lines.confirmed, self.asks = True, 0
         elif step is Step.BEHIND:
             self.counters.add("discovery.behind")
--- a/lupintack/scale/hollow_discovery.py
+++ b/lupintack/scale/hollow_discovery.py
@@ -14,7 +14,7 @@
 from lupintack.clock import now_us
 from lupintack.config import Names, address
 from lupintack.core.member_table import Change, MemberTable
-from lupintack.discovery.client import CONNECT_S, DiscoveryClient, LineBuffer
+from lupintack.discovery.client import CONNECT_S, DiscoveryClient, LineBuffer, Received
 
 READ_BYTES = 65_536
 CONNECT_US = int(CONNECT_S * 1e6)
@@ -124,7 +124,7 @@
     def _read(self, sock: socket.socket, lines: LineBuffer) -> None:
         data = sock.recv(READ_BYTES)
         self.bytes_in += len(data)
-        self.client.feed(lines, data, self.client.turn)
+        self.client.feed(lines, Received(data, now_us()), self.client.turn)
         while not self.member_table.mailbox.empty():
             news = self.member_table.mailbox.get_nowait()
             if news is not None:
--- a/tests/test_discovery_state.py
+++ b/tests/test_discovery_state.py
@@ -14,7 +14,7 @@
 from lupintack.core.member_table import Endpoint, Expiry, MemberTable, member_id
 from lupintack.core.messages import ClientRequest, Order
 from lupintack.core.stamps import AHEAD_MOST_US, CopyClock, LogClock
-from lupintack.discovery.client import DiscoveryClient, GapError, LineBuffer
+from lupintack.discovery.client import DiscoveryClient, GapError, LineBuffer, Received
 from lupintack.discovery.revisions import BEHIND_MOST, RevisionLog, Step
 from lupintack.discovery.validity import MARGIN_US, NOTICE_US, validity_us
 from lupintack.interface import Settings, State
@@ -44,7 +44,7 @@
         return asked
 
     def bytes(self, raw: bytes) -> None:
-        self.client.feed(self.lines, raw, self.client.turn)
+        self.client.feed(self.lines, Received(raw, self.now), self.client.turn)
         self.client.confirm(self.lines, self.client.turn)
         self.settle()
 
@@ -111,7 +111,7 @@
     turn, old = following.client.turn, following.lines
     following.client.turn += 1  # discovery has moved; its reader has bytes in hand
     following.connect()
-    following.client.feed(old, b"1\n", turn)
+    following.client.feed(old, Received(b"1\n", following.now), turn)
     following.client.confirm(old, turn)
     following.settle()
     assert following.ready() == {"o1"}
