Add a failing test: requests behind a pause go out before discovery's words of that time are read

Measured: a process stopped for 2.2 s, in which a cache and a parent drain: 25 calls to or from them in 8 pauses of 20 requests each, 3 to 36 ms after the pause, far beyond the grace; the same with a purge: copies from before it. The threads of clients come before that which reads discovery.

--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -14,6 +14,7 @@
 import socket
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import IO
@@ -416,6 +417,47 @@
     assert requests and all(one.end is End.ANSWERED for one in requests)
 
 
+@pytest.mark.parametrize("purged", [False, True])
+def test_what_discovery_told_a_process_that_stood_still_binds_from_its_first_call_on(
+    edge: Edge, purged: bool
+) -> None:
+    """Behind a pause of 2.2 s the first requests went out by the old list, as their threads came before that
+    which reads discovery: 25 calls in 8 pauses of 20 requests each, 0.003 to 0.036 s after the pause.
+    """
+    edge.fleet.terms.stamped = True
+    edge.start()
+    edge.ready()
+    socks = [sock for sock in (edge.connect() for _ in range(30)) if sock is not None]
+    item = "00000000000000aa"
+    for sock in socks:
+        edge.ask(sock, item=item)
+    edge.signal(signal.SIGSTOP)
+    time.sleep(0.1)
+    told = time.monotonic()
+    unix_ms = int(time.time() * 1000)
+    if purged:
+        edge.fleet.board.purge(asset=item)
+    else:
+        edge.tell("s-1", "Terminating")
+        edge.tell("p-1", "Terminating")
+    time.sleep(2.0)
+    first = len(edge.requests)
+    threads = [threading.Thread(target=edge.ask, args=(sock,), kwargs={"item": item}) for sock in socks]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.2)
+    edge.signal(signal.SIGCONT)
+    for thread in threads:
+        thread.join()
+    ends = Counter((one.end, one.status) for one in edge.requests[first:])
+    assert ends[End.ANSWERED, 200] > len(socks) / 2 and {end for end, _ in ends} == {End.ANSWERED}, ends
+    if purged:
+        assert not [one for one in edge.requests[first:] if 0 < one.issued_ms < unix_ms]
+    else:
+        late = edge.calls_to(["s-1", "p-1"], told + 1.0)
+        assert not late, (len(late), late[0].at_s - told)
+
+
 # What production adds
 
 
