Send nothing behind a pause before what discovery told meanwhile is read

Cause: the threads of clients and members may run before the one that reads discovery; behind a pause the list is then as old as the pause, and each write held it to be in force.

Change: a write that depends on the list, and an own copy, asks the system whether discovery's bytes have lain unread for over 50 ms (a poll; the age of the last bytes only where there are some). Such an attempt is held as those are that a drain overtook, until the reader has passed on what it read (CaughtUp), and is decided anew. The reader says so itself where it comes more than 25 ms late, until all it read is in the table.

Ruled out: a heartbeat of the reader, which costs a wakeup where nothing happens.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -296,7 +296,8 @@
         age = wait = -1.0
         if self.copies is not None and self.now - self.member_table.proved_us < PROOF_US:
             # Guards against a purge that does not reach us: after some seconds it counts as told.
-            _, age = self.copies.find(ask)
+            copy, age = self.copies.find(ask)
+            age = -1.0 if copy is not None and self.member_table.is_behind() else age
             wait = self.copies.wait_ms(self.now)
         risk = self.keys.first(ask.cls, ask.token) if cls.repeat is Repeat.KEYED else None
         events.append(
@@ -320,9 +321,9 @@
         one = self.owed.get(order.ask.number)
         if one is None or order.number not in one.live:
             return  # given up before: its end was told then
-        if ending is Ending.WITHDRAWN and self.updates_known < self.member_table.updates and not one.over:
+        if ending is Ending.WITHDRAWN and not one.over and self.awaits_update():
             # Guards against a module that chooses the same again until its tries are spent: the write knows
-            # news at once, the module when its turn hears them. The end is told after these.
+            # of updates at once, the module when its turn brings them. The end is told after these.
             self.early.append(message)
             return
         del one.live[order.number]
@@ -337,6 +338,16 @@
         events.append(self.verdict(one, order, ending, message))
         self.sweep(order.ask.number, one)
 
+    def awaits_update(self) -> bool:
+        """Whether the table knows of something that the module doesn't, or is about to."""
+        table = self.member_table
+        if self.updates_known < table.updates:
+            return True
+        if not table.is_behind():
+            return False
+        table.awaited = True
+        return True
+
     def purged_since(self, order: Order) -> bool:
         """Whether a purge has come since an attempt was decided: its answer may be older, whatever its
         stamp.
@@ -466,7 +477,8 @@
         if one is None or one.over or self.copies is None:
             return
         answer, holds = None, False
-        if not self.member_table.purged_since(one.ask, self.purges_known):
+        table = self.member_table
+        if not table.purged_since(one.ask, self.purges_known) and not table.is_behind():
             answer, holds = self.copies.take(one.ask, self.now)
         if answer is None:
             self.finish(number, one, Refuse(number, 0.0, "its own copy was purged"))  # nothing ran
--- a/lupintack/core/member_table.py
+++ b/lupintack/core/member_table.py
@@ -81,7 +81,14 @@
     """The table may be too old to act on by now."""
 
 
-Update = ListUpdate | PurgeUpdate | BansUpdate | Confirmation | Expiry
+@dataclass(slots=True)
+class CaughtUp:
+    """What a source had told is read, and in the table."""
+
+    late: bool  # it had lain unread for long
+
+
+Update = ListUpdate | PurgeUpdate | BansUpdate | Confirmation | Expiry | CaughtUp
 
 
 @dataclass(slots=True)
@@ -130,6 +137,10 @@
         self.confirmed.set()
         self.lines = LineLimit(LINES_PER_S)
         self.notify: Callable[[Change], None] = lambda change: None
+        # Behind a pause of the process: what sources have told meanwhile lies unread.
+        self.late_reads = 0  # under way; under `counting`
+        self.awaited = False  # the core holds attempts back until a source is read
+        self.has_unread: Callable[[], bool] = lambda: False  # by any thread; must not block
 
     def settle(self, settles_ms: float) -> None:
         """How long purges matter, by new settings."""
@@ -175,6 +186,17 @@
         """All that was told before that moment is in the table, or in the mailbox before this."""
         self.mailbox.put(Confirmation(proved_us))
 
+    def begin_late_read(self) -> None:
+        """What a source has told, and what has lain unread for long, is about to be read."""
+        with self.counting:
+            self.late_reads += 1
+
+    def end_read(self, late: bool) -> None:
+        """What was read is in the mailbox; the module is told so where anything waits for it."""
+        if late or self.awaited:
+            self.awaited = False
+            self.mailbox.put(CaughtUp(late))
+
     def purge(
         self, object_id: int | None, group: int, unix_ms: float | None, done: Callable[[], None] | None = None
     ) -> None:
@@ -203,6 +225,10 @@
 
     # What a peer asks at the moment of a write
 
+    def is_behind(self) -> bool:
+        """Whether a source has told something that should be in the table by now, and isn't."""
+        return self.late_reads > 0 or self.has_unread()
+
     def stale(self, order: Order) -> bool:
         """Whether an update since the decision forbids the attempt.
 
@@ -210,9 +236,9 @@
         the object was purged: the rules count from the first byte, not from the decision. A purge counts from
         when the table has it, and by its number: one that the module did not know yet when it decided,
         as its turn came late, forbids the attempt as well, however the times lie. So does a table that has
-        grown too old meanwhile.
+        grown too old meanwhile, and one that is behind what a source has told.
         """
-        if now_us() >= self.valid_until_us and self.depends_on_list(order):
+        if self.depends_on_list(order) and (now_us() >= self.valid_until_us or self.is_behind()):
             return True
         for number in (order.member, order.source):
             host = self.hosts.get(number)
@@ -272,7 +298,9 @@
             if not moved:
                 return None
         upto = self.count()
-        if isinstance(update, ListUpdate):
+        if isinstance(update, CaughtUp):
+            change = self.on_caught_up(update)
+        elif isinstance(update, ListUpdate):
             change = self.on_list(update)
         elif isinstance(update, PurgeUpdate):
             change = self.on_purge(update)
@@ -281,6 +309,13 @@
         change.upto = upto
         return change
 
+    def on_caught_up(self, update: CaughtUp) -> Change:
+        """Attempts that were held back for it may be decided anew."""
+        if update.late:
+            with self.counting:
+                self.late_reads -= 1
+        return Change(())
+
     def on_confirmation(self, update: Confirmation) -> bool:
         """The table is current as of a moment; whether members become usable by it."""
         if update.proved_us <= self.proved_us:
--- a/lupintack/discovery/client.py
+++ b/lupintack/discovery/client.py
@@ -8,6 +8,7 @@
 
 import json
 import logging
+import select
 import socket
 import threading
 from collections.abc import Callable, Mapping
@@ -33,6 +34,8 @@
 APART = 0.4  # they differ by up to this part, or all routers would come back to discovery in one moment
 QUIET_S = 0.05  # behind events on a new connection: a watch that has all of them may be answered at once
 ASKS_MOST = 2  # such connections in a row, until one proves the list
+LATE_US = 25_000  # bytes that have lain unread for so long are read late, as after a pause of the process
+UNREAD_US = 50_000  # and so long: nothing is sent until they are read, which the greater limit makes sure of
 READS_MOST = 16  # behind a proof, before it is passed on
 
 
@@ -76,6 +79,21 @@
         return [bytes(line) for line in lines]
 
 
+def is_readable(sock: socket.socket, limit_s: float) -> bool:
+    """Whether there are bytes, or an end, within so long; any thread may ask."""
+    waiting = select.poll()
+    waiting.register(sock, select.POLLIN)
+    return bool(waiting.poll(limit_s * 1000.0))
+
+
+def wait_for_bytes(sock: socket.socket, limit_s: float) -> bool:
+    """Whether the next bytes have lain unread for long; TimeoutError where none come within the limit."""
+    if not is_readable(sock, limit_s):
+        raise TimeoutError("timed out")
+    sock.settimeout(limit_s)
+    return sockets.since_received_us(sock) > LATE_US
+
+
 def read(sock: socket.socket) -> Received:
     """The next bytes, within the socket's own limit."""
     data = sock.recv(READ_BYTES)
@@ -91,6 +109,7 @@
         self.address = address
         self.names = names
         self.member_table = member_table
+        member_table.has_unread = self.has_unread
         self.random = Random(seed)
         self.revisions = RevisionLog()
         self.whole_log = WholeLog(0)  # what has come of it, where it was asked for
@@ -189,6 +208,7 @@
                 if turn == self.turn:
                     self.counters.add(f"discovery.lost.{type(error).__name__.lower()}")
                     LOG.info("board lost", extra=fields(reason=error, last=self.last))
+            self.member_table.end_read(False)
             self.stopped.wait(self.again_s(told=notified != self.member_table.notified_us))
 
     def again_s(self, told: bool) -> float:
@@ -201,13 +221,19 @@
         self.silent_tries += 1
         sock.sendall(self.request(turn))
         while turn == self.turn and not self.stopped.is_set():
-            self.feed(lines, self.receive(lines, sock), turn)
-            self.read_behind(lines, sock, turn)
-            self.confirm(lines, turn)
+            late = self.wait(lines, sock)
+            if late:
+                self.member_table.begin_late_read()
+            try:
+                self.feed(lines, read(sock), turn)
+                self.read_behind(lines, sock, turn)
+                self.confirm(lines, turn)
+            finally:
+                self.member_table.end_read(late)
 
-    def receive(self, lines: LineBuffer, sock: socket.socket) -> Received:
-        """The next bytes. TimeoutError where discovery has fallen silent, AskAgainError where a list that is
-        not current could be proved sooner.
+    def wait(self, lines: LineBuffer, sock: socket.socket) -> bool:
+        """Wait for the next bytes; whether they have lain unread for long. TimeoutError where discovery has
+        fallen silent, AskAgainError where a list that is not current could be proved sooner.
 
         Discovery says the last number at once to a watch that misses nothing, and else up to a second after
         the events: one that has had them asks again, so that a start need not wait for that.
@@ -215,15 +241,25 @@
         silent_s = max(0.01, (lines.until_us - now_us()) / 1e6)
         hurries = lines.events and not lines.confirmed and not self.member_table.current
         if not hurries or self.asks >= ASKS_MOST or silent_s <= QUIET_S:
-            sock.settimeout(silent_s)
-            return read(sock)
-        sock.settimeout(QUIET_S)
+            return wait_for_bytes(sock, silent_s)
         try:
-            return read(sock)
+            return wait_for_bytes(sock, QUIET_S)
         except TimeoutError:
             self.asks += 1
             raise AskAgainError("has all events, and asks whether they are all") from None
 
+    def has_unread(self) -> bool:
+        """Whether discovery has told something that has lain unread for long.
+
+        Asked before each write: behind a pause of the process the thread of a client may come before the one
+        that reads here, and would act on what was true before the pause.
+        """
+        sock = self.sock
+        try:
+            return sock is not None and is_readable(sock, 0.0) and sockets.since_received_us(sock) > UNREAD_US
+        except (OSError, ValueError):  # closed just now
+            return False
+
     def patience_s(self) -> float:
         """How long a new connection may tell nothing.
 
