--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -221,6 +221,44 @@
     assert b"s-1" in kept, "what was said first is owed as well"
 
 
+def test_bans_that_can_t_be_read_for_a_while_hold_the_start_up(edge: Edge) -> None:
+    """After half a second the start went on without them, and what staff took out got traffic again."""
+    edge.start()
+    edge.ready()
+    assert edge.staff("/api/exclude?name=s-1", "POST")[0] == 200
+    edge.kill()
+    edge.shim(seed=7, faults=[fault("open", "EIO", 1.0, path="/bans")])
+    edge.start()
+    time.sleep(2.0)
+    assert not edge.alive()
+    edge.shim()
+    edge.ready()
+    started = time.monotonic()
+    edge.load(4, gap_s=0.02)
+    time.sleep(1.0)
+    edge.stop()
+    assert edge.calls and not edge.calls_to(["s-1"], started)
+
+
+def test_bans_that_stay_unread_do_not_hold_the_start_up_for_good(edge: Edge) -> None:
+    """They are in force once they can be read; the log says that they are not."""
+    edge.start()
+    edge.ready()
+    assert edge.staff("/api/exclude?name=s-1", "POST")[0] == 200
+    edge.kill()
+    edge.shim(seed=7, faults=[fault("open", "EIO", 1.0, path="/bans")])
+    edge.start()
+    assert edge.ready() < 10.0
+    assert "can't be read" in edge.log()
+    edge.shim()
+    time.sleep(1.0)
+    edge.calls.clear()
+    edge.load(4, gap_s=0.02)
+    time.sleep(0.5)
+    edge.stop()
+    assert edge.calls and not edge.calls_to(["s-1"])
+
+
 UPGRADE_CALLS = {
     "the handoff opened": [fault("open", "EIO", 1.0, path="/legacy.", first=20)],
     "the handoff opened, for want of descriptors": [fault("open", "EMFILE", 1.0, path="/legacy.", first=20)],
