Wait up to 4 s at a start for kept bans that can't be read, and say so

Cause: a start joined the folder within 0.5 s or went on, also where the folder holds bans that can't be read just then.

--- a/lupintack/admin_service.py
+++ b/lupintack/admin_service.py
@@ -44,6 +44,7 @@
 LOG = logging.getLogger("upkeep")
 LOOK_S = 0.05
 JOIN_S = 0.5  # of a start, for a folder that can't be used at first
+BANS_S = 4.0  # and where bans are kept there that can't be read: as long as for a list that isn't proved
 STOCK_S = 1.0  # for the core's turn that takes it
 TURN_S = 0.6  # of an end, for an older process that ends as well to close its listener first
 
@@ -188,8 +189,12 @@
         self.ban_keeper.place = place
         if place is None:
             return
-        until = time.monotonic() + JOIN_S
-        while not self.joined() and time.monotonic() < until:
+        began_s = time.monotonic()
+        while not self.joined():
+            # A start can do without the others; what staff took out gets traffic again without the bans.
+            limit_s = BANS_S if self.ban_keeper.unread else JOIN_S
+            if time.monotonic() - began_s >= limit_s:
+                break
             time.sleep(LOOK_S)
 
     def joined(self) -> bool:
--- a/lupintack/core/ban_keeper.py
+++ b/lupintack/core/ban_keeper.py
@@ -40,6 +40,10 @@
         self.place: FolderPlace | None = None  # where the folder is, whether it can be used just now or not
         self.folder: Folder | None = None
         self.lines = LineLimit(LINES_PER_S)
+        self.unread_lines = LineLimit(LINES_PER_S)
+        self.unread = (
+            False  # there are kept bans, and none of their files could be read at the last try to join
+        )
         self.unkept: dict[str, tuple[BanChange, float]] = {}  # said here, and not in the folder yet
         self.retried_us = 0
 
@@ -116,8 +120,12 @@
                 LOG.error("no folder to share with an upgrade", extra=fields(reason=error))
             try:
                 texts = read_bans(folder_path(place.base, place.name, place.listen))
-            except OSError:
+            except OSError as unreadable:
+                self.unread = True
+                if self.unread_lines.allow(now_us()) >= 0:
+                    LOG.error("kept bans can't be read", extra=fields(reason=unreadable))
                 return False
+        self.unread = False
         found = self.usable(texts)
         if found is not None and found != self.member_table.bans:
             self.member_table.ban(self.said(found))
