Say once what a connection needs of its server, and what the tests of bans share

Change: ConnectionOwner in fronts/exchange.py, killed_with_a_ban and assert_ban_holds in the tests; the counted calls are those from the first request on, as before. No behaviour changes.

--- a/lupintack/fronts/exchange.py
+++ b/lupintack/fronts/exchange.py
@@ -60,3 +60,21 @@
 
     def gone(self) -> bool:
         """Whether the client has left, asked where a while has passed since its request came."""
+
+
+class ConnectionOwner(Protocol):
+    """What a connection of any protocol needs of the server that accepted it; called on any thread."""
+
+    body_most: int  # bytes
+
+    @property
+    def handle(self) -> Callable[[Exchange], None]:
+        """Where whole requests go."""
+
+    @property
+    def spawn(self) -> Callable[[Callable[[], None], str], None]:
+        """Runs a call on a thread of that name."""
+
+    @property
+    def count(self) -> Callable[[str], None]:
+        """Adds one to a counter."""
--- a/lupintack/fronts/http1_connection.py
+++ b/lupintack/fronts/http1_connection.py
@@ -18,7 +18,7 @@
 from lupintack.clock import now_us
 from lupintack.core import presence
 from lupintack.fronts.arrivals import Arrivals
-from lupintack.fronts.exchange import Bad, Exchange, HttpRequest, nothing
+from lupintack.fronts.exchange import Bad, ConnectionOwner, HttpRequest, nothing
 from lupintack.fronts.http1_messages import head, parse_head
 
 LOG = logging.getLogger("http1")
@@ -34,25 +34,12 @@
 BARE = re.compile(rb"(?<!\r)\n|\r[^\n]")  # a line end that others may read as one, and we don't
 
 
-class ConnectionOwner(Protocol):
-    """What a connection needs of the server that accepted it; called on the connection's threads."""
+class Http1ConnectionOwner(ConnectionOwner, Protocol):
+    """What such a connection needs of its server."""
 
-    body_most: int  # bytes
     bodyless: bool  # requests have no body here
     closing: bool  # each answer ends its connection
 
-    @property
-    def handle(self) -> Callable[[Exchange], None]:
-        """Where whole requests go."""
-
-    @property
-    def spawn(self) -> Callable[[Callable[[], None], str], None]:
-        """Runs a call on a thread of that name."""
-
-    @property
-    def count(self) -> Callable[[str], None]:
-        """Adds one to a counter."""
-
     def forget(self, conn: Connection) -> None:
         """The connection is over."""
 
@@ -90,7 +77,7 @@
 class Connection:
     """One client's connection."""
 
-    def __init__(self, server: ConnectionOwner, sock: socket.socket, peer_ip: str) -> None:
+    def __init__(self, server: Http1ConnectionOwner, sock: socket.socket, peer_ip: str) -> None:
         self.server = server
         self.sock = sock
         self.peer_ip = peer_ip
--- a/lupintack/fronts/http2_connection.py
+++ b/lupintack/fronts/http2_connection.py
@@ -19,7 +19,7 @@
 from lupintack.clock import now_us
 from lupintack.core import presence
 from lupintack.fronts import fields as words
-from lupintack.fronts.exchange import Bad, Exchange, HttpRequest, nothing
+from lupintack.fronts.exchange import Bad, ConnectionOwner, HttpRequest, nothing
 from lupintack.http2.schedule import Priority, parse
 from lupintack.http2.wire import Header, Role, Wire, WireTerms
 from lupintack.limits.drain import Drain
@@ -35,10 +35,9 @@
 )
 
 
-class Http2ConnectionOwner(Protocol):
-    """What a connection needs of the server that accepted it; called on any thread."""
+class Http2ConnectionOwner(ConnectionOwner, Protocol):
+    """What such a connection needs of its server."""
 
-    body_most: int  # bytes
     blocking: bool  # `handle` may wait
     wait_ms: int  # a client that finds no room is told to wait so long
     terms: StreamTerms
@@ -46,18 +45,6 @@
     book: Book  # what all connections hold
     lock: threading.Lock  # of the book
 
-    @property
-    def handle(self) -> Callable[[Exchange], None]:
-        """Where whole requests go."""
-
-    @property
-    def spawn(self) -> Callable[[Callable[[], None], str], None]:
-        """Runs a call on a thread of that name."""
-
-    @property
-    def count(self) -> Callable[[str], None]:
-        """Adds one to a counter."""
-
     @property
     def free(self) -> Callable[[], int]:
         """How many requests the core would still take."""
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -192,6 +192,23 @@
 }
 
 
+def killed_with_a_ban(edge: Edge) -> None:
+    """A process whose staff has taken s-1 out, and which a crash has ended."""
+    edge.start()
+    edge.ready()
+    assert edge.staff("/api/exclude?name=s-1", "POST")[0] == 200
+    edge.kill()
+
+
+def assert_ban_holds(edge: Edge, lasts_s: float) -> None:
+    """Clients are served, and s-1 gets nothing of it."""
+    edge.calls.clear()
+    edge.load(4, gap_s=0.02)
+    time.sleep(lasts_s)
+    edge.stop()
+    assert edge.calls and not edge.calls_to(["s-1"])
+
+
 @pytest.mark.parametrize("calls", FOLDER_CALLS)
 def test_a_folder_that_can_t_be_used_at_the_start_is_read_all_the_same_and_joined_later(
     edge: Edge, calls: str
@@ -199,18 +216,11 @@
     """Whatever fails there, a member that staff took out gets nothing, and what staff says next is kept once
     it can be.
     """
-    edge.start()
-    edge.ready()
-    assert edge.staff("/api/exclude?name=s-1", "POST")[0] == 200
-    edge.kill()
+    killed_with_a_ban(edge)
     edge.shim(seed=7, faults=FOLDER_CALLS[calls])
     edge.start()
     edge.ready()
-    started = time.monotonic()
-    edge.load(4, gap_s=0.02)
-    time.sleep(1.0)
-    edge.stop()
-    assert edge.calls and not edge.calls_to(["s-1"], started)
+    assert_ban_holds(edge, 1.0)
     edge.staff("/api/exclude?name=s-2", "POST")
     edge.shim()
     until = time.monotonic() + 5.0
@@ -223,40 +233,26 @@
 
 def test_bans_that_can_t_be_read_for_a_while_hold_the_start_up(edge: Edge) -> None:
     """After half a second the start went on without them, and what staff took out got traffic again."""
-    edge.start()
-    edge.ready()
-    assert edge.staff("/api/exclude?name=s-1", "POST")[0] == 200
-    edge.kill()
+    killed_with_a_ban(edge)
     edge.shim(seed=7, faults=[fault("open", "EIO", 1.0, path="/bans")])
     edge.start()
     time.sleep(2.0)
     assert not edge.alive()
     edge.shim()
     edge.ready()
-    started = time.monotonic()
-    edge.load(4, gap_s=0.02)
-    time.sleep(1.0)
-    edge.stop()
-    assert edge.calls and not edge.calls_to(["s-1"], started)
+    assert_ban_holds(edge, 1.0)
 
 
 def test_bans_that_stay_unread_do_not_hold_the_start_up_for_good(edge: Edge) -> None:
     """They are in force once they can be read; the log says that they are not."""
-    edge.start()
-    edge.ready()
-    assert edge.staff("/api/exclude?name=s-1", "POST")[0] == 200
-    edge.kill()
+    killed_with_a_ban(edge)
     edge.shim(seed=7, faults=[fault("open", "EIO", 1.0, path="/bans")])
     edge.start()
     assert edge.ready() < 10.0
     assert "can't be read" in edge.log()
     edge.shim()
     time.sleep(1.0)
-    edge.calls.clear()
-    edge.load(4, gap_s=0.02)
-    time.sleep(0.5)
-    edge.stop()
-    assert edge.calls and not edge.calls_to(["s-1"])
+    assert_ban_holds(edge, 0.5)
 
 
 UPGRADE_CALLS = {
