End a start that waits for its bans at SIGTERM, with nothing served

Cause: the wait for bans, 4 s now, did not look at signals, and a start that had been told to end still began to serve where its list was proved. Change: both look for a pending SIGTERM; nothing is listened on then.

--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -103,15 +103,17 @@
 
 
 def wait_until(node: Node, done: Callable[[], bool], until_s: float) -> bool:
-    """Until that is done, or its time is up; False where the process is to end."""
-    while not done() and time.monotonic() < until_s:
+    """Until that is done, or its time is up; False where the process is to end, also where it is done."""
+    while not signal.sigpending() & ENDS:
+        if done() or time.monotonic() >= until_s:
+            return True
         got = signal.sigtimedwait(SIGNALS, LOOK_S)
         if got is None:
             continue
         if got.si_signo in ENDS:
             return False
         on_signal(node, got.si_signo)
-    return True
+    return False
 
 
 def wait_for_start(node: Node, began_s: float) -> bool:
--- a/lupintack/admin_service.py
+++ b/lupintack/admin_service.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import logging
+import signal
 import socket
 import threading
 import time
@@ -43,6 +44,7 @@
 
 LOG = logging.getLogger("upkeep")
 LOOK_S = 0.05
+ENDS = {signal.SIGTERM, signal.SIGINT}  # blocked at a start, and so pending
 JOIN_S = 0.5  # of a start, for a folder that can't be used at first
 BANS_S = 4.0  # and where bans are kept there that can't be read: as long as for a list that isn't proved
 STOCK_S = 1.0  # for the core's turn that takes it
@@ -193,7 +195,7 @@
         while not self.joined():
             # A start can do without the others; what staff took out gets traffic again without the bans.
             limit_s = BANS_S if self.ban_keeper.unread else JOIN_S
-            if time.monotonic() - began_s >= limit_s:
+            if time.monotonic() - began_s >= limit_s or signal.sigpending() & ENDS:
                 break
             time.sleep(LOOK_S)
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -255,6 +255,20 @@
     assert_ban_holds(edge, 0.5)
 
 
+def test_sigterm_ends_a_start_that_waits_for_its_bans(edge: Edge) -> None:
+    """Nothing was taken on, and nothing may be served without them."""
+    killed_with_a_ban(edge)
+    edge.shim(seed=7, faults=[fault("open", "EIO", 1.0, path="/bans")])
+    edge.start()
+    until = time.monotonic() + START_PATIENCE_S
+    while "kept bans can't be read" not in edge.log():
+        assert time.monotonic() < until
+        time.sleep(0.02)
+    edge.signal(signal.SIGTERM)
+    assert edge.process is not None and edge.process.wait(2.5) == 0
+    assert "stopped before it served" in edge.log() and "phase=stopping" not in edge.log()
+
+
 UPGRADE_CALLS = {
     "the handoff opened": [fault("open", "EIO", 1.0, path="/legacy.", first=20)],
     "the handoff opened, for want of descriptors": [fault("open", "EMFILE", 1.0, path="/legacy.", first=20)],
