Date unread bytes by the oldest of them: discovery's, and requests and streams of clients

What callers saw: right behind a pause of the process calls to members that had drained, answers from before a purge, and deadlines passed on that were up to 1.9 s longer than the client had left. Cause: the kernel tells when the last bytes of a connection came, and since_received_us was used as if it were the oldest unread ones: a beat of discovery's, a second request or stream made those before it young. Apart from that a read that had ended before the table's turn held nothing back, as lateness was judged before recv and by the last bytes. Change: a look before each read bounds what comes later (Arrivals); bytes of one segment are dated exactly; several segments count from the look or, at clients' connections, from the start of the pause that the core's thread has ticked through (PauseLog). Each read of discovery's is registered with its oldest arrival before recv and ends with the table's turn (SourceReads), so writes wait across both. A client's first bytes are bounded by the connection's establishment, not by its accept. New counter discovery.late_reads.

--- /dev/null
+++ b/lupintack/arrivals.py
@@ -0,0 +1,96 @@
+"""Bounds on when the bytes of a connection arrived, for requests that are read much later. Pure.
+
+The kernel tells when the last bytes arrived, not when those before them did. What is certain is that bytes
+which were not there at a look before a read have arrived since that look. Times are in microseconds of the
+monotonic clock.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple
+
+from lupintack.sockets import ReceiveInfo
+
+
+class Bound(NamedTuple):
+    """The bytes of a connection from `position` on arrived at `earliest_us` or later."""
+
+    position: int
+    earliest_us: int
+
+
+class Arrivals:
+    """The bounds of one connection. `before_read` and `after_read` surround each read."""
+
+    def __init__(self, established_us: int) -> None:
+        """Begin with a connection that was established at this moment: its first byte came later."""
+        self.received = 0  # bytes that were read
+        self.consumed = 0  # and of them taken off
+        self._bounds: deque[Bound] = deque([Bound(0, established_us)])
+        self._segments = -1  # that had arrived at the look before the read; -1: not known
+
+    def before_read(self, now_us: int, info: ReceiveInfo | None) -> None:
+        """Note what has arrived and is unread; `info` is None where the kernel does not tell."""
+        self._segments = -1
+        if info is None or info.bytes_received < self.received:
+            return
+        self._add(info.bytes_received, now_us)
+        if info.bytes_received == self.received:
+            self._segments = info.segments
+
+    def after_read(
+        self, length: int, now_us: int, info: ReceiveInfo | None, paused_since_us: int | None = None
+    ) -> None:
+        """Note that so many bytes were read.
+
+        Nothing was unread before a read that had to wait. Its bytes woke the reader, and are as young as the
+        last ones, unless the process was kept from running: then they may have arrived since that began,
+        `paused_since_us`, but where all of them are one segment.
+        """
+        position = self.received
+        self.received += length
+        if not length:
+            return
+        last_us = now_us - (info.since_last_us if info is not None else 0)
+        had_to_wait = self._bounds[-1].position <= position
+        is_one_segment = info is not None and 0 <= self._segments == info.segments - 1
+        if had_to_wait and (paused_since_us is None or is_one_segment):
+            self._add(position, last_us)
+        elif had_to_wait:
+            self._add(position, min(paused_since_us or 0, last_us))
+        if info is not None and info.bytes_received <= self.received:
+            self._add(self.received - 1, last_us)
+
+    def consume(self, length: int) -> int:
+        """Take bytes off; return the earliest moment at which the last byte taken so far can have arrived."""
+        self.consumed += length
+        return self._earliest_us(self.consumed - 1)
+
+    def consume_from_first(self, length: int) -> int:
+        """Take bytes off; return the earliest moment at which the first of them can have arrived."""
+        earliest_us = self._earliest_us(self.consumed)
+        self.consumed += length
+        return earliest_us
+
+    def next_unread_us(self) -> int:
+        """Return the earliest moment at which the first byte that is not read yet can have arrived."""
+        return self._earliest_us(self.received)
+
+    def _add(self, position: int, earliest_us: int) -> None:
+        """Add a bound; none is earlier than one for bytes before it."""
+        later: list[Bound] = []
+        while self._bounds[-1].position > position:
+            later.append(self._bounds.pop())
+        earliest_us = max(earliest_us, self._bounds[-1].earliest_us)
+        if self._bounds[-1].position == position:
+            self._bounds.pop()
+        self._bounds.append(Bound(position, earliest_us))
+        for bound in reversed(later):
+            self._bounds.append(Bound(bound.position, max(bound.earliest_us, earliest_us)))
+
+    def _earliest_us(self, position: int) -> int:
+        """Return the bound of one byte, and forget those of bytes before it."""
+        while len(self._bounds) > 1 and self._bounds[1].position <= position:
+            self._bounds.popleft()
+        return self._bounds[0].earliest_us
--- a/lupintack/core/attempt_results.py
+++ b/lupintack/core/attempt_results.py
@@ -131,7 +131,4 @@
         table = self._state.member_table
         if self._state.updates_known < table.update_count:
             return True
-        if not table.is_behind():
-            return False
-        table.is_awaited = True
-        return True
+        return table.await_source()
--- a/lupintack/core/member_table.py
+++ b/lupintack/core/member_table.py
@@ -17,6 +17,7 @@
 from lupintack.core.list_validity import ListValidity
 from lupintack.core.messages import Attempt, ClientRequest
 from lupintack.core.purge_memory import PurgeMemory
+from lupintack.core.source_reads import SourceReadId, SourceReads
 from lupintack.core.table_updates import (
     BansUpdate,
     Endpoint,
@@ -59,7 +60,7 @@
         self.clock = LogClock(UNIX_OFFSET_US)
         self.log_limit = LineLimit(MAX_LOG_LINES_PER_S)
         self.notify: Callable[[TableChange], None] = lambda change: None
-        self.late_reads = 0  # reads under way of bytes that were unread for long; under `count_lock`
+        self.source_reads = SourceReads()  # that are not in the table yet
         self.is_awaited = False  # the core holds attempts back until a source is read
         self.has_unread: Callable[[], bool] = lambda: False  # called by any thread; must not block
 
@@ -98,16 +99,26 @@
         """Queue a proof: every change notified before that moment is in the table or in the mailbox."""
         self.mailbox.put(ListConfirmed(proved_us))
 
-    def begin_late_read(self) -> None:
-        """Note that a source begins to read bytes that were unread for long."""
-        with self.count_lock:
-            self.late_reads += 1
+    def begin_read(self, arrived_us: int) -> SourceReadId:
+        """Note that a source begins to read bytes that arrived at `arrived_us` at the earliest."""
+        return self.source_reads.begin(arrived_us)
+
+    def end_read(self, read: SourceReadId) -> None:
+        """Queue the end of a read, behind all that it brought."""
+        self.mailbox.put(SourceRead(read))
 
-    def end_read(self, late: bool) -> None:
-        """Note that a source's bytes are in the mailbox; the core is notified where anything waits for it."""
-        if late or self.is_awaited:
-            self.is_awaited = False
-            self.mailbox.put(SourceRead(late))
+    def release_held_back(self) -> None:
+        """Queue a change for the core where anything waits for a source, as its connection has ended."""
+        if self.is_awaited:
+            self.mailbox.put(SourceRead(None))
+
+    def await_source(self) -> bool:
+        """Return whether the table is behind its sources; the core is notified once it no longer is.
+
+        The wish is noted before the look: a read that ends in between would notify nobody.
+        """
+        self.is_awaited = True
+        return self.is_behind()
 
     def purge(
         self,
@@ -147,7 +158,7 @@
 
     def is_behind(self) -> bool:
         """Return whether a source has sent something that should be in the table by now, and isn't."""
-        return self.late_reads > 0 or self.has_unread()
+        return self.source_reads.is_behind(now_us()) or self.has_unread()
 
     def is_outdated(self, attempt: Attempt) -> bool:
         """Return whether an update since the decision forbids the attempt.
@@ -215,9 +226,11 @@
             return None
         if isinstance(update, ListExpiryCheck) and not self.on_expiry_check():
             return None
+        if isinstance(update, SourceRead) and not self.on_source_read(update):
+            return None
         update_count = self.next_update()
         if isinstance(update, SourceRead):
-            change = self.on_source_read(update)
+            change = TableChange(())  # attempts that were held back for the source may be decided again
         elif isinstance(update, ListUpdate):
             change = self.on_list(update)
         elif isinstance(update, PurgeUpdate):
@@ -227,12 +240,13 @@
         change.update_count = update_count
         return change
 
-    def on_source_read(self, update: SourceRead) -> TableChange:
-        """Return an empty change: attempts that were held back for the source may be decided again."""
-        if update.was_late:
-            with self.count_lock:
-                self.late_reads -= 1
-        return TableChange(())
+    def on_source_read(self, update: SourceRead) -> bool:
+        """Note that a read is in the table; return whether attempts were held back for it, or may be."""
+        was_late = update.read is not None and self.source_reads.end(update.read, now_us())
+        if not self.is_awaited:
+            return was_late
+        self.is_awaited = False
+        return True
 
     def on_confirmed(self, update: ListConfirmed) -> bool:
         """Record the proof; return whether members become usable by it."""
--- a/lupintack/core/table_updates.py
+++ b/lupintack/core/table_updates.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from lupintack.core.source_reads import SourceReadId
 from lupintack.interface import Event, MemberState
 
 
@@ -72,9 +73,9 @@
 
 @dataclass(slots=True)
 class SourceRead:
-    """What a source had sent is read, and precedes this update in the mailbox."""
+    """What a read of a source brought precedes this update in the mailbox."""
 
-    was_late: bool  # it had been unread for long
+    read: SourceReadId | None  # None: its connection has ended
 
 
 Update = ListUpdate | PurgeUpdate | BansUpdate | ListConfirmed | ListExpiryCheck | SourceRead
--- a/lupintack/discovery/client.py
+++ b/lupintack/discovery/client.py
@@ -14,20 +14,15 @@
 from random import Random
 from typing import Any
 
-from lupintack import sockets
 from lupintack.clock import now_us
 from lupintack.config import Names
 from lupintack.core.counters import Counters
 from lupintack.core.member_table import MemberTable
-from lupintack.discovery.connection import (
-    LineBuffer,
-    ReceivedBytes,
-    is_readable,
-    receive_bytes,
-    wait_for_bytes,
-)
+from lupintack.core.source_reads import MAX_UNAPPLIED_US
+from lupintack.discovery.connection import LineBuffer, ReceivedBytes, receive_bytes, wait_for_bytes
 from lupintack.discovery.event_applier import EventApplier
 from lupintack.discovery.events import LineError, parse_line, watch_request
+from lupintack.discovery.unread import UnreadBytes
 from lupintack.logs import fields
 
 LOG = logging.getLogger("discovery")
@@ -39,7 +34,6 @@
 RECONNECT_JITTER = 0.4  # part of the delay; without it all routers would reconnect at the same moment
 PROOF_WAIT_S = 0.05  # after events on a new connection: a watch that has all of them may be answered at once
 MAX_EARLY_RECONNECTS = 2  # in a row, until one connection proves the list current
-MAX_UNREAD_US = 50_000  # above the reader's own limit for late reads: no attempt is sent until the reader ran
 MAX_READS_AFTER_PROOF = 16
 MIN_WAIT_S = 0.01
 MAX_LOGGED_LINE_BYTES = 100
@@ -64,6 +58,7 @@
         self.applier = EventApplier(names, member_table, self.counters)
         self.lock = threading.Lock()  # guards the applier: the reader of an old address may still run
         self.sock: socket.socket | None = None
+        self.unread: UnreadBytes | None = None  # of that connection
         self.generation = 0  # counts changes of the address: the reader of an earlier one ends
         self.stopped = threading.Event()
         self.started = False
@@ -107,7 +102,7 @@
             notified_us = self.member_table.notified_us
             self.counters.increment("discovery.connects")
             self._watch_once(address, generation)
-            self.member_table.end_read(False)
+            self.member_table.release_held_back()
             received_line = notified_us != self.member_table.notified_us
             self.stopped.wait(self.reconnect_delay_s(received_line))
 
@@ -115,7 +110,7 @@
         """Watch on one connection until it ends; log how it ended."""
         try:
             with socket.create_connection(address, timeout=CONNECT_TIMEOUT_S) as sock:
-                self.sock = sock
+                self.sock, self.unread = sock, UnreadBytes(sock)
                 self.watch(sock, generation)
         except EarlyReconnectError:
             self.counters.increment("discovery.early_reconnects")
@@ -137,19 +132,24 @@
         lines = LineBuffer(now_us(), self.silence_timeout_s())
         self.silent_connections += 1
         sock.sendall(self.watch_request(generation))
+        unread = self.unread or UnreadBytes(sock)
         while generation == self.generation and not self.stopped.is_set():
-            is_late = self.wait_for_bytes(lines, sock)
-            if is_late:
-                self.member_table.begin_late_read()
+            unread.before_read()
+            self.wait_for_bytes(lines, sock)
+            # Before the read: a pause behind it must find what was read, and is not in the table, noted.
+            arrived_us = unread.oldest_us()
+            if now_us() - arrived_us > MAX_UNAPPLIED_US:
+                self.counters.increment("discovery.late_reads")
+            read = self.member_table.begin_read(arrived_us)
             try:
-                self.receive(lines, receive_bytes(sock), generation)
-                self.read_after_proof(lines, sock, generation)
+                self.receive(lines, receive_bytes(sock, unread), generation)
+                self.read_after_proof(lines, sock, unread, generation)
                 self.confirm_table(lines, generation)
             finally:
-                self.member_table.end_read(is_late)
+                self.member_table.end_read(read)
 
-    def wait_for_bytes(self, lines: LineBuffer, sock: socket.socket) -> bool:
-        """Wait for the next bytes and return whether they have been unread for long.
+    def wait_for_bytes(self, lines: LineBuffer, sock: socket.socket) -> None:
+        """Wait for the next bytes.
 
         Raises TimeoutError where discovery has fallen silent, and EarlyReconnectError where a new connection
         could prove the list sooner: discovery sends its last revision at once to a watch that misses nothing,
@@ -159,24 +159,25 @@
         lacks_proof = lines.event_count and not lines.has_proof and not self.member_table.validity.is_current
         may_reconnect = self.early_reconnects < MAX_EARLY_RECONNECTS and timeout_s > PROOF_WAIT_S
         if not lacks_proof or not may_reconnect:
-            return wait_for_bytes(sock, timeout_s)
+            wait_for_bytes(sock, timeout_s)
+            return
         try:
-            return wait_for_bytes(sock, PROOF_WAIT_S)
+            wait_for_bytes(sock, PROOF_WAIT_S)
         except TimeoutError:
             self.early_reconnects += 1
             raise EarlyReconnectError("events received, but no proof that they are all") from None
 
     def has_unread(self) -> bool:
-        """Return whether bytes from discovery have been unread for long; called before each write.
+        """Return whether bytes from discovery may have been unread for long; called before each write.
 
         After a pause of the process a client's thread may run before the reader, and would act on what was
         true before the pause.
         """
-        sock = self.sock
-        if sock is None:
+        unread = self.unread
+        if unread is None:
             return False
         try:
-            return is_readable(sock, 0.0) and sockets.since_received_us(sock) > MAX_UNREAD_US
+            return unread.is_any() and now_us() - unread.oldest_us() > MAX_UNAPPLIED_US
         except (OSError, ValueError):  # closed just now
             return False
 
@@ -189,12 +190,15 @@
             return SILENCE_TIMEOUT_S * SLOW_TIMEOUT_FACTOR
         return SILENCE_TIMEOUT_S
 
-    def read_after_proof(self, lines: LineBuffer, sock: socket.socket, generation: int) -> None:
+    def read_after_proof(
+        self, lines: LineBuffer, sock: socket.socket, unread: UnreadBytes, generation: int
+    ) -> None:
         """Read what is queued behind a proof: an old proof may have a drain right behind it."""
         sock.settimeout(0.0)
         for _ in range(MAX_READS_AFTER_PROOF if lines.proved_us else 0):
+            unread.before_read()
             try:
-                self.receive(lines, receive_bytes(sock), generation)
+                self.receive(lines, receive_bytes(sock, unread), generation)
             except BlockingIOError:
                 break
 
--- a/lupintack/fronts/http1_connection.py
+++ b/lupintack/fronts/http1_connection.py
@@ -16,8 +16,8 @@
 from lupintack import sockets
 from lupintack.clock import now_us
 from lupintack.core import client_liveness
+from lupintack.dated_reads import DatedReads
 from lupintack.fronts import http1_closing
-from lupintack.fronts.arrivals import Arrivals
 from lupintack.fronts.exchange import ConnectionOwner, HttpError, HttpRequest, do_nothing
 from lupintack.fronts.http1_messages import encode_head, parse_head
 
@@ -82,7 +82,7 @@
         self.peer_ip = peer_ip
         self.buffer = bytearray()
         self.max_early_bytes = MAX_HEAD_BYTES + server.max_body_bytes
-        self.arrivals = Arrivals()
+        self.reads = DatedReads(sock)
         self.lock = threading.Lock()
         self.answered = threading.Condition(self.lock)
         self.open_exchange: Http1Exchange | None = None
@@ -204,6 +204,7 @@
     def read_more(self) -> bool:
         """Wait for bytes; return False at the end of the connection."""
         while True:
+            self.reads.before_read()
             try:
                 data = sockets.read(self.sock, READ_BYTES)
                 break
@@ -223,6 +224,7 @@
         """
         if self.reading_ended or len(self.buffer) >= self.max_early_bytes:
             return False
+        self.reads.before_read()
         try:
             self.on_received(
                 self.sock.recv(READ_BYTES, socket.MSG_DONTWAIT)
@@ -235,14 +237,14 @@
         return False
 
     def on_received(self, data: bytes) -> None:
-        """Keep bytes and their time of arrival, which a process that was paused reads much later."""
+        """Keep bytes and bounds on their arrival, which a process that was paused reads much later."""
         self.buffer += data
-        self.arrivals.add(len(data), now_us() - sockets.since_received_us(self.sock))
+        self.reads.after_read(len(data))
 
     def consume(self, length: int) -> int:
-        """Take bytes off the buffer; return when the last of them arrived."""
+        """Take bytes off the buffer; return when the last of them arrived, at the earliest."""
         del self.buffer[:length]
-        return self.arrivals.consume(length, now_us())
+        return self.reads.consume(length)
 
     def incomplete_request(self, where: str) -> HttpError:
         """Return the error for a request that is not complete."""
--- a/lupintack/http2/wire.py
+++ b/lupintack/http2/wire.py
@@ -24,6 +24,7 @@
 
 from lupintack import sockets
 from lupintack.clock import now_us
+from lupintack.dated_reads import DatedReads
 from lupintack.http2.config import WireConfig
 from lupintack.http2.frame_writer import FrameWriter
 from lupintack.http2.role import Header, Role, role_call
@@ -36,9 +37,7 @@
 MAX_FRAMED_BYTES = 262_144  # answers to control frames that a peer does not read
 MAX_FRAME_BYTES = 16384  # of a body, at most
 MAX_UNSENT_BYTES = 32768  # bytes that the kernel holds and has not sent: what is urgent can't overtake these
-LINGER_TIMEOUT_S = (
-    1.5  # after our end the rest is read so long, or a reset might take the last frames from the peer
-)
+LINGER_TIMEOUT_S = 1.5  # after our end the rest is read: a reset might take the last frames from the peer
 PING_DATA = b"lupintck"
 
 
@@ -71,7 +70,8 @@
         self.is_calling = False  # what has come is on its way to the role
         self.end_reason = ""
         self.ended_us = 0
-        self.received_us = now_us()  # when the bytes that are read now came
+        self.reads = DatedReads(sock)
+        self.received_us = now_us()  # when the bytes that are read now arrived, at the earliest
         sockets.set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sockets.set_option(sock, socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
 
@@ -87,6 +87,7 @@
                     self.session.increment_flow_control_window(more)
                 self.pump()
             while not self.ended:
+                self.reads.before_read()
                 try:
                     data = sockets.read(self.sock, READ_BYTES)
                 except BlockingIOError:
@@ -94,8 +95,7 @@
                 if not data:
                     self.end_reason = self.end_reason or "closed"
                     break
-                # A process that was kept from running reads them long after.
-                self.received_us = now_us() - sockets.since_received_us(self.sock)
+                self.received_us = self.reads.consume_read(len(data))
                 self.receive(data)
             if self.ended and not self.writer.is_closed:
                 self._linger()
--- a/lupintack/sockets.py
+++ b/lupintack/sockets.py
@@ -13,6 +13,7 @@
 import struct
 import time
 from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 TRANSIENT = frozenset({errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 """Of a read or a write: the connection is as it was, and the call may be made again."""
@@ -23,7 +24,10 @@
 PAUSE_S = 0.001  # between two tries of a call that failed for a moment
 TRIES = 200
 CONNECT_TRIES = 3
-LAST_DATA_RECEIVED = struct.Struct("=52xI")  # tcpi_last_data_recv in ms: Linux, include/uapi/linux/tcp.h
+# Linux, include/uapi/linux/tcp.h: tcpi_last_data_recv in ms; with tcpi_bytes_received, tcpi_data_segs_in
+LAST_DATA_RECEIVED = struct.Struct("=52xI")
+LAST_DATA_SENT = struct.Struct("=44xI")  # tcpi_last_data_sent in ms
+RECEIVED = struct.Struct("=52xI72xQ16xI")
 ACCEPT_FIRST_S = 0.0001  # between two tries of an accept, doubled with each that fails in a row
 ACCEPT_PAUSE_S = 0.02  # and at most
 ACCEPT_LASTS_S = 0.001  # from this pause on the want is no matter of a moment: connections are ended for room
@@ -58,6 +62,37 @@
         return 0
 
 
+class ReceiveInfo(NamedTuple):
+    """What has arrived on a connection, read or not."""
+
+    since_last_us: int  # since the last bytes arrived, in whole ticks of the kernel
+    bytes_received: int  # in all; the end of the stream may count as one
+    segments: int  # with data
+
+
+def receive_info(sock: socket.socket) -> ReceiveInfo | None:
+    """Return what has arrived on a connection; None where the kernel does not tell."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, RECEIVED.size)
+        since_last_ms, bytes_received, segments = RECEIVED.unpack(info)
+    except (OSError, struct.error):  # no TCP, closed, or a kernel that tells less
+        return None
+    return ReceiveInfo(since_last_ms * 1000, bytes_received, segments)
+
+
+def since_established_us(sock: socket.socket) -> int:
+    """Return how long ago a connection was established, in microseconds; 0 where that isn't known.
+
+    It may have waited to be accepted since. Until something is written, the kernel counts the time since the
+    last write from there (Linux, tcp_create_openreq_child).
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_SENT.size)
+        return int(LAST_DATA_SENT.unpack(info)[0]) * 1000
+    except (OSError, struct.error):  # no TCP, or a kernel that tells less
+        return 0
+
+
 def write(sock: socket.socket, data: bytes | bytearray | memoryview) -> None:
     """Send all, with retries of transient errors."""
     view = memoryview(data)
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -13,6 +13,8 @@
 # From the ground up; a room may import those before it, and itself.
 FLOORS = [
     ("clock", "logs", "interface", "sockets"),
+    ("arrivals", "pauses"),
+    ("dated_reads",),
     ("limits", "http2", "lifecycle"),
     ("membership",),
     ("budgets",),
