Go on with a short write at once: each one cost the core's turn the start of a thread

Cause: send_now and send_parts_now took a short write, and an error that may pass, for a full buffer, and the caller started a thread for the rest. A start waits until the new thread has run, inside the core's turn and under the connection's lock, so every request behind it waited for a place on a processor. Change: only EAGAIN hands the rest to a thread; a short write goes on, an error that may pass is retried at once, four times in all.

--- a/lupintack/sockets.py
+++ b/lupintack/sockets.py
@@ -24,6 +24,7 @@
 PAUSE_S = 0.001  # between two tries of a call that failed for a moment
 TRIES = 200
 CONNECT_TRIES = 3
+SEND_NOW_TRIES = 4  # at once, of a write that must not wait
 # Linux, include/uapi/linux/tcp.h: tcpi_last_data_recv in ms; with tcpi_bytes_received, tcpi_data_segs_in
 LAST_DATA_RECEIVED = struct.Struct("=52xI")
 LAST_DATA_SENT = struct.Struct("=44xI")  # tcpi_last_data_sent in ms
@@ -110,27 +111,34 @@
 
 def send_now(sock: socket.socket, data: bytes | bytearray | memoryview) -> int:
     """Return how many bytes the kernel takes without waiting; 0 where it takes none just now."""
-    try:
-        return sock.send(data, socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return 0
-    except OSError as error:
-        if passes(error):
-            return 0
-        raise
+    view = memoryview(data)
+    return len(view) - sum(map(len, send_parts_now(sock, [view])))
 
 
-def send_parts_now(sock: socket.socket, parts: Sequence[bytes]) -> list[memoryview]:
-    """Send parts in one call, as far as the kernel takes them without waiting; return what is left."""
-    views = [memoryview(part) for part in parts]
-    try:
-        sent = sock.sendmsg(views, [], socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        sent = 0
-    except OSError as error:
-        if not passes(error):
-            raise
-        sent = 0
+def send_parts_now(sock: socket.socket, parts: Sequence[bytes | memoryview]) -> list[memoryview]:
+    """Send parts as far as the kernel takes them without waiting; return what is left.
+
+    A short write, or an error that may pass, does not say that the kernel would have to wait: only EAGAIN
+    does. Whatever is left costs the caller a thread.
+    """
+    left = [memoryview(part) for part in parts]
+    failures = 0
+    while left:
+        try:
+            left = _without(left, sock.sendmsg(left, [], socket.MSG_DONTWAIT))
+        except BlockingIOError:
+            break
+        except OSError as error:
+            failures += 1
+            if not passes(error):
+                raise
+            if failures >= SEND_NOW_TRIES:
+                break
+    return left
+
+
+def _without(views: Sequence[memoryview], sent: int) -> list[memoryview]:
+    """Return what is left of parts whose first `sent` bytes are sent."""
     left = []
     for view in views:
         if sent < len(view):
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import signal
 import socket
@@ -13,6 +14,7 @@
 
 import pytest
 
+from lupintack import sockets
 from lupintack.sockets import ACCEPT_PAUSE_S, TRIES, AcceptFailures
 from lupintack.standins.edge import START_PATIENCE_S, ClientRecord, Edge, End
 from lupintack.standins.net import free_ports
@@ -102,6 +104,39 @@
         assert len(requests) >= PACE_PART * before, (name, len(requests), before)
 
 
+class FailingWrites:
+    """A socket whose writes go as a list says: bytes that are taken, or an error's number; then all is."""
+
+    def __init__(self, *outcomes: int | OSError) -> None:
+        self.outcomes = list(outcomes)
+        self.written = b""
+
+    def sendmsg(self, parts: list[memoryview], ancillary: object = (), flags: int = 0) -> int:
+        data = b"".join(parts)
+        outcome = self.outcomes.pop(0) if self.outcomes else len(data)
+        if isinstance(outcome, OSError):
+            raise outcome
+        self.written += data[:outcome]
+        return min(outcome, len(data))
+
+
+@pytest.mark.parametrize(
+    "outcomes", [(5,), (5, 1, 2), (OSError(errno.EINTR, ""),), (3, OSError(errno.ENOBUFS, ""))]
+)
+def test_a_write_that_falls_short_goes_on_at_once(outcomes: tuple[int | OSError, ...]) -> None:
+    """Guards against a thread for each short write: its start held up the core's turn and all behind it."""
+    sock = FailingWrites(*outcomes)
+    assert sockets.send_parts_now(sock, [b"head ", b"body"]) == []  # type: ignore[arg-type]
+    assert sock.written == b"head body"
+
+
+def test_a_write_that_would_wait_leaves_the_rest() -> None:
+    for last in (BlockingIOError(), OSError(errno.ENOMEM, "")):
+        sock = FailingWrites(7, *[last] * sockets.SEND_NOW_TRIES)
+        left = sockets.send_parts_now(sock, [b"head ", b"body"])  # type: ignore[arg-type]
+        assert (sock.written, [bytes(one) for one in left]) == (b"head bo", [b"dy"])
+
+
 def test_connects_that_this_machine_could_not_begin_do_not_count_against_the_member(edge: Edge) -> None:
     """Each used to be a failed connect of the member's, whose request went to another one."""
     edge.start()
@@ -362,8 +397,6 @@
 
 
 def test_sockets_of_other_families_and_options_that_never_take_are_no_fault() -> None:
-    from lupintack import sockets
-
     with socket.socket() as sock:
         assert not sockets.set_option(sock, socket.IPPROTO_TCP, 9999, 1)
         assert sockets.set_option(sock, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
