Compare the pace beside failing calls with looks right before and behind it

The entries [accept], [setsockopt] and [connect]: the test was wrong, the router was not. Its bound compared a look with one at the start of the test, up to 14 s earlier, so it measured what other programs on the machine did meanwhile. Change: each fault stands between two looks without one, and is held to the same half of the slower of the two. The faults, the look's length and the part are as before.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -21,7 +21,7 @@
 
 LOOK_S = 1.2
 SERVED_PART = 0.9  # of all requests
-PACE_PART = 0.5  # of the requests that are served without faults in the same time
+PACE_PART = 0.5  # of the requests that are served without faults in as long a time beside it
 
 
 def fault(call: str, name: str, part: float, **more: Any) -> dict[str, Any]:
@@ -86,22 +86,27 @@
 
 @pytest.mark.parametrize("calls", ["accept", "connect", "socket", "setsockopt", "recv", "send", "short", "a"])
 def test_calls_that_fail_for_a_moment_lose_nothing(edge: Edge, calls: str) -> None:
-    """Each error of a call in turn, on one process; the pace is compared with a look without any."""
+    """Each error of a call in turn, on one process, between two looks without any.
+
+    Guards against a pace that falls to less than half: the slower of the two looks beside it shows what the
+    machine had to give just then.
+    """
     edge.start()
     edge.ready()
     new = calls in ("accept", "setsockopt")
-    before = len(played(edge, new))
+    paces = [len(played(edge, new))]
     for name, plan in PLANS.items():
         if name.split()[0] != calls:
             continue
         edge.shim(seed=7, **plan)
         requests = played(edge, new)
         edge.shim()
+        paces.append(len(played(edge, new)))
         cut = [one for one in requests if one.end is not End.ANSWERED]
         served = sum(one.status == 200 for one in requests)
         assert not cut, (name, len(cut), len(requests), edge.log()[-2000:])
         assert served >= SERVED_PART * len(requests), (name, served, len(requests), edge.log()[-2000:])
-        assert len(requests) >= PACE_PART * before, (name, len(requests), before)
+        assert len(requests) >= PACE_PART * min(paces[-2:]), (name, len(requests), paces)
 
 
 class FailingWrites:
