Refuse what ran nowhere when its time is up: a 502 said that it may have run

What callers saw: a 502 for a request that was sent to nobody, also for a write that could have been repeated without harm; one among 2,652 answers in the listed test of eight routers (test_switch). Cause: at a request's deadline without an open attempt, and at the end of the process, the core answered Fail whatever had become of the request. Where the process is kept from running, the deadline is due in the same turn that takes the request, so the router has not seen it yet. Evidence: for a class that may be repeated the decisions only ever reject, so these two lines are the only source of a 502 for the GETs of that test. A process that is stopped for 1 s with requests of 500 ms unread answers 502, with 'held until its time was up' attempts=0 in its log: 2 of 2 cases failed so before this change (a read and a write that may not run twice). Change: Responder.finish_unserved rejects a request that may be repeated or went nowhere, and fails only one that may not run twice and was sent. Result: both cases pass.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -247,7 +247,7 @@
         self.intake.is_closed = True
         for number, entry in list(self.requests.by_number.items()):
             if not entry.is_answered:
-                self.responder.finish(entry, Fail(number, "the process ends"))
+                self.responder.finish_unserved(entry, "the process ends")
                 events.append(ClientDisconnected(number))
 
     def fire_due_timers(self, events: list[Event]) -> None:
@@ -264,7 +264,7 @@
             return
         if not entry.is_answered and not entry.open_attempts:
             # Guards against a request that the router keeps waiting: its answer is due now.
-            self.responder.finish(entry, Fail(number, "held until its time was up"))
+            self.responder.finish_unserved(entry, "held until its time was up")
             events.append(ClientDisconnected(number))
         # Also of an answered request: an attempt that can't be cancelled and never ends would stay forever.
         for attempt in list(entry.open_attempts.values()):
--- a/lupintack/core/responder.py
+++ b/lupintack/core/responder.py
@@ -48,6 +48,17 @@
         entry.request.sink.serve(transfer.answer, transfer.not_modified)
         self._requests.forget_if_finished(entry)
 
+    def finish_unserved(self, entry: RequestInFlight, reason: str) -> None:
+        """Give the final answer of a request that the router has not answered: rejected where that is true.
+
+        Only a request that may not run twice, and may have run, is failed: a client may repeat any other.
+        """
+        number = entry.request.number
+        if entry.is_idempotent or not entry.attempts_sent:
+            self.finish(entry, Reject(number, 0.0, reason))
+        else:
+            self.finish(entry, Fail(number, reason))
+
     def finish(self, entry: RequestInFlight, action: Reject | Fail) -> None:
         """Reject or fail a request, with a log line."""
         request = entry.request
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -388,6 +388,24 @@
     assert over_s and max(over_s.values()) <= SLACK_S, over_s
 
 
+@pytest.mark.parametrize("cls", ["map-tiles", "alert-ack"])
+def test_a_request_whose_time_ends_in_a_pause_is_refused_as_harmless(edge: Edge, cls: str) -> None:
+    """Guards against a 502, which says that it may have run, for a request that went to nobody."""
+    edge.start()
+    edge.ready()
+    sock = edge.connect()
+    assert sock is not None
+    edge.send_request(sock)
+    edge.calls.clear()
+    edge.signal(signal.SIGSTOP)
+    thread = threading.Thread(target=edge.send_request, args=(sock, cls), kwargs={"wait_ms": 500})
+    thread.start()
+    time.sleep(1.0)
+    edge.signal(signal.SIGCONT)
+    thread.join()
+    assert (edge.requests[-1].status, edge.calls) == (503, []), edge.log()[-500:]
+
+
 # What is not late keeps its time
 
 
