Say ready only once every port is listened on

Cause: serve told that the start was over, and opened the ports one after another with a thread for each in between; on a busy machine the second port was listened on after the first had answered /alive. Change: all ports are listened on, that of /alive last, then the start is over, then the threads accept.

--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -298,9 +298,11 @@
         if not self.handoff_is_over():
             fault = self.admin_service.upgrade.handoff.fault or "none"
             LOG.info("no handoff received", extra=logs.fields(fault=fault))
+        # Whoever is told that this process is ready may connect to any of its ports; the first has `/alive`.
+        for server in reversed(self.servers):
+            server.open()
         self.admin_service.control.on_started()
         for server in self.servers:
-            server.open()
             spawn(server.run, "accept")
         self.admin_service.upgrade.route_new_connections()
         if self.fleet is not None:
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -314,6 +314,48 @@
         fleet.close()
 
 
+def test_ready_is_said_only_once_every_front_listens() -> None:
+    """Guards against a client that is sent to a port which refuses it, as another port was faster."""
+    fleet = Fleet()
+    http2 = {"enabled": True, "listen": "127.0.0.1:0"}
+    wanted = operator.parse({"http2": http2}, "operator.toml")
+    node = Node(parse(fleet.configuration() | {"admin_addr": "127.0.0.1:0"}, {}), None, wanted)
+    http1, slow = node.servers
+    open_at_once = slow.open
+
+    def open_late() -> None:
+        time.sleep(0.4)
+        open_at_once()
+
+    slow.open = open_late  # type: ignore[method-assign]
+    try:
+        node.begin()
+        assert node.admin is not None
+        admin = node.admin.sock.getsockname()
+        node.member_table.validity.confirmed.wait(3.0)
+        thread = threading.Thread(target=node.serve)
+        thread.start()
+        until = time.monotonic() + 3.0
+        while call_staff(admin, "GET", "/api/ready")[0] != 200 and not says_alive(http1.sock.getsockname()):
+            assert time.monotonic() < until
+        socket.create_connection(http1.sock.getsockname(), timeout=1.0).close()
+        socket.create_connection(slow.sock.getsockname(), timeout=1.0).close()
+        thread.join()
+    finally:
+        node.end()
+        fleet.close()
+
+
+def says_alive(address: tuple[str, int]) -> bool:
+    """Whether `/alive` says 200 there, at once."""
+    try:
+        with socket.create_connection(address, timeout=0.1) as sock:
+            sock.sendall(b"GET /alive HTTP/1.1\r\nHost: x\r\n\r\n")
+            return sock.recv(100).startswith(b"HTTP/1.1 200 ")
+    except OSError:
+        return False
+
+
 def test_sighup_while_the_list_is_waited_for_moves_discovery_also_several_in_a_row(edge: Edge) -> None:
     edge.proxy.fault = Fault.DELAYED
     edge.start()
