Wait for HTTP/2 settings as long as for answers in the test of the limits, and show failures

A client that had not got the router's SETTINGS within 5 s, the stand-in's default patience, ended its thread without a word, and none of its hundred requests was ever sent. Change: the same 30 s for the settings as for the answers; whatever ends a client's thread fails the test and is shown. As strict: all 10,000 are asked, and each is told something; an exception counts now, too.

--- a/tests/test_http2_limits.py
+++ b/tests/test_http2_limits.py
@@ -23,11 +23,18 @@
 MEMORY_MB = 96
 
 
-def ask_all(app: App, number: int) -> None:
-    app.until(lambda: app.session.remote_settings.max_concurrent_streams == 100)
-    for n in range(100):
-        app.ask("GET", f"/ops/map-tiles/{number:08x}{n:08x}")
-    app.until(lambda: all(one.over() for one in app.streams.values()), 30.0)
+PATIENCE_S = 30.0  # of each client, for the router's settings as well as for its answers
+
+
+def ask_all(app: App, number: int, failures: list[BaseException]) -> None:
+    """A hundred requests on one connection; what keeps them from being asked or answered is kept."""
+    try:
+        app.until(lambda: app.session.remote_settings.max_concurrent_streams == 100, PATIENCE_S)
+        for n in range(100):
+            app.ask("GET", f"/ops/map-tiles/{number:08x}{n:08x}")
+        app.until(lambda: all(one.over() for one in app.streams.values()), PATIENCE_S)
+    except (OSError, EOFError) as error:
+        failures.append(error)
 
 
 def test_a_hundred_connections_of_a_hundred_streams_at_the_limits() -> None:
@@ -36,7 +43,8 @@
     try:
         resource.prlimit(router.process.pid, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
         apps = [App(router.http2) for _ in range(100)]
-        threads = [Thread(target=ask_all, args=(app, n)) for n, app in enumerate(apps)]
+        failures: list[BaseException] = []
+        threads = [Thread(target=ask_all, args=(app, n, failures)) for n, app in enumerate(apps)]
         for thread in threads:
             thread.start()
         most = 0
@@ -44,6 +52,7 @@
             most = max(most, len(os.listdir(f"/proc/{router.process.pid}/fd")))
             threads[0].join(0.05)
             threads = [*threads[1:], threads[0]]
+        assert not failures, (len(failures), failures[0])
         ends = [one for app in apps for one in app.streams.values()]
         assert len(ends) == 10_000 and all(one.over() for one in ends)
         served = sum(one.status == 200 for one in ends)
