Count a shutdown from its SIGTERM, also where a SIGHUP before it takes long

What callers saw: requests with no answer at a planned restart whose SIGTERM came while a SIGHUP's files were being read: the process was still to answer them when the kill came. Cause: signals are handled one after another, reading a file that fails for a moment is tried again for a second, and the time until the kill was counted from the end of that. Change: an end that is pending goes before anything else, and one that came while another signal was handled counts from the beginning of that.

--- a/lupintack/__main__.py
+++ b/lupintack/__main__.py
@@ -72,9 +72,7 @@
         return 2
     times.end_part()
     node.print_ready(times.as_log_fields())
-    while (got := signal.sigwait(SIGNALS)) not in END_SIGNALS:
-        on_signal(node, got)
-    node.stop()
+    node.stop(wait_for_end(node))
     node.print_counters()
     sys.stderr.flush()
     return 0
@@ -131,6 +129,22 @@
     )
 
 
+def wait_for_end(node: Node) -> float:
+    """Handle signals until one ends the process; return when that came at the earliest, in monotonic seconds.
+
+    One that comes while another is handled counts from the beginning of that: the kill behind it is due by
+    when it came. An end goes before whatever else is pending.
+    """
+    began_s = time.monotonic()
+    while not signal.sigpending() & END_SIGNALS:
+        got = signal.sigwait(SIGNALS)
+        began_s = time.monotonic()
+        if got in END_SIGNALS or signal.sigpending() & END_SIGNALS:
+            break
+        on_signal(node, got)
+    return began_s
+
+
 def on_signal(node: Node, number: int) -> None:
     """Reload on SIGHUP, log the counters on SIGUSR1."""
     if number == signal.SIGHUP:
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -326,12 +326,16 @@
         """Read the configuration again, after SIGHUP."""
         reload_files(self, environ)
 
-    def stop(self) -> None:
-        """Shut down after SIGTERM: accept what still comes for a moment, and answer every request."""
+    def stop(self, terminated_s: float | None = None) -> None:
+        """Shut down after SIGTERM: accept what still comes for a moment, and answer every request.
+
+        `terminated_s`: when the signal came, in monotonic seconds; None: now.
+        """
+        terminated_s = time.monotonic() if terminated_s is None else terminated_s
         longest_s = max((cls.deadline_ms for cls in self.core.settings.classes), default=0.0) / 1000.0
         answer_s = min(longest_s, MAX_ANSWER_S)
         plan = self.admin_service.begin_shutdown(int(answer_s * 1e6))
-        end_s = time.monotonic() + ACCEPT_AFTER_SIGTERM_S + answer_s - KILL_MARGIN_S
+        end_s = terminated_s + ACCEPT_AFTER_SIGTERM_S + answer_s - KILL_MARGIN_S
         for server in self.servers:
             if plan.closes_after_answers:
                 server.close_answers(True)
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -547,6 +547,33 @@
     assert edge.process.returncode == 0
 
 
+@pytest.mark.parametrize("gap_s", [0.0, 0.3])
+def test_sigterm_behind_a_sighup_that_takes_long_costs_no_request_its_answer(
+    edge: Edge, gap_s: float
+) -> None:
+    """Guards against an end that counts from the end of the reload: the kill counts from SIGTERM."""
+    edge.start()
+    edge.ready()
+    edge.load(6, gap_s=0.02, wait_ms=5000)
+    time.sleep(0.5)
+    edge.fleet.terms.delay_s = lambda name, cls: 30.0
+    edge.shim(seed=7, faults=[{"call": "open", "errno": "EIO", "part": 1.0, "path": "config.json"}])
+    assert edge.process is not None
+    edge.signal(signal.SIGHUP)
+    time.sleep(gap_s)
+    edge.signal(signal.SIGHUP)
+    edge.signal(signal.SIGTERM)
+    until = time.monotonic() + 3.0 + 0.7  # the deployment's longest deadline counts as 3 s
+    while edge.process.poll() is None and time.monotonic() < until:
+        time.sleep(0.01)
+    has_ended = edge.process.poll() is not None
+    edge.kill()
+    requests = edge.stop()
+    cut = [one for one in requests if one.end in (End.CUT, End.OPEN)]
+    assert not cut, (len(cut), len(requests), edge.log()[-2000:])
+    assert has_ended and edge.process.returncode == 0
+
+
 def test_connections_that_members_close_or_reset_while_idle_lose_nothing(edge: Edge) -> None:
     edge.start()
     edge.ready()
