Show each router's view, and since when it holds, where the routers don't agree in time

The listed test of eight routers says only whom each counts when their views do not agree in 15 s, so a lost announcement, a flapping router and a status that is not answered look alike. The stand-in's message now has each router's own state, view, whether it is settled, its health, dropped datagrams, every record with its incarnation and age, and how long the status took.

--- a/lupintack/standins/routers.py
+++ b/lupintack/standins/routers.py
@@ -181,10 +181,31 @@
         until = time.monotonic() + patience
         while not what():
             if time.monotonic() > until:
-                held = {name: sorted(self.members(name)) for name in self.running if name not in self.paused}
-                raise AssertionError(f"not in {patience} s: {text}; {held}")
+                raise AssertionError(f"not in {patience} s: {text}; {self.view_lines()}")
             time.sleep(0.03)
 
+    def view_lines(self) -> list[str]:
+        """What each router that runs counts, a line each: whose view differs, since when, and who says so."""
+        lines = []
+        for name in self.running:
+            if name in self.paused:
+                continue
+            began = time.monotonic()
+            status = self.status(name)
+            took_ms = (time.monotonic() - began) * 1000
+            if not status:
+                lines.append(f"{name}: no answer in {took_ms:.0f} ms")
+                continue
+            others = [
+                f"{one['name']} {one['state']} {one['incarnation']} {one['since_ms']} ms {one['why']}".strip()
+                for one in status["routers"]
+            ]
+            state = {
+                key: status[key] for key in ("state", "view", "settled", "minority", "health", "dropped")
+            }
+            lines.append(f"{name}: {state}, {others}, told in {took_ms:.0f} ms")
+        return lines
+
     def log(self, name: str) -> str:
         return (self.tmp / f"{name}.log").read_text()
 
