Soak: signals in series, pauses with young bytes near their end, and two more counts

Half of the machine's faults are pauses of 60 ms to 2.5 s, some twice in a row, with discovery's beat 10 to 200 ms before their end, and twelve clients with a request behind another. Counted as well: failures that say that a request may have run, of what went nowhere (failed_unsent), and processes that the kill had to end (late_ends). Clients that do more than ask are a module of their own.

--- a/lupintack/standins/edge.py
+++ b/lupintack/standins/edge.py
@@ -187,6 +187,13 @@
 
     # Clients
 
+    def new_record(self, cls: str, wait_ms: int, item: str = "") -> ClientRecord:
+        """The record of a request that is about to be sent."""
+        one = ClientRecord(secrets.token_hex(8), cls, item or secrets.token_hex(8), wait_ms)
+        with self.lock:
+            self.requests.append(one)
+        return one
+
     def send_request(
         self,
         sock: socket.socket,
@@ -196,9 +203,7 @@
         rested: bool = False,
     ) -> tuple[ClientRecord, bool]:
         """One request on a connection; its record, and whether the connection can be used again."""
-        one = ClientRecord(secrets.token_hex(8), cls, item or secrets.token_hex(8), wait_ms)
-        with self.lock:
-            self.requests.append(one)
+        one = self.new_record(cls, wait_ms, item)
         write = cls in self.fleet.writes
         head = f"{'PUT' if write else 'GET'} /ops/{cls}/{one.item} HTTP/1.1\r\nHost: x\r\n"
         head += f"Req-Id: {one.wire_id}\r\nReq-Wait-Ms: {wait_ms}\r\n"
@@ -218,11 +223,9 @@
 
     def send_and_disconnect(self, sock: socket.socket, wait_ms: int, stay_s: float) -> None:
         """A request whose client closes after so long."""
-        one = ClientRecord(secrets.token_hex(8), "map-tiles", secrets.token_hex(8), wait_ms)
+        one = self.new_record("map-tiles", wait_ms)
         head = f"GET /ops/map-tiles/{one.item} HTTP/1.1\r\nHost: x\r\nReq-Id: {one.wire_id}\r\n"
         one.sent_s = time.monotonic()
-        with self.lock:
-            self.requests.append(one)
         try:
             sock.sendall(f"{head}Req-Wait-Ms: {wait_ms}\r\n\r\n".encode())
             time.sleep(stay_s)
--- a/lupintack/standins/planted.py
+++ b/lupintack/standins/planted.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import sys
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -93,6 +94,30 @@
     MemberTable.purge = lambda self, *args, **more: None  # type: ignore[method-assign]
 
 
+def failed_for_rejected() -> None:
+    """What nobody served counts as failed, also where it went nowhere."""
+    from lupintack.core.responder import Responder
+    from lupintack.interface import Fail
+
+    def fail(self: Any, entry: Any, reason: str) -> None:
+        self.finish(entry, Fail(entry.request.number, reason))
+
+    Responder.finish_unserved = fail  # type: ignore[method-assign]
+
+
+def late_end() -> None:
+    """A shutdown that begins too late."""
+    from lupintack import node
+
+    stop = node.Node.stop
+
+    def late(self: Any, terminated_s: float | None = None) -> None:
+        time.sleep(3.0)
+        stop(self, None)
+
+    node.Node.stop = late  # type: ignore[method-assign]
+
+
 def slow_start() -> None:
     """A start that waits longer than it may."""
     from lupintack import node
@@ -107,6 +132,7 @@
     one.__name__: one
     for one in (
         old_list, no_answer, two_answers, second_run, gone_client, long_deadline, no_budget, deaf_to_purges,
+        failed_for_rejected, late_end,
         slow_start,
     )
 }  # fmt: skip
--- a/lupintack/standins/soak.py
+++ b/lupintack/standins/soak.py
@@ -30,6 +30,7 @@
 from lupintack.standins.fleet import Fleet, Terms
 from lupintack.standins.processes import RUN
 from lupintack.standins.proxy import Fault, Proxy
+from lupintack.standins.soak_clients import leave_early, write_requests
 from lupintack.standins.soak_counts import (
     DELAY_S,
     FALL_MULTIPLE,
@@ -44,6 +45,8 @@
     closing_line,
     count,
 )
+from lupintack.standins.soak_pauses import CLIENTS_IN_PAUSE, PausePlan, PipelinedRequests, beat, draw_pause
+from lupintack.standins.soak_signals import TERM, Step, draw_series, send_series, words
 
 WAIT_MS = 1200
 NOTICE_S = 7.0  # after which an event counts as notified, whatever became of it
@@ -204,40 +207,45 @@
 
     def restart(self) -> None:
         """A planned restart with the kill at the earliest, an outright kill, or a kill while it starts."""
-        how = self.random.choice(("term", "term", "kill", "kill in start", "upgrade", "upgrade"))
+        how = self.random.choice(
+            ("series", "series", "series", "kill", "kill in start", "term in start", "upgrade", "upgrade")
+        )
         process = self.edge.process
         assert process is not None
         if how == "upgrade":
             self.upgrade()
             return
-        if how == "term":
-            self.say("SIGTERM")
-            if self.random.random() < 0.5:
-                self.hang_up()
-            self.end_planned(process)
-        self.history.kills_s.append((time.monotonic(), how == "term"))
+        if how == "series":
+            self.end_planned(process, draw_series(self.random))
+        self.history.kills_s.append((time.monotonic(), how == "series"))
         self.say(f"SIGKILL, {how}")
         self.edge.kill()
-        if how != "term":
+        if how != "series":
             self.drain([self.random.choice(("s-1", "p-1"))])
-        if how == "kill in start":
+        if how.endswith("in start"):
             self.start()
             time.sleep(self.random.uniform(0.05, 1.0))
-            self.history.kills_s.append((time.monotonic(), False))
+            if how == "term in start" and self.edge.process is not None:
+                self.end_planned(self.edge.process, [Step(TERM, 0.0)])
+            self.history.kills_s.append((time.monotonic(), how == "term in start"))
             self.edge.kill()
-            self.say("SIGKILL while it starts")
+            self.say(f"SIGKILL, {how}")
         if self.random.random() < 0.6:
             self.spoil_discovery()
         self.start()
         self.wait_ready()
 
-    @staticmethod
-    def end_planned(process: subprocess.Popen[bytes]) -> None:
-        """SIGTERM, and the time that the page gives until the kill."""
-        process.send_signal(signal.SIGTERM)
-        until = time.monotonic() + KILL_AFTER_S
+    def end_planned(self, process: subprocess.Popen[bytes], series: list[Step]) -> None:
+        """Signals with a SIGTERM among them, and the time that the page gives until the kill."""
+        self.say(words(series))
+        until = KILL_AFTER_S + send_series(process, series, self.on_pause)
         while process.poll() is None and time.monotonic() < until:
             time.sleep(0.005)
+        self.history.late_ends += process.poll() is None
+
+    def on_pause(self, began_s: float, ended_s: float) -> None:
+        """Note a time in which the process stood still."""
+        self.history.pauses.append((began_s, ended_s))
 
     def upgrade(self) -> None:
         """A new process beside the old one, which ends once the new one is ready."""
@@ -250,9 +258,7 @@
         old = self.edge.start_beside(words=self.arguments)
         self.result.ready_s.append(time.monotonic() - began)
         self.say(f"ready after {self.result.ready_s[-1]:.2f} s, SIGTERM to the old one")
-        if self.random.random() < 0.5:
-            self.hang_up()
-        self.end_planned(old)
+        self.end_planned(old, draw_series(self.random))
         self.history.kills_s.append((time.monotonic(), True))
         old.kill()
         old.wait()
@@ -267,7 +273,10 @@
         self.start()
         self.wait_ready()
         self.edge.load(8, gap_s=0.02, wait_ms=WAIT_MS, items=ITEMS)
-        others = [threading.Thread(target=one, daemon=True) for one in (self.write, self.leave)]
+        others = [
+            threading.Thread(target=write_requests, args=(self.edge, WAIT_MS), daemon=True),
+            threading.Thread(target=leave_early, args=(self.edge, WAIT_MS, self.seed), daemon=True),
+        ]
         for thread in others:
             thread.start()
         crowd = [self.edge.connect() for _ in range(CROWD if self.crowded else 0)]
@@ -299,7 +308,7 @@
 
     def inject_machine_fault(self) -> None:
         """The wall clock is stepped, system calls fail for a while, or the process is kept from running."""
-        kind = self.random.choice(("clock", "calls", "pause", "none"))
+        kind = self.random.choice(("clock", "calls", "pause", "pause"))
         self.say(f"machine: {kind}")
         if kind == "clock":
             self.edge.shim(step_s=self.random.choice((30.0, -30.0, 3600.0, -3600.0)))
@@ -311,19 +320,32 @@
             self.edge.shim(seed=self.seed, short=0.1, faults=faults)
             self.later(1.0, self.edge.shim)
         elif kind == "pause":
-            self.pause(self.random.choice((0.2, 1.0, 2.5)))
-
-    def pause(self, lasts_s: float) -> None:
-        """The process stands still, and discovery has news meanwhile."""
-        process = self.edge.process
-        assert process is not None
-        process.send_signal(signal.SIGSTOP)
-        began = time.monotonic()
-        self.drain(["p-2"])
-        self.purge()
-        time.sleep(lasts_s)
-        process.send_signal(signal.SIGCONT)
-        self.history.pauses.append((began, time.monotonic()))
+            self.pause(draw_pause(self.random))
+
+    def pause(self, plan: PausePlan) -> None:
+        """The process stands still, once or twice in a row.
+
+        Discovery has news meanwhile, with younger bytes behind them, and clients a request behind another.
+        """
+        self.say(f"pause {plan}")
+        clients = [PipelinedRequests(self.edge, WAIT_MS) for _ in range(CLIENTS_IN_PAUSE)]
+        for is_second in range(1 + plan.is_double):
+            self.edge.signal(signal.SIGSTOP)
+            began = time.monotonic()
+            if not is_second:
+                self.drain(["p-2"])
+                self.purge()
+            for client in clients:
+                client.send_one()
+            time.sleep(plan.length_s - plan.last_bytes_s)
+            for client in clients:
+                client.send_one()
+            beat(self.edge)
+            time.sleep(max(0.0, began + plan.length_s - time.monotonic()))
+            self.edge.signal(signal.SIGCONT)
+            self.on_pause(began, time.monotonic())
+            time.sleep(plan.between_s if plan.is_double else 0.0)
+        self.edge.clients += [client.read_answers() for client in clients]  # waited for at the end
 
     def member_comes_and_goes(self) -> None:
         """A cache drains, goes, and returns under its name and address."""
@@ -334,24 +356,6 @@
         time.sleep(0.4)
         self.back(name)
 
-    def write(self) -> None:
-        """A client that writes, each thing once."""
-        while not self.edge.over.is_set():
-            sock = self.edge.connect()
-            if sock is not None:
-                self.edge.send_request(sock, cls="alert-ack", wait_ms=WAIT_MS)
-                sock.close()
-            time.sleep(0.05)
-
-    def leave(self) -> None:
-        """Clients that go before their answer."""
-        random = Random(self.seed)
-        while not self.edge.over.is_set():
-            sock = self.edge.connect()
-            if sock is not None:
-                self.edge.send_and_disconnect(sock, WAIT_MS, random.uniform(0.0, 0.06))
-            time.sleep(0.05)
-
     def close(self) -> None:
         for timer in self.timers:
             timer.cancel()
--- a/lupintack/standins/soak_counts.py
+++ b/lupintack/standins/soak_counts.py
@@ -31,7 +31,9 @@
     long_deadlines: int = 0
     over_cold_budget: int = 0
     stale: int = 0  # copies from before a purge
+    failed_unsent: int = 0  # a failure that says it may have run, of a request that went nowhere
     late_starts: int = 0
+    late_ends: int = 0  # processes that the kill after a SIGTERM had to end
     crashes: int = 0
 
     def broken(self) -> int:
@@ -71,6 +73,7 @@
     starts: list[tuple[float, float]] = field(default_factory=list)  # of each process: started, ready
     kills_s: list[tuple[float, bool]] = field(default_factory=list)  # SIGKILL; whether after a SIGTERM
     pauses: list[tuple[float, float]] = field(default_factory=list)  # of the process: from, to
+    late_ends: int = 0
     drains: list[Notification] = field(default_factory=list)
     returns: list[Notification] = field(default_factory=list)
     member_starts: list[Notification] = field(default_factory=list)  # starts of members
@@ -102,6 +105,7 @@
         self.count_requests(counts)
         counts.over_cold_budget = self.count_slow_start_excess()
         counts.written_twice = sum(runs > 1 for runs in self.edge.fleet.ran.values())
+        counts.late_ends = self.history.late_ends
         counts.late_starts = sum(took_s > MAX_READY_S for took_s in self.result.ready_s)
         return self.result
 
@@ -145,6 +149,8 @@
         return notification.at_s if notification.at_s < started else notification.counts_s
 
     def count_requests(self, counts: Counts) -> None:
+        called = {call.wire_id for call in list(self.edge.calls)}
+        edge_writes = self.edge.fleet.writes
         for one in self.edge.requests:
             if one.answers > 1:
                 counts.answered_twice += 1
@@ -161,6 +167,9 @@
             late = (
                 one.end is End.ANSWERED and one.ended_s - one.sent_s - paused_s > one.wait_ms / 1000 + LATE_S
             )
+            if one.status == 502 and one.cls not in edge_writes and one.wire_id not in called:
+                counts.failed_unsent += 1
+                self.note(f"{self.at(one.sent_s)} {one.wire_id} failed, and went nowhere")
             if (one.end in (End.CUT, End.OPEN) and not killed) or (late and not killed):
                 counts.unanswered += 1
                 self.note(f"{self.at(one.sent_s)} {one.wire_id} {one.end.value} until {self.at(one.ended_s)}")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,8 @@
 from lupintack.standins.proxy import Fault
 from lupintack.standins.soak import Soak, play
 from lupintack.standins.soak_counts import Result, closing_line
+from lupintack.standins.soak_pauses import PausePlan
+from lupintack.standins.soak_signals import TERM, Step
 
 SEEDS = range(101, 107)
 BESIDE = 2
@@ -75,6 +77,25 @@
         super().start()
 
 
+class Stopped(Directed):
+    """A run whose process stands still for longer than its clients wait."""
+
+    def inject_machine_fault(self) -> None:
+        self.pause(PausePlan(2.0, 0.01, False, 0.0))
+
+
+class Terminated(Directed):
+    """A run with a planned restart, and the kill at the earliest."""
+
+    def restart(self) -> None:
+        assert self.edge.process is not None
+        self.end_planned(self.edge.process, [Step(TERM, 0.0)])
+        self.history.kills_s.append((time.monotonic(), True))
+        self.edge.kill()
+        self.start()
+        self.wait_ready()
+
+
 @pytest.fixture(scope="module")
 def results() -> list[Result]:
     """The runs of the fixed seeds."""
@@ -118,10 +139,12 @@
     "long_deadline": ("long_deadlines", Soak),
     "no_budget": ("over_cold_budget", ColdReturn),
     "deaf_to_purges": ("stale", Purging),
+    "failed_for_rejected": ("failed_unsent", Stopped),
+    "late_end": ("late_ends", Terminated),
 }
 
 
-@pytest.mark.parametrize("names", [list(PLANTED)[:4], list(PLANTED)[4:]])
+@pytest.mark.parametrize("names", [list(PLANTED)[:5], list(PLANTED)[5:]])
 def test_each_count_can_fail(names: list[str]) -> None:
     def run(name: str) -> int:
         count, kind = PLANTED[name]
