Tell clients when to come back also where the core itself rejects their requests

What callers saw: a 503 without Srv-Wait-Ms behind a pause, so clients that had waited came back at once. Cause: the rejections that put in place of 502, and that of an own copy that was purged, named no time, which every other rejection does. Evidence: test_two_levels, whose clients count '503 and no time to come back', failed on it beside 30 busy processes (its allocator is paused for 3.5 s); the new test of a stopped process found no Srv-Wait-Ms before this change and finds it now. Change: both ask the admission for the time, as the decisions do.

--- a/lupintack/core/responder.py
+++ b/lupintack/core/responder.py
@@ -42,7 +42,7 @@
         if not table.is_purged_since(entry.request, state.purges_known) and not table.is_behind():
             transfer = state.local_cache.start_transfer(entry.request, state.now_us)
         if transfer is None:
-            self.finish(entry, Reject(number, 0.0, "its own copy was purged"))  # nothing ran
+            self.finish(entry, Reject(number, self._retry_after_ms(), "its own copy was purged"))
             return
         self.mark_answered(entry, "answered.local_copy")
         entry.request.sink.serve(transfer.answer, transfer.not_modified)
@@ -55,10 +55,14 @@
         """
         number = entry.request.number
         if entry.is_idempotent or not entry.attempts_sent:
-            self.finish(entry, Reject(number, 0.0, reason))
+            self.finish(entry, Reject(number, self._retry_after_ms(), reason))
         else:
             self.finish(entry, Fail(number, reason))
 
+    def _retry_after_ms(self) -> float:
+        """Return how long a client is asked to stay away, as after any other rejection."""
+        return self._state.router.admission.retry_after_ms()
+
     def finish(self, entry: RequestInFlight, action: Reject | Fail) -> None:
         """Reject or fail a request, with a log line."""
         request = entry.request
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -406,6 +406,21 @@
     assert (edge.requests[-1].status, edge.calls) == (503, []), edge.log()[-500:]
 
 
+def test_a_request_whose_time_ends_in_a_pause_is_told_when_to_come_back(edge: Edge) -> None:
+    """Guards against clients that all come back at once, right behind a pause."""
+    edge.start()
+    edge.ready()
+    sock = edge.connect()
+    assert sock is not None
+    edge.send_request(sock)
+    edge.signal(signal.SIGSTOP)
+    sock.sendall(request_head(1, 300))
+    time.sleep(0.6)
+    edge.signal(signal.SIGCONT)
+    head = sock.recv(4096).lower()
+    assert head.startswith(b"http/1.1 503 ") and b"\r\nsrv-wait-ms: " in head, head
+
+
 # What is not late keeps its time
 
 
