Plant bugs of the membership by the command again

What users saw: lupintack lab plant last-word ended with 'no bug last-word; wanted is one of last-word, ...', as did all nine bugs of the membership. Cause: a renamed constant, so the budgets' bugs were asked for twice and the membership's never. Evidence: the new test failed before this change with that text. Change: the third look is at the membership's bugs.

--- a/lupintack/cli/lab.py
+++ b/lupintack/cli/lab.py
@@ -200,7 +200,7 @@
         return {"name": name, "caught_at": at, "by": script, "rates": list(rates), "seeds": seeds}
     if name in PLANTED_LEVEL_BUGS:
         return plant_in_levels(name, seeds)
-    if name not in PLANTED_BUGS:
+    if name not in PLANTED_MEMBERSHIP_BUGS:
         raise LabError(f"no bug {name!r}; wanted is one of {', '.join(planted())}")
     seed, by = find_seed(name, seeds)
     return {"name": name, "caught_at": seed, "by": by, "seeds": seeds}
--- a/tests/test_lab_members.py
+++ b/tests/test_lab_members.py
@@ -135,3 +135,15 @@
 def test_each_planted_bug_is_caught(name: str) -> None:
     seed, by = find_seed(name, 40)
     assert seed is not None and by
+
+
+def test_the_command_plants_a_bug_of_the_membership() -> None:
+    """Guards against a command that knows the budgets' bugs alone."""
+    run = CliRunner().invoke(main, ["lab", "plant", "last-word", "--json"])
+    assert run.exit_code == 0, run.output
+    assert json.loads(run.output)["caught_at"] is not None
+
+
+def test_the_command_names_the_bugs_that_there_are() -> None:
+    run = CliRunner().invoke(main, ["lab", "plant", "no-such-bug"])
+    assert run.exit_code != 0 and "last-word" in run.output and "no-wait" in run.output
