--- a/lupintack/cli/demo.py
+++ b/lupintack/cli/demo.py
@@ -57,6 +57,7 @@
             raise
 
     def await_ready(self) -> None:
+        """Wait until it says that it is ready; RuntimeError where it does not in time."""
         until = time.monotonic() + READY_S
         while time.monotonic() < until:
             if self.process.poll() is not None:
@@ -93,6 +94,7 @@
     """The whole of it, as a context."""
 
     def __init__(self) -> None:
+        """Start the stand-ins and the router; RuntimeError where it does not come up."""
         self.fleet = Fleet()
         try:
             self.router = Router(self.fleet, '[http2]\nenabled = true\nlisten = "{http2}"\n')
@@ -101,11 +103,13 @@
             raise
 
     def __enter__(self) -> Demo:
+        """Return this demo."""
         return self
 
     def __exit__(
         self, kind: type[BaseException] | None, value: BaseException | None, trace: TracebackType | None
     ) -> None:
+        """End the router and the stand-ins."""
         self.router.close()
         self.fleet.close()
 
--- a/lupintack/cli/fleet.py
+++ b/lupintack/cli/fleet.py
@@ -105,4 +105,5 @@
 
 
 def shown(value: object) -> str:
+    """Return a value for a table's cell; a dash for none."""
     return "-" if value is None or value == "" else str(value)
--- a/lupintack/cli/lab.py
+++ b/lupintack/cli/lab.py
@@ -182,6 +182,7 @@
 
 
 def search(bounds: searches.Bounds, rates: tuple[int, ...]) -> searches.SearchResult:
+    """Search the states of budgets within bounds, at these rates of the clocks."""
     return searches.search(bounds, rates)
 
 
--- a/lupintack/client/api.py
+++ b/lupintack/client/api.py
@@ -141,11 +141,13 @@
             self._end(call, Reply(ClientAttemptResult.UNKNOWN, why="the client was closed"))
 
     def __enter__(self) -> Client:
+        """Return this client."""
         return self
 
     def __exit__(
         self, kind: type[BaseException] | None, value: BaseException | None, trace: TracebackType | None
     ) -> None:
+        """Close this client."""
         self.close()
 
     # The client's thread
--- a/lupintack/client/http1.py
+++ b/lupintack/client/http1.py
@@ -17,6 +17,7 @@
     """Up to `most` connections, each used by one thread at a time."""
 
     def __init__(self, address: tuple[str, int], most: int) -> None:
+        """Begin without a connection."""
         self.address = address
         self.pool = ThreadPoolExecutor(most, "client line")
         self.idle: list[http.client.HTTPConnection] = []
--- a/lupintack/client/http2.py
+++ b/lupintack/client/http2.py
@@ -108,6 +108,7 @@
     # What comes
 
     def on_headers(self, stream: int, headers: Sequence[Header]) -> None:
+        """Keep the status and the fields of an answer."""
         with self.lock:
             one = self.streams.get(stream)
         if one is not None:
@@ -117,12 +118,14 @@
             one.headers = told
 
     def on_data(self, stream: int, data: bytes) -> None:
+        """Keep a part of an answer's body."""
         with self.lock:
             one = self.streams.get(stream)
         if one is not None:
             one.chunks.append(data)
 
     def on_end(self, stream: int) -> None:
+        """Finish the attempt with its answer, where that is complete."""
         one = self._take(stream)
         if one is not None:
             body = b"".join(one.chunks)
@@ -135,6 +138,7 @@
             self.freed()
 
     def on_reset(self, stream: int, code: int) -> None:
+        """Finish the attempt without an answer."""
         one = self._take(stream)
         if one is not None:
             never = code == ErrorCodes.REFUSED_STREAM  # RFC 9113, section 8.7: nothing of it was processed
@@ -143,6 +147,7 @@
             self.freed()
 
     def on_goaway(self, last: int, code: int) -> None:
+        """Take no new streams, and finish the attempts of those that the server has not accepted."""
         with self.lock:
             self.going = True
             above = [number for number in self.streams if number > last]
@@ -155,6 +160,7 @@
         self.freed()
 
     def on_closed(self, reason: str) -> None:
+        """Finish what is open without an answer."""
         with self.lock:
             self.dead = True
             streams, self.streams = list(self.streams.values()), {}
--- a/lupintack/standins/soak.py
+++ b/lupintack/standins/soak.py
@@ -46,7 +46,7 @@
     count,
 )
 from lupintack.standins.soak_pauses import CLIENTS_IN_PAUSE, PausePlan, PipelinedRequests, beat, draw_pause
-from lupintack.standins.soak_signals import TERM, Step, draw_series, send_series, words
+from lupintack.standins.soak_signals import TERM, Step, describe, draw_series, send_series
 
 WAIT_MS = 1200
 NOTICE_S = 7.0  # after which an event counts as notified, whatever became of it
@@ -237,7 +237,7 @@
 
     def end_planned(self, process: subprocess.Popen[bytes], series: list[Step]) -> None:
         """Signals with a SIGTERM among them, and the time that the page gives until the kill."""
-        self.say(words(series))
+        self.say(describe(series))
         until = KILL_AFTER_S + send_series(process, series, self.on_pause)
         while process.poll() is None and time.monotonic() < until:
             time.sleep(0.005)
--- a/lupintack/standins/soak_counts.py
+++ b/lupintack/standins/soak_counts.py
@@ -31,7 +31,7 @@
     long_deadlines: int = 0
     over_cold_budget: int = 0
     stale: int = 0  # copies from before a purge
-    failed_unsent: int = 0  # a failure that says it may have run, of a request that went nowhere
+    wrongly_failed: int = 0  # a failure that says it may have run, of a request that went nowhere
     late_starts: int = 0
     late_ends: int = 0  # processes that the kill after a SIGTERM had to end
     crashes: int = 0
@@ -168,7 +168,7 @@
                 one.end is End.ANSWERED and one.ended_s - one.sent_s - paused_s > one.wait_ms / 1000 + LATE_S
             )
             if one.status == 502 and one.cls not in edge_writes and one.wire_id not in called:
-                counts.failed_unsent += 1
+                counts.wrongly_failed += 1
                 self.note(f"{self.at(one.sent_s)} {one.wire_id} failed, and went nowhere")
             if (one.end in (End.CUT, End.OPEN) and not killed) or (late and not killed):
                 counts.unanswered += 1
--- a/lupintack/standins/soak_signals.py
+++ b/lupintack/standins/soak_signals.py
@@ -55,6 +55,6 @@
     return terminated_s
 
 
-def words(steps: list[Step]) -> str:
+def describe(steps: list[Step]) -> str:
     """The series for a script's line."""
     return ", ".join(f"{step.signal.name[3:]} {step.gap_s * 1000:.0f} ms" for step in steps)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -139,7 +139,7 @@
     "long_deadline": ("long_deadlines", Soak),
     "no_budget": ("over_cold_budget", ColdReturn),
     "deaf_to_purges": ("stale", Purging),
-    "failed_for_rejected": ("failed_unsent", Stopped),
+    "failed_for_rejected": ("wrongly_failed", Stopped),
     "late_end": ("late_ends", Terminated),
 }
 
