Look for discovery's bytes in the order in which they move: unread, read, in the table

Cause: a write looked at the reads under way first and at the kernel after that. The look at the kernel gives other threads a turn; a reader that read all in between was seen by neither look. The own copy's check asked for a purge before it asked whether the table was behind, and a result that waits for an update likewise. Evidence: the new test lets the reader read between the two looks; is_behind is false before this change.

--- a/lupintack/core/attempt_results.py
+++ b/lupintack/core/attempt_results.py
@@ -129,6 +129,4 @@
     def _awaits_update(self) -> bool:
         """Return whether the member table knows, or is about to know, more than the router."""
         table = self._state.member_table
-        if self._state.updates_known < table.update_count:
-            return True
-        return table.await_source()
+        return table.await_source() or self._state.updates_known < table.update_count
--- a/lupintack/core/member_table.py
+++ b/lupintack/core/member_table.py
@@ -157,8 +157,12 @@
     # Called by peers at the moment of a write, on any thread
 
     def is_behind(self) -> bool:
-        """Return whether a source has sent something that should be in the table by now, and isn't."""
-        return self.source_reads.is_behind(now_us()) or self.has_unread()
+        """Return whether a source has sent something that should be in the table by now, and isn't.
+
+        Looks where the bytes are in the order in which they move: unread, read, and then, by the caller, in
+        the table. In another order a read in between would be seen by neither look.
+        """
+        return self.has_unread() or self.source_reads.is_behind(now_us())
 
     def is_outdated(self, attempt: Attempt) -> bool:
         """Return whether an update since the decision forbids the attempt.
--- a/lupintack/core/responder.py
+++ b/lupintack/core/responder.py
@@ -39,7 +39,7 @@
             return
         transfer: Transfer | None = None
         table = state.member_table
-        if not table.is_purged_since(entry.request, state.purges_known) and not table.is_behind():
+        if not table.is_behind() and not table.is_purged_since(entry.request, state.purges_known):
             transfer = state.local_cache.start_transfer(entry.request, state.now_us)
         if transfer is None:
             self.finish(entry, Reject(number, self._retry_after_ms(), "its own copy was purged"))
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -19,10 +19,11 @@
 from lupintack.core.member_table import MemberTable
 from lupintack.core.table_updates import TableChange
 from lupintack.discovery.client import DiscoveryClient
-from lupintack.standins.edge import Edge, End, read_answer
-from lupintack.standins.fleet import Call, Fleet
+from lupintack.discovery.connection import LineBuffer
+from lupintack.standins.edge import Edge, End, read_answer, read_response
+from lupintack.standins.fleet import Call, Fleet, Terms
 from tests.app import App
-from tests.site import eventually
+from tests.site import eventually, site
 
 GAPS_MS = (0, 10, 30, 60, 400, 2000)  # between the bytes that matter and the last ones
 ARRIVAL_S = 0.01  # until bytes are through the proxy and in the kernel
@@ -249,6 +250,29 @@
     assert watch.changes, "the core decides anew what was held back"
 
 
+def test_a_read_between_the_two_looks_of_a_write_is_noticed(watch: Watch) -> None:
+    """Guards against a look at the reads before the look at the kernel: the bytes go from there to here."""
+    wait, look = watch.client.wait_for_bytes, watch.client.has_unread
+    go_on = threading.Event()
+
+    def wait_and_stop(lines: LineBuffer, sock: socket.socket) -> None:
+        wait(lines, sock)
+        go_on.wait(5.0)
+
+    def look_late() -> bool:
+        go_on.set()
+        time.sleep(0.1)
+        return look()
+
+    watch.client.wait_for_bytes = wait_and_stop  # type: ignore[method-assign]
+    watch.send(b"0\n")
+    watch.settle()
+    watch.send(PURGE)
+    time.sleep(0.1)
+    watch.table.has_unread = look_late
+    assert watch.table.is_behind()
+
+
 @pytest.mark.parametrize("gap_ms", [60, 400])
 def test_a_proof_is_as_old_as_its_own_bytes(watch: Watch, gap_ms: int) -> None:
     """Guards against a proof that is dated by later bytes of the same read."""
@@ -279,11 +303,32 @@
     assert has_unread
 
 
+def test_a_purge_behind_a_request_in_one_turn_binds_that_request() -> None:
+    """Guards against an attempt that is decided before a purge, and counts as decided with it."""
+    with site(Terms(stamped=True)) as play:
+        item, mailbox = "00000000000000aa", play.node.core.mailbox
+        sock = socket.create_connection(play.http1, timeout=5.0)
+        sock.sendall(request_head(1, 2500, item))
+        assert read_response(sock)[0] == 200
+        with mailbox.turn_lock:  # as a turn of another thread's: what comes waits
+            sock.sendall(request_head(2, 2500, item))
+            eventually(lambda: len(mailbox.messages) == 1)
+            time.sleep(0.01)  # stamps are whole milliseconds
+            unix_ms = int(time.time() * 1000)
+            play.fleet.discovery_server.purge(asset=item)
+            eventually(lambda: len(mailbox.messages) == 2)
+        mailbox.run_pending()
+        status, _, body = read_response(sock)
+        sock.close()
+        assert status == 200 and int(body[7:].split(b" ", 1)[0]) >= unix_ms, (unix_ms, body[:40])
+
+
 # Clients: the deadline passed to a server is at most what the client has left
 
 
-def request_head(number: int, wait_ms: int) -> bytes:
-    told = f"GET /ops/map-tiles/{number:016x} HTTP/1.1\r\nHost: x\r\nReq-Id: {number:016x}\r\n"
+def request_head(number: int, wait_ms: int, item: str = "") -> bytes:
+    item = item or f"{number:016x}"
+    told = f"GET /ops/map-tiles/{item} HTTP/1.1\r\nHost: x\r\nReq-Id: {number:016x}\r\n"
     return f"{told}Req-Wait-Ms: {wait_ms}\r\n\r\n".encode()
 
 
