Handle changes of the member table first in a turn: a purge bound none of its own turn's requests

Cause: a turn takes up to 64 messages. With requests before a purge in one turn, the decisions for these knew nothing of the purge, but their attempts were numbered with the last purge that the turn had taken, so the check at the write let them pass, and no limit on the copy's age went with them. Change: a turn's changes of the member table go before all its other events, deferred ones included.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -171,12 +171,21 @@
     # The turn
 
     def run_turn(self, batch: list[Message]) -> None:
-        """Handle messages and due timers, and perform what the router decides on them."""
+        """Handle messages and due timers, and perform what the router decides on them.
+
+        Changes of the member table go first: an attempt counts as decided with all that the turn knows.
+        """
         self.state.now_us = now_us()
-        events = self.mailbox.take_deferred_events()
+        events: list[Event] = []
         callbacks: list[Callable[[], None]] = []
         for message in batch:
-            self._handle(message, events, callbacks)
+            if isinstance(message, TableChange):
+                self._on_change(message, events)
+                if message.on_applied is not None:
+                    callbacks.append(message.on_applied)
+        events += self.mailbox.take_deferred_events()
+        for message in batch:
+            self._handle(message, events)
         self.fire_due_timers(events)
         if events:
             actions = self.router.handle(module_ms(self.state.now_us), events)
@@ -189,8 +198,8 @@
         for callback in callbacks:
             callback()
 
-    def _handle(self, message: Message, events: list[Event], callbacks: list[Callable[[], None]]) -> None:
-        """Handle one message; `callbacks` are called at the end of the turn."""
+    def _handle(self, message: Message, events: list[Event]) -> None:
+        """Handle one message that is no change of the member table."""
         if isinstance(message, ClientRequest):
             event = self.intake.accept(message)
             if event is not None:
@@ -199,17 +208,13 @@
             self.results.on_result(message, events)
         elif isinstance(message, ClientDisconnection):
             self._on_client_disconnection(message, events)
-        elif isinstance(message, TableChange):
-            self._on_change(message, events)
-            if message.on_applied is not None:
-                callbacks.append(message.on_applied)
         elif isinstance(message, SettingsUpdate):
             apply(self.state, message, self._class_indexes_in_use)
         elif isinstance(message, HandoffRequest):
             message.on_state(capture_state(self.state))
         elif isinstance(message, FailOpenRequests):
             self._fail_open_requests(events)
-        else:
+        elif isinstance(message, Shutdown):
             self.shutdown = message
 
     def _on_client_disconnection(self, message: ClientDisconnection, events: list[Event]) -> None:
