--- a/lupintack/core/responder.py
+++ b/lupintack/core/responder.py
@@ -49,12 +49,12 @@
         self._requests.forget_if_finished(entry)
 
     def finish_unserved(self, entry: RequestInFlight, reason: str) -> None:
-        """Give the final answer of a request that the router has not answered: rejected where that is true.
+        """Give the final answer of a request that the router has not answered.
 
-        Only a request that may not run twice, and may have run, is failed: a client may repeat any other.
+        One that went nowhere is rejected, so its client knows that it may be repeated.
         """
         number = entry.request.number
-        if entry.is_idempotent or not entry.attempts_sent:
+        if not entry.attempts_sent:
             self.finish(entry, Reject(number, self._retry_after_ms(), reason))
         else:
             self.finish(entry, Fail(number, reason))
