--- a/review/common/case.py
+++ b/review/common/case.py
@@ -54,7 +54,6 @@
         finally:
             for router in case.routers:
                 router.kill()
-                if os.environ.get("KEEP_LOGS"): print(router.log_file.read_text()[-6000:])
         case.record.write("case", f"exit code {code}")
         print(f"exit code {code}")
         sys.stdout.flush()
--- a/review/common/cdni.py
+++ b/review/common/cdni.py
@@ -72,14 +72,14 @@
 
 
 class PeerCdn:
-    """A peer CDN's HTTP server: one call per connection; while it is cut off, it takes calls and is silent."""
+    """A peer CDN's HTTP server: one call per connection; while cut off, it takes calls and is silent."""
 
     def __init__(self, name: str, reply: Callable[[str, str], Reply], record: Record) -> None:
         """`reply` returns the answer to a method and a path."""
         self.name, self.reply, self.record = name, reply, record
         self.is_cut_off = False
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.base = "http://127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.base = f"http://127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self) -> None:
--- a/review/common/members.py
+++ b/review/common/members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import time
@@ -29,11 +30,8 @@
     def answer(self, word: str, fields: str = "-", body: bytes = b"") -> None:
         """Write an answer; a connection that has ended takes none."""
         self.member.record.write(self.member.name, f"answers {self.id} {word} {fields}")
-        with self.lock:
-            try:
-                self.sock.sendall(resp.encode_command(self.id.encode(), word.encode(), fields.encode(), body))
-            except OSError:
-                pass
+        with self.lock, contextlib.suppress(OSError):
+            self.sock.sendall(resp.encode_command(self.id.encode(), word.encode(), fields.encode(), body))
 
     def reset_connection(self) -> None:
         """Reset the connection under the request."""
@@ -53,7 +51,7 @@
         """Listen on a loopback address."""
         self.name, self.kind, self.handle, self.record = name, kind, handle, record
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self) -> None:
@@ -142,7 +140,7 @@
         with self.lock:
             copy = self.copies.get(key)
         if copy is not None and time.time() * 1000 - copy.issued_ms <= oldest_ms:
-            want.answer("ok", copy.fields("h"), copy.body)
+            self.answer(want, "ok", copy.fields("h"), copy.body)
             return
         if want.member.kind == "box" and ("miss" not in fields or "no-fetch" in fields.get("f", "")):
             want.answer("nothing", "tell=l" if "miss" in fields else "-")
@@ -153,4 +151,8 @@
         if want.member.kind == "box" and int(fields.get("prio", "0")) > 0:
             with self.lock:
                 self.copies[key] = copy
-        want.answer("ok", copy.fields("f"), copy.body)
+        self.answer(want, "ok", copy.fields("f"), copy.body)
+
+    def answer(self, want: Want, word: str, fields: str, body: bytes) -> None:
+        """Write an answer with a copy."""
+        want.answer(word, fields, body)
--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -38,7 +38,7 @@
         self.lock = threading.Lock()
         self.watchers: list[socket.socket] = []
         self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
         threading.Thread(target=self.tell_last, daemon=True).start()
 
