--- a/review/3/case.py
+++ b/review/3/case.py
@@ -29,7 +29,7 @@
 SLOWER = 4.0  # it runs 1.9 to 4.5 times slower
 SLOW_S = 7.3  # for 7.2 to 18 s
 PREPOSITIONED = 30  # objects in each of two triggers
-PURGE_AFTER_S = 2.5
+PURGE_AFTER_S = 3.0
 
 
 def get(listen: str, case: Case, item: str) -> Answer:
