--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -77,7 +77,8 @@
 
     def start(self, **environ: str) -> None:
         """Start the process by the deploy file's command."""
-        env = {key: value for key, value in os.environ.items() if not key.startswith(("EDGE_", "LUPINTACK_"))}
+        own = ("EDGE_", "LUPINTACK_", "PYTHONPATH", "TROUBLE")
+        env = {key: value for key, value in os.environ.items() if not key.startswith(own)}
         env |= {"EDGE_NAME": "n0", "EDGE_LISTEN": self.listen, "EDGE_CONFIG": str(self.config_file)}
         env |= {"EDGE_ADMIN_ADDR": f"127.0.0.1:{self.admin[1]}", "TMPDIR": str(self.folder)} | environ
         with self.log_file.open("wb") as log:
