Count idempotency keys that are dropped, and log how long a retry may be sent

The hypotheses were: (1) the record of its first attempt is dropped while its client may still retry, (2) SIGHUP files it under another class number, (3) it is evicted from a full table, (4) the window is checked against the client's retry though the first attempt is known.

Change: counters idempotency_keys.expired and .evicted; the line 'retry' has may_be_sent_for_ms where a window or lease bounds the attempt. Behaviour is the same.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -85,7 +85,7 @@
         self.timers = TimerQueue()
         self.request_log = RequestLog()
         self.responder = Responder(self.state, self.requests, self.request_log)
-        idempotency_cache = IdempotencyCache()
+        idempotency_cache = IdempotencyCache(self.counters)
         self.intake = RequestIntake(self.state, self.requests, self.timers, idempotency_cache)
         self.results = AttemptResults(self.state, self.requests, self.responder, idempotency_cache)
         self.attempts = AttemptDispatcher(
--- a/lupintack/core/request_log.py
+++ b/lupintack/core/request_log.py
@@ -48,6 +48,8 @@
             "update": update,
         }
         if attempt.number:
+            if attempt.not_after_us:
+                details["may_be_sent_for_ms"] = (attempt.not_after_us - now_us) // 1000
             last_status = entry.last_status
             after = last_status.name.lower() if last_status is not None else "nothing has ended"
             self.write("retry", now_us, entry.request, after=after, **details)
--- a/lupintack/limits/idempotency_cache.py
+++ b/lupintack/limits/idempotency_cache.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass
 
 
@@ -28,8 +28,9 @@
     A key expires when its client can no longer retry, or as the oldest key of a full cache. Not thread-safe.
     """
 
-    def __init__(self, max_keys: int = 8192) -> None:
-        """Begin empty; at most `max_keys` keys are kept."""
+    def __init__(self, counters: Counter[str], max_keys: int = 8192) -> None:
+        """Begin empty; keep at most `max_keys` keys, and count the dropped ones in `counters`."""
+        self.counters = counters
         self.max_keys = max_keys
         self.possible_runs: OrderedDict[tuple[int, str], list[PossibleRun]] = OrderedDict()
 
@@ -41,10 +42,14 @@
     def on_attempt_sent(self, class_index: int, key: str, run: PossibleRun, keep_us: int) -> None:
         """Record an attempt that is sent; drop keys whose first attempt is older than `keep_us`."""
         self.possible_runs.setdefault((class_index, key), []).append(run)
-        while (
-            len(self.possible_runs) > self.max_keys
-            or next(iter(self.possible_runs.values()))[0].sent_us + keep_us < run.sent_us
-        ):
+        while True:
+            oldest_run = next(iter(self.possible_runs.values()))[0]
+            if oldest_run.sent_us + keep_us < run.sent_us:
+                self.counters["idempotency_keys.expired"] += 1
+            elif len(self.possible_runs) > self.max_keys:
+                self.counters["idempotency_keys.evicted"] += 1
+            else:
+                return
             self.possible_runs.popitem(last=False)
 
     def on_no_effect(self, class_index: int, key: str, request: int, attempt: int) -> None:
