Let each idempotency key expire by its own class's times, not by the sender's

Cause: IdempotencyCache.on_attempt_sent swept the keys of all classes by the deadline and window of the class that was sending just then, in the order of first attempts. Each vote dropped every post older than 1 s, and the client's retry began a new window.

Change: a record has its own expiry, the latest of its attempts plus deadline and window of its class; a heap with one entry a record finds what has expired in any order, at most 64 keys a call.

--- a/lupintack/core/attempt_dispatch.py
+++ b/lupintack/core/attempt_dispatch.py
@@ -15,7 +15,7 @@
 from lupintack.core.request_table import RequestInFlight, RequestTable
 from lupintack.core.table_updates import Endpoint
 from lupintack.interface import Event, Fetch, Idempotency
-from lupintack.limits.idempotency_cache import IdempotencyCache, PossibleRun
+from lupintack.limits.idempotency_cache import IdempotencyCache, IdempotencyKey, PossibleRun
 from lupintack.logs import fields
 
 LOG = logging.getLogger("core")
@@ -105,13 +105,14 @@
         service_class = self._state.settings.classes[request.class_index]
         if service_class.idempotency is not Idempotency.KEYED:
             return
+        key = IdempotencyKey(request.class_index, request.idempotency_key)
         window_ms = service_class.deduplication_window_ms
-        first_run = self._idempotency_cache.first_run(request.class_index, request.idempotency_key)
+        first_run = self._idempotency_cache.first_run(key)
         if first_run is not None:
             attempt.not_after_us = first_run.sent_us + int(window_ms * 1000)
         run = PossibleRun(self._state.now_us, attempt.member, request.number, attempt.number)
         keep_us = int((service_class.deadline_ms + window_ms) * 1000)
-        self._idempotency_cache.on_attempt_sent(request.class_index, request.idempotency_key, run, keep_us)
+        self._idempotency_cache.on_attempt_sent(key, run, self._state.now_us + keep_us)
 
     def _limit_to_lease(
         self, leases: Leases, action: Fetch, entry: RequestInFlight, attempt: Attempt
--- a/lupintack/core/attempt_results.py
+++ b/lupintack/core/attempt_results.py
@@ -10,7 +10,7 @@
 from lupintack.core.request_table import RequestInFlight, RequestTable
 from lupintack.core.responder import Responder
 from lupintack.interface import OUTCOMES_WITHOUT_EFFECT, AttemptEnded, Event
-from lupintack.limits.idempotency_cache import IdempotencyCache
+from lupintack.limits.idempotency_cache import IdempotencyCache, IdempotencyKey
 
 
 class FetchedAnswer(NamedTuple):
@@ -87,9 +87,8 @@
         elapsed_ms = (self._state.now_us - attempt.decided_us) / 1000.0
         outcome = status.outcome
         if request.idempotency_key and outcome in OUTCOMES_WITHOUT_EFFECT:
-            self._idempotency_cache.on_no_effect(
-                request.class_index, request.idempotency_key, request.number, attempt.number
-            )
+            key = IdempotencyKey(request.class_index, request.idempotency_key)
+            self._idempotency_cache.on_no_effect(key, request.number, attempt.number)
         if answer is None:
             return AttemptEnded(
                 request.number, attempt.number, attempt.member, outcome, elapsed_ms, entry.is_answered
--- a/lupintack/core/request_intake.py
+++ b/lupintack/core/request_intake.py
@@ -11,7 +11,7 @@
 from lupintack.core.request_table import RequestInFlight, RequestTable, is_same_request
 from lupintack.core.timers import TimerKind, TimerQueue
 from lupintack.interface import Idempotency, Request, ServiceClass
-from lupintack.limits.idempotency_cache import IdempotencyCache, PossibleRun
+from lupintack.limits.idempotency_cache import IdempotencyCache, IdempotencyKey, PossibleRun
 from lupintack.limits.size_buckets import SizeBuckets
 
 
@@ -89,7 +89,8 @@
         age_ms, wait_ms = self._local_copy(request)
         first_run: PossibleRun | None = None
         if service_class.idempotency is Idempotency.KEYED:
-            first_run = self._idempotency_cache.first_run(request.class_index, request.idempotency_key)
+            key = IdempotencyKey(request.class_index, request.idempotency_key)
+            first_run = self._idempotency_cache.first_run(key)
         return Request(
             request.number,
             request.class_index,
--- a/lupintack/limits/idempotency_cache.py
+++ b/lupintack/limits/idempotency_cache.py
@@ -8,8 +8,20 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
-from dataclasses import dataclass
+import heapq
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+MAX_KEYS = 8192
+MAX_EXPIRIES_PER_CALL = 64  # keys looked at in one call: bounds what one attempt pays for others
+
+
+class IdempotencyKey(NamedTuple):
+    """A client's key within a class."""
+
+    class_index: int
+    value: str
 
 
 @dataclass(slots=True)
@@ -22,41 +34,65 @@
     attempt: int
 
 
-class IdempotencyCache:
-    """The attempts that may have run, by class and key, in the order in which they were sent.
+@dataclass(slots=True)
+class KeyRecord:
+    """The possible runs under a key in the order in which they were sent, and until when they are kept."""
+
+    expires_us: int
+    runs: list[PossibleRun] = field(default_factory=list)
+
+
+class KeyExpiry(NamedTuple):
+    """When to look at a key's record, which may expire later by then."""
+
+    at_us: int
+    key: IdempotencyKey
 
-    A key expires when its client can no longer retry, or as the oldest key of a full cache. Not thread-safe.
-    """
 
-    def __init__(self, counters: Counter[str], max_keys: int = 8192) -> None:
+class IdempotencyCache:
+    """The attempts that may have run, by key. Each key expires by its own time. Not thread-safe."""
+
+    def __init__(self, counters: Counter[str], max_keys: int = MAX_KEYS) -> None:
         """Begin empty; keep at most `max_keys` keys, and count the dropped ones in `counters`."""
         self.counters = counters
         self.max_keys = max_keys
-        self.possible_runs: OrderedDict[tuple[int, str], list[PossibleRun]] = OrderedDict()
+        self.records: dict[IdempotencyKey, KeyRecord] = {}
+        self._expiries: list[KeyExpiry] = []  # a heap with one entry for each record
 
-    def first_run(self, class_index: int, key: str) -> PossibleRun | None:
+    def first_run(self, key: IdempotencyKey) -> PossibleRun | None:
         """Return the attempt that opened the deduplication window, or None where none is recorded."""
-        runs = self.possible_runs.get((class_index, key))
-        return runs[0] if runs else None
-
-    def on_attempt_sent(self, class_index: int, key: str, run: PossibleRun, keep_us: int) -> None:
-        """Record an attempt that is sent; drop keys whose first attempt is older than `keep_us`."""
-        self.possible_runs.setdefault((class_index, key), []).append(run)
-        while True:
-            oldest_run = next(iter(self.possible_runs.values()))[0]
-            if oldest_run.sent_us + keep_us < run.sent_us:
-                self.counters["idempotency_keys.expired"] += 1
-            elif len(self.possible_runs) > self.max_keys:
-                self.counters["idempotency_keys.evicted"] += 1
-            else:
-                return
-            self.possible_runs.popitem(last=False)
+        record = self.records.get(key)
+        return record.runs[0] if record is not None and record.runs else None
+
+    def on_attempt_sent(self, key: IdempotencyKey, run: PossibleRun, expires_us: int) -> None:
+        """Record an attempt that is sent, and keep its key until `expires_us` at least."""
+        self._drop_expired(run.sent_us)
+        record = self.records.get(key)
+        if record is None:
+            if len(self.records) >= self.max_keys:
+                self._drop_next("idempotency_keys.evicted")
+            record = self.records[key] = KeyRecord(expires_us)
+            heapq.heappush(self._expiries, KeyExpiry(expires_us, key))
+        record.expires_us = max(record.expires_us, expires_us)
+        record.runs.append(run)
 
-    def on_no_effect(self, class_index: int, key: str, request: int, attempt: int) -> None:
+    def on_no_effect(self, key: IdempotencyKey, request: int, attempt: int) -> None:
         """Remove an attempt that is proved to have had no effect."""
-        runs = self.possible_runs.get((class_index, key), [])
-        remaining = [run for run in runs if (run.request, run.attempt) != (request, attempt)]
-        if remaining:
-            self.possible_runs[class_index, key] = remaining
-        elif runs:
-            del self.possible_runs[class_index, key]
+        record = self.records.get(key)
+        if record is not None:
+            record.runs = [run for run in record.runs if (run.request, run.attempt) != (request, attempt)]
+
+    def _drop_expired(self, now_us: int) -> None:
+        for _ in range(MAX_EXPIRIES_PER_CALL):
+            if not self._expiries or self._expiries[0].at_us >= now_us:
+                return
+            key = self._expiries[0].key
+            expires_us = self.records[key].expires_us
+            if expires_us >= now_us:
+                heapq.heapreplace(self._expiries, KeyExpiry(expires_us, key))
+            else:
+                self._drop_next("idempotency_keys.expired")
+
+    def _drop_next(self, reason: str) -> None:
+        del self.records[heapq.heappop(self._expiries).key]
+        self.counters[reason] += 1
--- /dev/null
+++ b/tests/test_idempotency_retention.py
@@ -0,0 +1,80 @@
+"""How long the core remembers attempts that may have run under an idempotency key: no write runs twice."""
+
+from __future__ import annotations
+
+import itertools
+import unittest.mock
+
+from lupintack import interface as i
+from lupintack.core.actor import Core
+from lupintack.core.member_table import MemberTable
+from lupintack.core.messages import Attempt, ClientRequest
+from lupintack.core.table_updates import Endpoint
+from tests import helpers as h
+
+MS = 1000
+POST = i.ServiceClass(
+    name="post",
+    deadline_ms=3000.0,
+    idempotency=i.Idempotency.KEYED,
+    deduplication_window_ms=2000.0,
+    is_write=True,
+)
+VOTE = i.ServiceClass(
+    name="vote",
+    deadline_ms=700.0,
+    idempotency=i.Idempotency.KEYED,
+    deduplication_window_ms=300.0,
+    is_write=True,
+)
+
+
+class ManualCore:
+    """A core whose clock and attempts are set by the test; its decisions and members are not involved."""
+
+    def __init__(self, *classes: i.ServiceClass) -> None:
+        """Start with these classes and one member."""
+        link = unittest.mock.Mock()
+        self.core = Core(h.settings(classes=classes), 7, MemberTable(6000.0), lambda number, host: link)
+        self.core.member_links.endpoints[11] = Endpoint("s-1", ("127.0.0.1", 1))
+        self.started_us = self.core.state.now_us
+        self.rejections: list[int] = []
+        self._ids = itertools.count(1)
+
+    def receive(self, class_name: str, key: str, at_ms: float) -> ClientRequest | None:
+        """Accept a client's request at a time since the start; return None if it is refused."""
+        state = self.core.state
+        state.now_us = self.started_us + int(at_ms * MS)
+        index = state.class_indexes[class_name]
+        deadline_us = state.now_us + int(state.settings.classes[index].deadline_ms * MS)
+        sink = unittest.mock.Mock(is_disconnected=lambda: False)
+        sink.reject = self.rejections.append
+        wire_id = f"{next(self._ids):016x}"
+        request = ClientRequest(wire_id, index, "0" * 16, 5, 0, 0, deadline_us, sink, class_name=class_name)
+        request.is_write, request.idempotency_key = True, key
+        return request if self.core.intake.accept(request) is not None else None
+
+    def attempt(self, request: ClientRequest) -> Attempt:
+        """Let the request have an attempt now."""
+        self.core.perform(i.Fetch(request.number, 11, 11))
+        attempts = self.core.requests_in_flight[request.number].open_attempts
+        return attempts[max(attempts)]
+
+    def send(self, class_name: str, key: str, at_ms: float) -> Attempt:
+        """Accept a request, and let it have an attempt."""
+        request = self.receive(class_name, key, at_ms)
+        assert request is not None
+        return self.attempt(request)
+
+    def sendable_until_ms(self, attempt: Attempt) -> float | None:
+        """Return until when an attempt may be written, since the start; None without a bound."""
+        return (attempt.not_after_us - self.started_us) / MS if attempt.not_after_us else None
+
+
+def test_attempts_of_a_class_with_shorter_times_drop_no_key_of_another_class() -> None:
+    """Guards against a write that runs twice: each attempt swept all keys by the times of its own class."""
+    core = ManualCore(POST, VOTE)
+    core.send("post", "a", 0.0)
+    for n in range(20):
+        core.send("vote", f"vote-{n}", 1000.0 + 100.0 * n)
+    assert core.sendable_until_ms(core.send("post", "a", 2990.0)) == 2000.0
