File idempotency keys under the class's name, not under its number

Callers would see a write run twice: SIGHUP takes a keyed class away and another brings it back, and its clients' retries have no bound.

A class that has gone loses its number to the next one that comes, and returns under another; keys were filed under the number. The next class also inherited its keys.

Change: IdempotencyKey holds the class's name.

Measured: test_class_that_leaves_and_returns_under_another_number_keeps_its_keys failed before (2000.0 instead of None: the other class had the key) and passes.

--- a/lupintack/core/attempt_dispatch.py
+++ b/lupintack/core/attempt_dispatch.py
@@ -105,7 +105,7 @@
         service_class = self._state.settings.classes[request.class_index]
         if service_class.idempotency is not Idempotency.KEYED:
             return
-        key = IdempotencyKey(request.class_index, request.idempotency_key)
+        key = IdempotencyKey(service_class.name, request.idempotency_key)
         window_ms = service_class.deduplication_window_ms
         first_run = self._idempotency_cache.first_run(key)
         if first_run is not None:
--- a/lupintack/core/attempt_results.py
+++ b/lupintack/core/attempt_results.py
@@ -87,7 +87,7 @@
         elapsed_ms = (self._state.now_us - attempt.decided_us) / 1000.0
         outcome = status.outcome
         if request.idempotency_key and outcome in OUTCOMES_WITHOUT_EFFECT:
-            key = IdempotencyKey(request.class_index, request.idempotency_key)
+            key = IdempotencyKey(attempt.class_name, request.idempotency_key)
             self._idempotency_cache.on_no_effect(key, request.number, attempt.number)
         if answer is None:
             return AttemptEnded(
--- a/lupintack/core/request_intake.py
+++ b/lupintack/core/request_intake.py
@@ -89,7 +89,7 @@
         age_ms, wait_ms = self._local_copy(request)
         first_run: PossibleRun | None = None
         if service_class.idempotency is Idempotency.KEYED:
-            key = IdempotencyKey(request.class_index, request.idempotency_key)
+            key = IdempotencyKey(service_class.name, request.idempotency_key)
             first_run = self._idempotency_cache.first_run(key)
         return Request(
             request.number,
--- a/lupintack/limits/idempotency_cache.py
+++ b/lupintack/limits/idempotency_cache.py
@@ -18,9 +18,9 @@
 
 
 class IdempotencyKey(NamedTuple):
-    """A client's key within a class."""
+    """A client's key within a class, which is named: new settings may give its number to another class."""
 
-    class_index: int
+    class_name: str
     value: str
 
 
--- a/tests/test_idempotency_retention.py
+++ b/tests/test_idempotency_retention.py
@@ -9,6 +9,7 @@
 from lupintack.core.actor import Core
 from lupintack.core.member_table import MemberTable
 from lupintack.core.messages import Attempt, ClientRequest
+from lupintack.core.settings_update import SettingsUpdate, apply
 from lupintack.core.table_updates import Endpoint
 from tests import helpers as h
 
@@ -41,6 +42,10 @@
         self.rejections: list[int] = []
         self._ids = itertools.count(1)
 
+    def reload(self, *classes: i.ServiceClass) -> None:
+        """Apply new settings, as SIGHUP does, while no request is open."""
+        apply(self.core.state, SettingsUpdate(settings=h.settings(classes=classes)), set)
+
     def receive(self, class_name: str, key: str, at_ms: float) -> ClientRequest | None:
         """Accept a client's request at a time since the start; return None if it is refused."""
         state = self.core.state
@@ -78,3 +83,14 @@
     for n in range(20):
         core.send("vote", f"vote-{n}", 1000.0 + 100.0 * n)
     assert core.sendable_until_ms(core.send("post", "a", 2990.0)) == 2000.0
+
+
+def test_class_that_leaves_and_returns_under_another_number_keeps_its_keys() -> None:
+    """Guards against a write that runs twice: keys were filed under the number that SIGHUP may reassign."""
+    core = ManualCore(POST)
+    core.send("post", "a", 0.0)
+    core.reload(VOTE)
+    core.reload(VOTE, POST)
+    assert core.core.state.class_indexes == {"vote": 0, "post": 1}
+    assert core.sendable_until_ms(core.send("vote", "a", 1000.0)) is None
+    assert core.sendable_until_ms(core.send("post", "a", 2990.0)) == 2000.0
