Count a deduplication window by the settings under which its attempt was sent

Callers would see a write run twice: SIGHUP lengthens a keyed class's window, and a retry is sent by the new one after an attempt that the servers recorded under the old.

Change: a PossibleRun has the window of its class when it was sent; the shorter of that and the present one counts, at the write and in the event for the decisions.

--- a/lupintack/core/attempt_dispatch.py
+++ b/lupintack/core/attempt_dispatch.py
@@ -106,13 +106,13 @@
         if service_class.idempotency is not Idempotency.KEYED:
             return
         key = IdempotencyKey(service_class.name, request.idempotency_key)
-        window_ms = service_class.deduplication_window_ms
+        now_us, window_us = self._state.now_us, int(service_class.deduplication_window_ms * 1000)
         first_run = self._idempotency_cache.first_run(key)
         if first_run is not None:
-            attempt.not_after_us = first_run.sent_us + int(window_ms * 1000)
-        run = PossibleRun(self._state.now_us, attempt.member, request.number, attempt.number)
-        keep_us = int((service_class.deadline_ms + window_ms) * 1000)
-        self._idempotency_cache.on_attempt_sent(key, run, self._state.now_us + keep_us)
+            attempt.not_after_us = first_run.window_end_us(window_us)
+        run = PossibleRun(now_us, attempt.member, request.number, attempt.number, window_us)
+        expires_us = now_us + int(service_class.deadline_ms * 1000) + window_us
+        self._idempotency_cache.on_attempt_sent(key, run, expires_us)
 
     def _limit_to_lease(
         self, leases: Leases, action: Fetch, entry: RequestInFlight, attempt: Attempt
--- a/lupintack/core/request_intake.py
+++ b/lupintack/core/request_intake.py
@@ -87,6 +87,7 @@
         """Build the event that lets the router decide on a request."""
         request = entry.request
         age_ms, wait_ms = self._local_copy(request)
+        window_us = int(service_class.deduplication_window_ms * 1000)
         first_run: PossibleRun | None = None
         if service_class.idempotency is Idempotency.KEYED:
             key = IdempotencyKey(service_class.name, request.idempotency_key)
@@ -104,7 +105,7 @@
             request.is_write,
             age_ms,
             wait_ms,
-            module_ms(first_run.sent_us) if first_run else 0.0,
+            module_ms(first_run.window_end_us(window_us) - window_us) if first_run else 0.0,
             first_run.member if first_run else 0,
         )
 
--- a/lupintack/interface.py
+++ b/lupintack/interface.py
@@ -173,7 +173,8 @@
     local_copy_age_ms: age of the copy in the local cache, negative without one; local_link_wait_ms: wait
     until the local cache's link is free.
     first_attempt_ms, first_attempt_member: the first attempt that may have run for an earlier request with
-    this idempotency key; 0 means none.
+    this idempotency key; 0 means none. Where its window was shorter than the class's is now, it is given as
+    sent so much earlier that its window ends when it did.
     """
 
     id: int
--- a/lupintack/limits/idempotency_cache.py
+++ b/lupintack/limits/idempotency_cache.py
@@ -32,6 +32,14 @@
     member: int
     request: int
     attempt: int
+    window_us: int  # of its class when it was sent
+
+    def window_end_us(self, window_us: int) -> int:
+        """Return until when duplicates are dropped; `window_us`: of the class by the present settings.
+
+        The servers may have recorded the attempt under either setting, so the shorter window counts.
+        """
+        return self.sent_us + min(self.window_us, window_us)
 
 
 @dataclass(slots=True)
--- a/tests/test_idempotency_retention.py
+++ b/tests/test_idempotency_retention.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 import unittest.mock
 
 from lupintack import interface as i
+from lupintack.clock import module_ms
 from lupintack.core.actor import Core
 from lupintack.core.member_table import MemberTable
 from lupintack.core.messages import Attempt, ClientRequest
@@ -40,6 +42,7 @@
         self.core.member_links.endpoints[11] = Endpoint("s-1", ("127.0.0.1", 1))
         self.started_us = self.core.state.now_us
         self.rejections: list[int] = []
+        self.described: list[i.Request] = []  # the events for the decisions
         self._ids = itertools.count(1)
 
     def reload(self, *classes: i.ServiceClass) -> None:
@@ -57,7 +60,11 @@
         wire_id = f"{next(self._ids):016x}"
         request = ClientRequest(wire_id, index, "0" * 16, 5, 0, 0, deadline_us, sink, class_name=class_name)
         request.is_write, request.idempotency_key = True, key
-        return request if self.core.intake.accept(request) is not None else None
+        event = self.core.intake.accept(request)
+        if event is None:
+            return None
+        self.described.append(event)
+        return request
 
     def attempt(self, request: ClientRequest) -> Attempt:
         """Let the request have an attempt now."""
@@ -94,3 +101,17 @@
     assert core.core.state.class_indexes == {"vote": 0, "post": 1}
     assert core.sendable_until_ms(core.send("vote", "a", 1000.0)) is None
     assert core.sendable_until_ms(core.send("post", "a", 2990.0)) == 2000.0
+
+
+def test_window_that_new_settings_lengthen_does_not_reopen_for_an_attempt_sent_before() -> None:
+    """Guards against a write that runs twice: the window of now was counted from an attempt of before."""
+    short = dataclasses.replace(POST, deduplication_window_ms=500.0)
+    core = ManualCore(short)
+    core.send("post", "a", 0.0)
+    core.reload(POST)
+    assert core.sendable_until_ms(core.send("post", "a", 1000.0)) == 500.0
+    window_ends_ms = core.described[-1].first_attempt_ms + POST.deduplication_window_ms
+    assert window_ends_ms == module_ms(core.started_us) + 500.0
+    core.send("post", "b", 1000.0)
+    core.reload(short)
+    assert core.sendable_until_ms(core.send("post", "b", 1400.0)) == 1500.0
