Look up the first attempt of a key also where its class has become stricter

Callers would see a write run twice: SIGHUP turns a keyed class into one that must not run twice, and the client's retry of a lost try is sent as if it were the first.

Change: RequestIntake looks up every key of a class that may not simply be repeated. The decisions then fail the request, as for any attempt of such a class that may have run.

--- a/lupintack/core/request_intake.py
+++ b/lupintack/core/request_intake.py
@@ -89,7 +89,7 @@
         age_ms, wait_ms = self._local_copy(request)
         window_us = int(service_class.deduplication_window_ms * 1000)
         first_run: PossibleRun | None = None
-        if service_class.idempotency is Idempotency.KEYED:
+        if request.idempotency_key and service_class.idempotency is not Idempotency.IDEMPOTENT:
             key = IdempotencyKey(service_class.name, request.idempotency_key)
             first_run = self._idempotency_cache.first_run(key)
         return Request(
--- a/tests/test_idempotency_retention.py
+++ b/tests/test_idempotency_retention.py
@@ -115,3 +115,14 @@
     core.send("post", "b", 1000.0)
     core.reload(short)
     assert core.sendable_until_ms(core.send("post", "b", 1400.0)) == 1500.0
+
+
+def test_first_attempt_is_known_after_its_class_may_no_longer_be_repeated() -> None:
+    """Guards against a write that runs twice: keys were looked up by the effect that a class has now."""
+    core = ManualCore(POST)
+    core.send("post", "a", 0.0)
+    core.reload(dataclasses.replace(POST, idempotency=i.Idempotency.NOT_IDEMPOTENT))
+    assert core.receive("post", "a", 1000.0) is not None
+    assert core.described[-1].first_attempt_member == 11
+    assert core.receive("post", "b", 1000.0) is not None
+    assert core.described[-1].first_attempt_member == 0
