--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -15,6 +15,7 @@
 from lupintack.core.attempt_results import AttemptResults
 from lupintack.core.attempt_status import AttemptStatus
 from lupintack.core.core_state import CoreState
+from lupintack.core.deduplication import Deduplication
 from lupintack.core.handoff import HandoffRequest, capture_state
 from lupintack.core.leases import Leases
 from lupintack.core.local_cache import LocalCache
@@ -85,15 +86,16 @@
         self.timers = TimerQueue()
         self.request_log = RequestLog()
         self.responder = Responder(self.state, self.requests, self.request_log)
-        idempotency_cache = IdempotencyCache(self.counters)
-        self.intake = RequestIntake(self.state, self.requests, self.timers, idempotency_cache)
-        self.results = AttemptResults(self.state, self.requests, self.responder, idempotency_cache)
+        self.idempotency_cache = IdempotencyCache(self.counters)
+        deduplication = Deduplication(self.state, self.idempotency_cache)
+        self.intake = RequestIntake(self.state, self.requests, self.timers, deduplication)
+        self.results = AttemptResults(self.state, self.requests, self.responder, deduplication)
         self.attempts = AttemptDispatcher(
             self.state,
             self.requests,
             self.member_links,
             self.results,
-            idempotency_cache,
+            deduplication,
             self.request_log,
             self._defer_event,
         )
--- a/lupintack/core/attempt_dispatch.py
+++ b/lupintack/core/attempt_dispatch.py
@@ -8,14 +8,14 @@
 from lupintack.core.attempt_results import AttemptResults
 from lupintack.core.attempt_status import AttemptStatus
 from lupintack.core.core_state import CoreState
+from lupintack.core.deduplication import Deduplication
 from lupintack.core.leases import Leases, needs_lease
 from lupintack.core.member_links import MemberLinks
 from lupintack.core.messages import Attempt
 from lupintack.core.request_log import RequestLog
 from lupintack.core.request_table import RequestInFlight, RequestTable
 from lupintack.core.table_updates import Endpoint
-from lupintack.interface import Event, Fetch, Idempotency
-from lupintack.limits.idempotency_cache import IdempotencyCache, IdempotencyKey, PossibleRun
+from lupintack.interface import Event, Fetch
 from lupintack.logs import fields
 
 LOG = logging.getLogger("core")
@@ -30,7 +30,7 @@
         requests: RequestTable,
         links: MemberLinks,
         results: AttemptResults,
-        idempotency_cache: IdempotencyCache,
+        deduplication: Deduplication,
         request_log: RequestLog,
         defer_event: Callable[[Event], None],
     ) -> None:
@@ -39,7 +39,7 @@
         self._requests = requests
         self._links = links
         self._results = results
-        self._idempotency_cache = idempotency_cache
+        self._deduplication = deduplication
         self._request_log = request_log
         self._defer_event = defer_event
 
@@ -53,8 +53,7 @@
         attempt = self._new_attempt(action, entry)
         entry.attempts_sent += 1
         request = entry.request
-        if request.idempotency_key:
-            self._limit_to_deduplication_window(entry, attempt)
+        self._deduplication.on_attempt_sent(attempt)
         if self._state.leases is not None:
             self._limit_to_lease(self._state.leases, action, entry, attempt)
         is_late = self._state.now_us >= request.deadline_us
@@ -99,21 +98,6 @@
             is_outdated=self._state.member_table.is_outdated,
         )
 
-    def _limit_to_deduplication_window(self, entry: RequestInFlight, attempt: Attempt) -> None:
-        """Limit a keyed attempt to the deduplication window of its key's first attempt, and record it."""
-        request = entry.request
-        service_class = self._state.settings.classes[request.class_index]
-        if service_class.idempotency is not Idempotency.KEYED:
-            return
-        key = IdempotencyKey(service_class.name, request.idempotency_key)
-        now_us, window_us = self._state.now_us, int(service_class.deduplication_window_ms * 1000)
-        first_run = self._idempotency_cache.first_run(key)
-        if first_run is not None:
-            attempt.not_after_us = first_run.window_end_us(window_us)
-        run = PossibleRun(now_us, attempt.member, request.number, attempt.number, window_us)
-        expires_us = now_us + int(service_class.deadline_ms * 1000) + window_us
-        self._idempotency_cache.on_attempt_sent(key, run, expires_us)
-
     def _limit_to_lease(
         self, leases: Leases, action: Fetch, entry: RequestInFlight, attempt: Attempt
     ) -> None:
--- a/lupintack/core/attempt_results.py
+++ b/lupintack/core/attempt_results.py
@@ -6,11 +6,11 @@
 
 from lupintack.core.attempt_status import AttemptStatus
 from lupintack.core.core_state import CoreState
+from lupintack.core.deduplication import Deduplication
 from lupintack.core.messages import Answer, Attempt, AttemptResult, ClientRequest
 from lupintack.core.request_table import RequestInFlight, RequestTable
 from lupintack.core.responder import Responder
 from lupintack.interface import OUTCOMES_WITHOUT_EFFECT, AttemptEnded, Event
-from lupintack.limits.idempotency_cache import IdempotencyCache, IdempotencyKey
 
 
 class FetchedAnswer(NamedTuple):
@@ -24,17 +24,13 @@
     """Closes attempts. Used by the core's turn alone."""
 
     def __init__(
-        self,
-        state: CoreState,
-        requests: RequestTable,
-        responder: Responder,
-        idempotency_cache: IdempotencyCache,
+        self, state: CoreState, requests: RequestTable, responder: Responder, deduplication: Deduplication
     ) -> None:
         """Start without deferred results."""
         self._state = state
         self._requests = requests
         self._responder = responder
-        self._idempotency_cache = idempotency_cache
+        self._deduplication = deduplication
         self._fetched_answers: dict[int, FetchedAnswer] = {}
         self.deferred_results: list[AttemptResult] = []  # until the member table is updated
 
@@ -86,9 +82,8 @@
         request = attempt.request
         elapsed_ms = (self._state.now_us - attempt.decided_us) / 1000.0
         outcome = status.outcome
-        if request.idempotency_key and outcome in OUTCOMES_WITHOUT_EFFECT:
-            key = IdempotencyKey(attempt.class_name, request.idempotency_key)
-            self._idempotency_cache.on_no_effect(key, request.number, attempt.number)
+        if outcome in OUTCOMES_WITHOUT_EFFECT:
+            self._deduplication.on_no_effect(attempt)
         if answer is None:
             return AttemptEnded(
                 request.number, attempt.number, attempt.member, outcome, elapsed_ms, entry.is_answered
--- /dev/null
+++ b/lupintack/core/deduplication.py
@@ -0,0 +1,58 @@
+"""Keeps attempts under an idempotency key within the deduplication window of the first that may have run."""
+
+from __future__ import annotations
+
+from lupintack.core.core_state import CoreState
+from lupintack.core.messages import Attempt, ClientRequest
+from lupintack.interface import Idempotency, ServiceClass
+from lupintack.limits.idempotency_cache import IdempotencyCache, IdempotencyKey, PossibleRun
+
+
+class Deduplication:
+    """Applies the idempotency keys of clients. Used by the core's turn alone."""
+
+    def __init__(self, state: CoreState, cache: IdempotencyCache) -> None:
+        """`cache`: the attempts that may have run."""
+        self._state = state
+        self._cache = cache
+
+    def first_run(self, request: ClientRequest) -> PossibleRun | None:
+        """Return the first attempt that may have run under a request's key, or None."""
+        service_class = self._class_of(request)
+        if not request.idempotency_key or service_class.idempotency is Idempotency.IDEMPOTENT:
+            return None
+        return self._cache.first_run(IdempotencyKey(service_class.name, request.idempotency_key))
+
+    def window_start_us(self, request: ClientRequest, first_run: PossibleRun) -> int:
+        """Return when a window of the class's present length would have begun to end when the run's does."""
+        window_us = _window_us(self._class_of(request))
+        return first_run.window_end_us(window_us) - window_us
+
+    def on_attempt_sent(self, attempt: Attempt) -> None:
+        """Limit a keyed attempt to the window of its key's first attempt, and record it."""
+        request = attempt.request
+        service_class = self._class_of(request)
+        if not request.idempotency_key or service_class.idempotency is not Idempotency.KEYED:
+            return
+        key = IdempotencyKey(service_class.name, request.idempotency_key)
+        now_us, window_us = self._state.now_us, _window_us(service_class)
+        first_run = self._cache.first_run(key)
+        if first_run is not None:
+            attempt.not_after_us = first_run.window_end_us(window_us)
+        run = PossibleRun(now_us, attempt.member, request.number, attempt.number, window_us)
+        expires_us = now_us + int(service_class.deadline_ms * 1000) + window_us
+        self._cache.on_attempt_sent(key, run, expires_us)
+
+    def on_no_effect(self, attempt: Attempt) -> None:
+        """Forget an attempt that is proved to have had no effect."""
+        request = attempt.request
+        if request.idempotency_key:
+            key = IdempotencyKey(attempt.class_name, request.idempotency_key)
+            self._cache.on_no_effect(key, request.number, attempt.number)
+
+    def _class_of(self, request: ClientRequest) -> ServiceClass:
+        return self._state.settings.classes[request.class_index]
+
+
+def _window_us(service_class: ServiceClass) -> int:
+    return int(service_class.deduplication_window_ms * 1000)
--- a/lupintack/core/request_intake.py
+++ b/lupintack/core/request_intake.py
@@ -6,12 +6,12 @@
 
 from lupintack.clock import module_ms
 from lupintack.core.core_state import CoreState
+from lupintack.core.deduplication import Deduplication
 from lupintack.core.local_cache import MAX_PROOF_AGE_US, NO_COPY_MS
 from lupintack.core.messages import ClientRequest
 from lupintack.core.request_table import RequestInFlight, RequestTable, is_same_request
 from lupintack.core.timers import TimerKind, TimerQueue
 from lupintack.interface import Idempotency, Request, ServiceClass
-from lupintack.limits.idempotency_cache import IdempotencyCache, IdempotencyKey, PossibleRun
 from lupintack.limits.size_buckets import SizeBuckets
 
 
@@ -26,17 +26,13 @@
     """Registers requests and describes them to the router. Used by the core's turn alone."""
 
     def __init__(
-        self,
-        state: CoreState,
-        requests: RequestTable,
-        timers: TimerQueue,
-        idempotency_cache: IdempotencyCache,
+        self, state: CoreState, requests: RequestTable, timers: TimerQueue, deduplication: Deduplication
     ) -> None:
         """Start by accepting requests."""
         self._state = state
         self._requests = requests
         self._timers = timers
-        self._idempotency_cache = idempotency_cache
+        self._deduplication = deduplication
         self._size_buckets = SizeBuckets()
         self.is_closed = False  # set when the process exits: every request is rejected
 
@@ -51,7 +47,7 @@
             self._state.counters["disconnected"] += 1
             return None
         entry = self._register(request, service_class)
-        return self._describe(entry, service_class)
+        return self._describe(entry)
 
     def _is_refused(self, request: ClientRequest) -> bool:
         """Refuse a request that can't be accepted; return whether it was refused."""
@@ -83,15 +79,12 @@
         self._timers.set(request.deadline_us, TimerKind.REQUEST_DEADLINE, request.number)
         return entry
 
-    def _describe(self, entry: RequestInFlight, service_class: ServiceClass) -> Request:
+    def _describe(self, entry: RequestInFlight) -> Request:
         """Build the event that lets the router decide on a request."""
         request = entry.request
         age_ms, wait_ms = self._local_copy(request)
-        window_us = int(service_class.deduplication_window_ms * 1000)
-        first_run: PossibleRun | None = None
-        if request.idempotency_key and service_class.idempotency is not Idempotency.IDEMPOTENT:
-            key = IdempotencyKey(service_class.name, request.idempotency_key)
-            first_run = self._idempotency_cache.first_run(key)
+        first_run = self._deduplication.first_run(request)
+        window_start_us = self._deduplication.window_start_us(request, first_run) if first_run else 0
         return Request(
             request.number,
             request.class_index,
@@ -105,7 +98,7 @@
             request.is_write,
             age_ms,
             wait_ms,
-            module_ms(first_run.window_end_us(window_us) - window_us) if first_run else 0.0,
+            module_ms(window_start_us) if first_run else 0.0,
             first_run.member if first_run else 0,
         )
 
