Keep an idempotency key for as long as its client may come back with it

Callers would see a write run twice: a client whose try was rejected after the window (503, 'trying again is harmless') comes back after the deadline and window have passed since the first attempt, and its retry is sent without a bound; so is a further attempt of a request whose client waits for longer.

It was counted from the first attempt, and rejections allow a retry at any age.

Change: a key is kept until the end of its latest request and another deadline and window of its class; every request with the key extends it.

Measured: test_key_is_kept_while_its_client_comes_back_after_refusals (0 == 11) and test_key_is_kept_as_long_as_a_request_with_it_is_open (None == 2000.0) failed before; test_idempotency* and test_retune: 55 passed.

--- a/lupintack/core/deduplication.py
+++ b/lupintack/core/deduplication.py
@@ -16,12 +16,18 @@
         self._state = state
         self._cache = cache
 
-    def first_run(self, request: ClientRequest) -> PossibleRun | None:
-        """Return the first attempt that may have run under a request's key, or None."""
+    def on_request(self, request: ClientRequest) -> PossibleRun | None:
+        """Return the first attempt that may have run under a new request's key, or None.
+
+        The key is kept for the request and for another try of its client: a rejection allows one at any age
+        of the first attempt.
+        """
         service_class = self._class_of(request)
         if not request.idempotency_key or service_class.idempotency is Idempotency.IDEMPOTENT:
             return None
-        return self._cache.first_run(IdempotencyKey(service_class.name, request.idempotency_key))
+        key = IdempotencyKey(service_class.name, request.idempotency_key)
+        self._cache.extend(key, self._expiry_us(request, service_class))
+        return self._cache.first_run(key)
 
     def window_start_us(self, request: ClientRequest, first_run: PossibleRun) -> int:
         """Return when a window of the class's present length would have begun to end when the run's does."""
@@ -40,8 +46,7 @@
         if first_run is not None:
             attempt.not_after_us = first_run.window_end_us(window_us)
         run = PossibleRun(now_us, attempt.member, request.number, attempt.number, window_us)
-        expires_us = now_us + int(service_class.deadline_ms * 1000) + window_us
-        self._cache.on_attempt_sent(key, run, expires_us)
+        self._cache.on_attempt_sent(key, run, self._expiry_us(request, service_class))
 
     def on_no_effect(self, attempt: Attempt) -> None:
         """Forget an attempt that is proved to have had no effect."""
@@ -50,6 +55,11 @@
             key = IdempotencyKey(attempt.class_name, request.idempotency_key)
             self._cache.on_no_effect(key, request.number, attempt.number)
 
+    def _expiry_us(self, request: ClientRequest, service_class: ServiceClass) -> int:
+        """Return until when a request's key is kept: its client may wait until then, and try again."""
+        ends_us = max(request.deadline_us, self._state.now_us)
+        return ends_us + int(service_class.deadline_ms * 1000) + _window_us(service_class)
+
     def _class_of(self, request: ClientRequest) -> ServiceClass:
         return self._state.settings.classes[request.class_index]
 
--- a/lupintack/core/request_intake.py
+++ b/lupintack/core/request_intake.py
@@ -83,7 +83,7 @@
         """Build the event that lets the router decide on a request."""
         request = entry.request
         age_ms, wait_ms = self._local_copy(request)
-        first_run = self._deduplication.first_run(request)
+        first_run = self._deduplication.on_request(request)
         window_start_us = self._deduplication.window_start_us(request, first_run) if first_run else 0
         return Request(
             request.number,
--- a/lupintack/limits/idempotency_cache.py
+++ b/lupintack/limits/idempotency_cache.py
@@ -72,6 +72,12 @@
         record = self.records.get(key)
         return record.runs[0] if record is not None and record.runs else None
 
+    def extend(self, key: IdempotencyKey, expires_us: int) -> None:
+        """Keep a key, if it is recorded, until `expires_us` at least."""
+        record = self.records.get(key)
+        if record is not None:
+            record.expires_us = max(record.expires_us, expires_us)
+
     def on_attempt_sent(self, key: IdempotencyKey, run: PossibleRun, expires_us: int) -> None:
         """Record an attempt that is sent, and keep its key until `expires_us` at least."""
         self._drop_expired(run.sent_us)
--- a/tests/test_idempotency_retention.py
+++ b/tests/test_idempotency_retention.py
@@ -49,12 +49,15 @@
         """Apply new settings, as SIGHUP does, while no request is open."""
         apply(self.core.state, SettingsUpdate(settings=h.settings(classes=classes)), set)
 
-    def receive(self, class_name: str, key: str, at_ms: float) -> ClientRequest | None:
-        """Accept a client's request at a time since the start; return None if it is refused."""
+    def receive(self, class_name: str, key: str, at_ms: float, wait_ms: float = 0.0) -> ClientRequest | None:
+        """Accept a client's request at a time since the start; return None if it is refused.
+
+        `wait_ms`: how long the client waits; 0: the deadline of the class.
+        """
         state = self.core.state
         state.now_us = self.started_us + int(at_ms * MS)
         index = state.class_indexes[class_name]
-        deadline_us = state.now_us + int(state.settings.classes[index].deadline_ms * MS)
+        deadline_us = state.now_us + int((wait_ms or state.settings.classes[index].deadline_ms) * MS)
         sink = unittest.mock.Mock(is_disconnected=lambda: False)
         sink.reject = self.rejections.append
         wire_id = f"{next(self._ids):016x}"
@@ -126,3 +129,25 @@
     assert core.described[-1].first_attempt_member == 11
     assert core.receive("post", "b", 1000.0) is not None
     assert core.described[-1].first_attempt_member == 0
+
+
+def test_key_is_kept_while_its_client_comes_back_after_refusals() -> None:
+    """Guards against a write that runs twice: a key expired by its first attempt, not by its last try."""
+    core = ManualCore(POST)
+    core.send("post", "a", 0.0)
+    for n in range(1, 6):  # each is refused without an attempt after the window, which allows another retry
+        assert core.receive("post", "a", 3400.0 * n) is not None
+        assert core.described[-1].first_attempt_member == 11
+        core.send("post", f"other-{n}", 3400.0 * n + 3300.0)
+    assert core.sendable_until_ms(core.send("post", "a", 20400.0)) == 2000.0
+
+
+def test_key_is_kept_as_long_as_a_request_with_it_is_open() -> None:
+    """Guards against a write that runs twice: a client may wait for longer than the deadline of its class."""
+    core = ManualCore(POST)
+    request = core.receive("post", "a", 0.0, wait_ms=60_000.0)
+    assert request is not None
+    core.attempt(request)
+    for n in range(20):
+        core.send("post", f"other-{n}", 3000.0 * n)
+    assert core.sendable_until_ms(core.attempt(request)) == 2000.0
