Refuse keyed requests where no key can be recorded, instead of dropping the oldest

Callers would see a write run twice: the 8,193rd key drove out the one whose expiry was next, however much of its window and of its client's retries was left.

Change: room for a key is kept when its request is taken; where there is none, the request is refused with a 503 before anything runs (counter idempotency_keys.refused). What can't be recorded is not sent: a class that became keyed after its request was read, or the 65th attempt under one key (idempotency_keys.held_back). At most 64 expired keys are dropped in one call.

--- a/lupintack/core/attempt_dispatch.py
+++ b/lupintack/core/attempt_dispatch.py
@@ -44,7 +44,7 @@
         self._defer_event = defer_event
 
     def start(self, action: Fetch) -> None:
-        """Send one attempt to its member; if it is too late, report its end in the router's next turn."""
+        """Send one attempt to its member; if it may not be sent, report its end in the router's next turn."""
         entry = self._requests.get(action.request)
         if entry is None:
             LOG.error("attempt for an unknown request", extra=fields(request=action.request))
@@ -53,7 +53,7 @@
         attempt = self._new_attempt(action, entry)
         entry.attempts_sent += 1
         request = entry.request
-        self._deduplication.on_attempt_sent(attempt)
+        is_recorded = self._deduplication.record(attempt)
         if self._state.leases is not None:
             self._limit_to_lease(self._state.leases, action, entry, attempt)
         is_late = self._state.now_us >= request.deadline_us
@@ -63,6 +63,7 @@
             or endpoint is None
             or endpoint.dial is None
             or is_late
+            or not is_recorded
         ):
             self._defer_event(self._results.to_event(entry, attempt, AttemptStatus.NOT_NEEDED, None))
             return
--- a/lupintack/core/attempt_status.py
+++ b/lupintack/core/attempt_status.py
@@ -22,7 +22,7 @@
     DEADLINE_EXCEEDED = auto()  # no answer in time
     CANCELLED = auto()  # cancelled at the member, or the request was answered
     OUTDATED = auto()  # not written: a list change or a purge since the decision forbids it
-    NOT_NEEDED = auto()  # not written: its request was answered
+    NOT_NEEDED = auto()  # not written: its request was answered, or its key can't be recorded
     CONNECT_REFUSED = auto()
     CONNECT_TIMED_OUT = auto()
     CONNECT_FAILED = auto()  # unreachable, or no descriptor left
--- a/lupintack/core/deduplication.py
+++ b/lupintack/core/deduplication.py
@@ -16,49 +16,67 @@
         self._state = state
         self._cache = cache
 
-    def on_request(self, request: ClientRequest) -> PossibleRun | None:
-        """Return the first attempt that may have run under a new request's key, or None.
+    def reserve(self, request: ClientRequest) -> bool:
+        """Keep room for a new request's key; return False if there is none and the request must be refused.
 
         The key is kept for the request and for another try of its client: a rejection allows one at any age
         of the first attempt.
         """
         service_class = self._class_of(request)
+        if not request.idempotency_key or service_class.idempotency is not Idempotency.KEYED:
+            return True
+        is_reserved = self._reserve(request, service_class)
+        if not is_reserved:
+            self._state.counters["idempotency_keys.refused"] += 1
+        return is_reserved
+
+    def first_run(self, request: ClientRequest) -> PossibleRun | None:
+        """Return the first attempt that may have run under a request's key, or None."""
+        service_class = self._class_of(request)
         if not request.idempotency_key or service_class.idempotency is Idempotency.IDEMPOTENT:
             return None
-        key = IdempotencyKey(service_class.name, request.idempotency_key)
-        self._cache.extend(key, self._expiry_us(request, service_class))
-        return self._cache.first_run(key)
+        return self._cache.first_run(IdempotencyKey(service_class.name, request.idempotency_key))
 
     def window_start_us(self, request: ClientRequest, first_run: PossibleRun) -> int:
         """Return when a window of the class's present length would have begun to end when the run's does."""
         window_us = _window_us(self._class_of(request))
         return first_run.window_end_us(window_us) - window_us
 
-    def on_attempt_sent(self, attempt: Attempt) -> None:
-        """Limit a keyed attempt to the window of its key's first attempt, and record it."""
+    def record(self, attempt: Attempt) -> bool:
+        """Limit a keyed attempt to the window of its key's first attempt, and record it.
+
+        Return False if it can't be recorded and must not be sent.
+        """
         request = attempt.request
         service_class = self._class_of(request)
         if not request.idempotency_key or service_class.idempotency is not Idempotency.KEYED:
-            return
+            return True
         key = IdempotencyKey(service_class.name, request.idempotency_key)
-        now_us, window_us = self._state.now_us, _window_us(service_class)
+        window_us = _window_us(service_class)
         first_run = self._cache.first_run(key)
         if first_run is not None:
             attempt.not_after_us = first_run.window_end_us(window_us)
-        run = PossibleRun(now_us, attempt.member, request.number, attempt.number, window_us)
-        self._cache.on_attempt_sent(key, run, self._expiry_us(request, service_class))
+        run = PossibleRun(self._state.now_us, attempt.member, request.number, attempt.number, window_us)
+        # The class may have been keyed only after the request was read: then no room was kept.
+        is_recorded = self._reserve(request, service_class) and self._cache.add_run(key, run)
+        if not is_recorded:
+            self._state.counters["idempotency_keys.held_back"] += 1
+        return is_recorded
 
     def on_no_effect(self, attempt: Attempt) -> None:
         """Forget an attempt that is proved to have had no effect."""
         request = attempt.request
         if request.idempotency_key:
             key = IdempotencyKey(attempt.class_name, request.idempotency_key)
-            self._cache.on_no_effect(key, request.number, attempt.number)
+            self._cache.remove_run(key, request.number, attempt.number)
 
-    def _expiry_us(self, request: ClientRequest, service_class: ServiceClass) -> int:
-        """Return until when a request's key is kept: its client may wait until then, and try again."""
-        ends_us = max(request.deadline_us, self._state.now_us)
-        return ends_us + int(service_class.deadline_ms * 1000) + _window_us(service_class)
+    def _reserve(self, request: ClientRequest, service_class: ServiceClass) -> bool:
+        """Keep a request's key until its client has waited and could have made another try."""
+        key = IdempotencyKey(service_class.name, request.idempotency_key)
+        now_us = self._state.now_us
+        waited_us = max(request.deadline_us, now_us)
+        expires_us = waited_us + int(service_class.deadline_ms * 1000) + _window_us(service_class)
+        return self._cache.reserve(key, now_us, expires_us)
 
     def _class_of(self, request: ClientRequest) -> ServiceClass:
         return self._state.settings.classes[request.class_index]
--- a/lupintack/core/request_intake.py
+++ b/lupintack/core/request_intake.py
@@ -68,6 +68,10 @@
             state.counters["answered.conflict"] += 1
             request.sink.report_conflict()
             return True
+        if not self._deduplication.reserve(request):
+            state.counters["answered.rejected"] += 1
+            request.sink.reject(int(state.settings.max_retry_after_ms))
+            return True
         return False
 
     def _register(self, request: ClientRequest, service_class: ServiceClass) -> RequestInFlight:
@@ -83,7 +87,7 @@
         """Build the event that lets the router decide on a request."""
         request = entry.request
         age_ms, wait_ms = self._local_copy(request)
-        first_run = self._deduplication.on_request(request)
+        first_run = self._deduplication.first_run(request)
         window_start_us = self._deduplication.window_start_us(request, first_run) if first_run else 0
         return Request(
             request.number,
--- a/lupintack/limits/idempotency_cache.py
+++ b/lupintack/limits/idempotency_cache.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 MAX_KEYS = 8192
+MAX_RUNS_PER_KEY = 64  # attempts of all requests with one key
 MAX_EXPIRIES_PER_CALL = 64  # keys looked at in one call: bounds what one attempt pays for others
 
 
@@ -58,45 +59,53 @@
 
 
 class IdempotencyCache:
-    """The attempts that may have run, by key. Each key expires by its own time. Not thread-safe."""
+    """The attempts that may have run, by key. Each key expires by its own time. Not thread-safe.
+
+    A full cache takes no further key, and no further attempt under a full key: what it can't record must not
+    be sent, as its effect could be repeated.
+    """
 
     def __init__(self, counters: Counter[str], max_keys: int = MAX_KEYS) -> None:
-        """Begin empty; keep at most `max_keys` keys, and count the dropped ones in `counters`."""
+        """Begin empty; keep at most `max_keys` keys, and count the expired ones in `counters`."""
         self.counters = counters
         self.max_keys = max_keys
         self.records: dict[IdempotencyKey, KeyRecord] = {}
         self._expiries: list[KeyExpiry] = []  # a heap with one entry for each record
 
+    def reserve(self, key: IdempotencyKey, now_us: int, expires_us: int) -> bool:
+        """Keep a key until `expires_us` at least; return False if the cache is full and lacks it."""
+        record = self.records.get(key)
+        if record is not None:
+            record.expires_us = max(record.expires_us, expires_us)
+            return True
+        self._drop_expired(now_us)
+        if len(self.records) >= self.max_keys:
+            return False
+        self.records[key] = KeyRecord(expires_us)
+        heapq.heappush(self._expiries, KeyExpiry(expires_us, key))
+        return True
+
     def first_run(self, key: IdempotencyKey) -> PossibleRun | None:
         """Return the attempt that opened the deduplication window, or None where none is recorded."""
         record = self.records.get(key)
         return record.runs[0] if record is not None and record.runs else None
 
-    def extend(self, key: IdempotencyKey, expires_us: int) -> None:
-        """Keep a key, if it is recorded, until `expires_us` at least."""
-        record = self.records.get(key)
-        if record is not None:
-            record.expires_us = max(record.expires_us, expires_us)
+    def add_run(self, key: IdempotencyKey, run: PossibleRun) -> bool:
+        """Record an attempt under a reserved key; return False if the key is full: it must not be sent."""
+        runs = self.records[key].runs
+        if len(runs) >= MAX_RUNS_PER_KEY:
+            return False
+        runs.append(run)
+        return True
 
-    def on_attempt_sent(self, key: IdempotencyKey, run: PossibleRun, expires_us: int) -> None:
-        """Record an attempt that is sent, and keep its key until `expires_us` at least."""
-        self._drop_expired(run.sent_us)
-        record = self.records.get(key)
-        if record is None:
-            if len(self.records) >= self.max_keys:
-                self._drop_next("idempotency_keys.evicted")
-            record = self.records[key] = KeyRecord(expires_us)
-            heapq.heappush(self._expiries, KeyExpiry(expires_us, key))
-        record.expires_us = max(record.expires_us, expires_us)
-        record.runs.append(run)
-
-    def on_no_effect(self, key: IdempotencyKey, request: int, attempt: int) -> None:
+    def remove_run(self, key: IdempotencyKey, request: int, attempt: int) -> None:
         """Remove an attempt that is proved to have had no effect."""
         record = self.records.get(key)
         if record is not None:
             record.runs = [run for run in record.runs if (run.request, run.attempt) != (request, attempt)]
 
     def _drop_expired(self, now_us: int) -> None:
+        """Drop some of the keys that have expired."""
         for _ in range(MAX_EXPIRIES_PER_CALL):
             if not self._expiries or self._expiries[0].at_us >= now_us:
                 return
@@ -104,9 +113,7 @@
             expires_us = self.records[key].expires_us
             if expires_us >= now_us:
                 heapq.heapreplace(self._expiries, KeyExpiry(expires_us, key))
-            else:
-                self._drop_next("idempotency_keys.expired")
-
-    def _drop_next(self, reason: str) -> None:
-        del self.records[heapq.heappop(self._expiries).key]
-        self.counters[reason] += 1
+                continue
+            heapq.heappop(self._expiries)
+            del self.records[key]
+            self.counters["idempotency_keys.expired"] += 1
--- a/tests/test_idempotency_retention.py
+++ b/tests/test_idempotency_retention.py
@@ -151,3 +151,40 @@
     for n in range(20):
         core.send("post", f"other-{n}", 3000.0 * n)
     assert core.sendable_until_ms(core.attempt(request)) == 2000.0
+
+
+def test_new_keys_are_refused_where_the_cache_is_full_of_keys_that_may_return() -> None:
+    """Guards against a write that runs twice: a full cache dropped the oldest key, whatever its window."""
+    core = ManualCore(POST)
+    core.core.idempotency_cache.max_keys = 3
+    for n in range(3):
+        core.send("post", str(n), 10.0 * n)
+    assert core.receive("post", "new", 100.0) is None
+    assert core.rejections == [int(core.core.settings.max_retry_after_ms)]
+    assert core.core.counters["idempotency_keys.refused"] == core.core.counters["answered.rejected"] == 1
+    assert core.sendable_until_ms(core.send("post", "0", 1000.0)) == 2000.0
+    assert core.sendable_until_ms(core.send("post", "new", 8100.0)) is None, "others have expired by now"
+    assert core.sendable_until_ms(core.send("post", "0", 8100.0)) == 2000.0, "its client came back"
+    assert len(core.core.idempotency_cache.records) == 2
+
+
+def test_requests_without_keys_are_not_refused_by_a_full_cache() -> None:
+    read = i.ServiceClass(name="page", deadline_ms=3000.0)
+    core = ManualCore(POST, read)
+    core.core.idempotency_cache.max_keys = 1
+    core.send("post", "a", 0.0)
+    assert core.receive("page", "", 0.0) is not None and core.receive("page", "b", 0.0) is not None
+
+
+def test_attempt_that_cannot_be_recorded_is_held_back() -> None:
+    """Guards against a write that runs twice: its class was keyed only after it had been read."""
+    core = ManualCore(dataclasses.replace(POST, idempotency=i.Idempotency.IDEMPOTENT))
+    core.core.idempotency_cache.max_keys = 0
+    request = core.receive("post", "a", 0.0)
+    assert request is not None
+    core.reload(POST)
+    core.core.perform(i.Fetch(request.number, 11, 11))
+    assert not core.core.requests_in_flight[request.number].open_attempts
+    ended = core.core.mailbox.deferred_events
+    assert [event.outcome for event in ended if isinstance(event, i.AttemptEnded)] == [i.Outcome.DISCARDED]
+    assert core.core.counters["idempotency_keys.held_back"] == 1
