Refuse CDNI requests whose id can't be remembered, instead of dropping the oldest id

Callers would see an alert-ack run twice: the 4,097th id within 60 s drove out the oldest, and its second copy, over another path through the peers, was run.

Change: RunOnceIds drops ids by their age alone. Without room a new request gets 503 with Retry-After before anything runs (counter cdni.ids_refused).

Measured: test_new_ids_are_refused_where_too_many_are_remembered failed before (502, the attempt was sent, where 503 is expected); with test_cdni, test_shape, test_client_disconnection and test_edges 40 passed.

--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -6,6 +6,7 @@
 import threading
 from collections import OrderedDict
 from collections.abc import Callable
+from enum import Enum, auto
 
 from lupintack.clock import now_us, unix_now_ms
 from lupintack.core.actor import Core
@@ -17,16 +18,25 @@
 from lupintack.fronts.platform import MAX_BODY_BYTES, ClientSink, check_method, deadline_us
 from lupintack.interface import Idempotency
 
-MAX_REMEMBERED_IDS = 4096  # bounds the memory; the oldest are removed first
+MAX_REMEMBERED_IDS = 4096
 ID_LIFETIME_US = 60_000_000  # how long an id is remembered
 
 
+class IdStatus(Enum):
+    """What was found when the id of a request that must not run twice was added."""
+
+    ADDED = auto()
+    PRESENT = auto()  # it may have run
+    NO_ROOM = auto()  # it can't be remembered, so it must not run
+
+
 class RunOnceIds:
     """Ids of recent requests that must not run twice.
 
     A request such as an alert-ack may reach this CDN twice, for instance over two paths through its peers.
     The second one is refused without an attempt. The id of a request that was rejected, and so never ran, is
-    removed, and the request may be repeated.
+    removed, and the request may be repeated. Any other id stays for its whole lifetime: while there are too
+    many of them, no further request is accepted.
     """
 
     def __init__(self) -> None:
@@ -34,18 +44,18 @@
         self.lock = threading.Lock()
         self.ids: OrderedDict[str, int] = OrderedDict()
 
-    def add(self, wire_id: str) -> bool:
-        """Add the id of a request; return False if it is present and the request must not run."""
+    def add(self, wire_id: str) -> IdStatus:
+        """Add the id of a request, which may run only if the id was added."""
         now = now_us()
         with self.lock:
-            while self.ids and (
-                len(self.ids) >= MAX_REMEMBERED_IDS or next(iter(self.ids.values())) < now - ID_LIFETIME_US
-            ):
+            while self.ids and next(iter(self.ids.values())) < now - ID_LIFETIME_US:
                 self.ids.popitem(last=False)
             if wire_id in self.ids:
-                return False
+                return IdStatus.PRESENT
+            if len(self.ids) >= MAX_REMEMBERED_IDS:
+                return IdStatus.NO_ROOM
             self.ids[wire_id] = now
-            return True
+            return IdStatus.ADDED
 
     def remove(self, wire_id: str) -> None:
         """Remove the id of a request that never ran."""
@@ -66,10 +76,13 @@
     def reject(self, wait_ms: int) -> None:
         """Answer that the request was rejected before it ran; `wait_ms`: for Retry-After, 0 for none."""
         self.on_rejected()
-        headers: list[tuple[str, object]] = (
-            [("Retry-After", max(1, -(-wait_ms // 1000)))] if wait_ms > 0 else []
-        )
-        self.exchange.answer(503, headers + platform_headers.retry_after(wait_ms))
+        reject(self.exchange, wait_ms)
+
+
+def reject(exchange: Exchange, wait_ms: int) -> None:
+    """Answer 503; `wait_ms`: for the fields that ask the client to wait, 0 for none."""
+    headers: list[tuple[str, object]] = [("Retry-After", max(1, -(-wait_ms // 1000)))] if wait_ms > 0 else []
+    exchange.answer(503, headers + platform_headers.retry_after(wait_ms))
 
 
 class WaitSink:
@@ -142,8 +155,13 @@
         if runs_once and not platform_headers.has_request_id(request.headers):
             raise platform_headers.missing_request_id()
         wait_ms = platform_headers.parse_wait_ms(request.headers, str(int(service_class.deadline_ms)))
-        if runs_once and not self.run_once_ids.add(request_id):
+        status = self.run_once_ids.add(request_id) if runs_once else IdStatus.ADDED
+        if status is IdStatus.PRESENT:
             raise HttpError(409, "this request was taken before and may have run")
+        if status is IdStatus.NO_ROOM:
+            self.core.counters.increment("cdni.ids_refused")
+            reject(exchange, int(self.core.settings.max_retry_after_ms))
+            return
         client_request = self.build_request(exchange, content, request_id, wait_ms)
         client_request.group = group
         exchange.on_disconnected = lambda: self.core.on_client_disconnected(client_request)
--- /dev/null
+++ b/tests/test_run_once_ids.py
@@ -0,0 +1,30 @@
+"""Ids of CDNI requests that must not run twice: how long and how many of them are remembered."""
+
+from __future__ import annotations
+
+import unittest.mock
+
+from lupintack.fronts.cdni import delivery
+from tests.scenario import Scenario
+from tests.test_cdni import CONFIG, DOWNSTREAM
+
+ACK = "/content/own/ack/1"
+
+
+def test_new_ids_are_refused_where_too_many_are_remembered() -> None:
+    """Guards against an alert-ack that runs twice: a further id drove out the oldest one."""
+    with unittest.mock.patch.object(delivery, "MAX_REMEMBERED_IDS", 1):
+        scenario = Scenario(CONFIG + DOWNSTREAM)
+        scenario.run(f"""
+            client a send PUT {{cdni}}{ACK} Req-Id:9b1f03aa5c7e2d41 body=seen
+            cache expect w cls=alert-ack
+            cache close w
+            client a expect 502
+            client b send PUT {{cdni}}{ACK} Req-Id:0000000000000002 body=seen
+            client b expect 503 Retry-After:1
+            cache expect nothing 50
+            client c send PUT {{cdni}}{ACK} Req-Id:9b1f03aa5c7e2d41 body=seen
+            client c expect 409
+            cache expect nothing 50
+        """)
+    assert scenario.node.core.counters["cdni.ids_refused"] == 1
