Remember the id of a CDNI request for longer than its client may wait

Callers would see an alert-ack run twice: ids were forgotten after 60 s, and a client may wait for 120 s (Req-Wait-Ms), so a second copy that comes after that ran again.

Change: an id is remembered for the longest wait and 60 s more, 12,288 ids at once, which allows as many a second (68) as before; 2.3 MB when full.

--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -18,8 +18,9 @@
 from lupintack.fronts.platform import MAX_BODY_BYTES, ClientSink, check_method, deadline_us
 from lupintack.interface import Idempotency
 
-MAX_REMEMBERED_IDS = 4096
-ID_LIFETIME_US = 60_000_000  # how long an id is remembered
+MAX_REMEMBERED_IDS = 12_288
+SECOND_COPY_DELAY_US = 60_000_000  # by which a request may reach this CDN again after its client's wait
+ID_LIFETIME_US = platform_headers.MAX_WAIT_MS * 1000 + SECOND_COPY_DELAY_US
 
 
 class IdStatus(Enum):
--- a/tests/test_run_once_ids.py
+++ b/tests/test_run_once_ids.py
@@ -4,6 +4,7 @@
 
 import unittest.mock
 
+from lupintack.fronts import platform_headers
 from lupintack.fronts.cdni import delivery
 from tests.scenario import Scenario
 from tests.test_cdni import CONFIG, DOWNSTREAM
@@ -28,3 +29,17 @@
             cache expect nothing 50
         """)
     assert scenario.node.core.counters["cdni.ids_refused"] == 1
+
+
+def test_id_is_remembered_after_the_longest_wait_of_its_client() -> None:
+    """Guards against an alert-ack that runs twice: its id was forgotten while its client still waited."""
+    ids, now_us = delivery.RunOnceIds(), 1_000_000_000
+    with unittest.mock.patch.object(delivery, "now_us", side_effect=lambda: now_us):
+        assert ids.add("a") is delivery.IdStatus.ADDED
+        now_us += platform_headers.MAX_WAIT_MS * 1000 + 59_000_000
+        assert ids.add("b") is delivery.IdStatus.ADDED
+        assert ids.add("a") is delivery.IdStatus.PRESENT
+        now_us += 2_000_000
+        assert ids.add("a") is delivery.IdStatus.ADDED
+        ids.remove("a")
+        assert ids.add("a") is delivery.IdStatus.ADDED
