Log how long a CDNI trigger waits and when it ends

The hypotheses were: (1) it waits for a worker behind prepositions, (2) it is in the member table and the core's turn is late, (3) it applies and attempts don't heed it, as the group differs, (4) the copy is the router's own and survives the purge.

Change: lines 'trigger started' with type and waited_ms, 'trigger ended' with status and age_ms. Behaviour is the same.

--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -47,6 +47,7 @@
     cdn_path: list[str]
     owner: str
     created: int
+    taken_us: int
     changed: int = 0
     status: str = "pending"
     errors: list[dict[str, Any]] = field(default_factory=list)
@@ -107,7 +108,7 @@
             if len(self.resources) >= MAX_RESOURCES:
                 raise HttpError(503, "too many triggers are under way")
             self.last_number += 1
-            resource = Resource(self.last_number, spec, path, path[-1], now, now)
+            resource = Resource(self.last_number, spec, path, path[-1], now, now_us(), now)
             self.resources[resource.number] = resource
         self.queue.put(resource)
         return resource
@@ -170,6 +171,9 @@
             if resource.status != "pending" or resource.cancelled.is_set():
                 return
             resource.status, resource.changed = "active", int(time.time())
+        waited_ms = (now_us() - resource.taken_us) // 1000
+        details = {"number": resource.number, "type": resource.spec["type"], "waited_ms": waited_ms}
+        LOG.info("trigger started", extra=fields(**details))
         errors: list[dict[str, Any]] = []
         try:
             self.execute_locally(resource, errors)
@@ -188,6 +192,8 @@
 
     def _finish(self, resource: Resource, status: str) -> None:
         resource.status, resource.changed = status, int(time.time())
+        details = {"number": resource.number, "type": resource.spec["type"], "status": status}
+        LOG.info("trigger ended", extra=fields(**details, age_ms=(now_us() - resource.taken_us) // 1000))
         if status == "cancelled":
             resource.errors = [
                 *resource.errors,
