Apply a CDNI purge when it is taken, not when a trigger worker is free

Cause: all triggers went through one queue with two workers, and a worker carries a trigger out to its end: a preposition fetches its objects one after another, and any trigger waits up to 12 s for each downstream CDN. A purge reached the member table only when a worker took it up.

Change: fronts/cdni/purges.py passes a purge to the member table on the thread that has read the command, before the 201. What is left, waiting until it holds and the downstream CDNs, has a queue and two workers of its own.

Two threads more.

--- a/lupintack/fronts/cdni/front.py
+++ b/lupintack/fronts/cdni/front.py
@@ -14,7 +14,12 @@
 from lupintack.fronts.cdni.conf import Cdni
 from lupintack.fronts.cdni.delivery import Delivery
 from lupintack.fronts.cdni.redirection import DEFAULT_MAX_HOPS, Redirection, RiError
-from lupintack.fronts.cdni.triggers import STATUS_FILTERS, WORKER_COUNT, Triggers
+from lupintack.fronts.cdni.triggers import (
+    PREPOSITION_WORKER_COUNT,
+    PURGE_WORKER_COUNT,
+    STATUS_FILTERS,
+    Triggers,
+)
 from lupintack.fronts.exchange import Exchange, HttpError
 
 
@@ -37,8 +42,10 @@
         self.delivery = Delivery(conf, core, self.store)
         self.triggers = Triggers(conf, member_table, self.delivery, self.store)
         self.redirection = Redirection(conf, self.delivery, ready, core.counters)
-        for _ in range(WORKER_COUNT):
-            spawn(self.triggers.run, "triggers")
+        for _ in range(PREPOSITION_WORKER_COUNT):
+            spawn(self.triggers.run_prepositions, "prepositions")
+        for _ in range(PURGE_WORKER_COUNT):
+            spawn(self.triggers.run_purges, "purges")
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one request; called on the thread of its connection."""
--- a/lupintack/fronts/cdni/messages.py
+++ b/lupintack/fronts/cdni/messages.py
@@ -94,3 +94,8 @@
     """Answer with a JSON object."""
     headers = [("Content-Type", media_type(ptype)), *extra]
     exchange.answer(status, headers, json.dumps(data).encode())
+
+
+def error_description(code: str, text: str, key: str = "", values: list[Any] | None = None) -> dict[str, Any]:
+    """Return an Error Description object of RFC 8007."""
+    return {"error": code, "description": text[:200]} | ({key: values} if key and values else {})
--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -14,21 +14,23 @@
 from lupintack.clock import now_us
 from lupintack.core.member_table import MemberTable
 from lupintack.fronts.cdni import client, messages, metadata
-from lupintack.fronts.cdni.conf import Cdni, Downstream, group_of_collection
+from lupintack.fronts.cdni.conf import Cdni, Downstream
 from lupintack.fronts.cdni.delivery import Delivery
+from lupintack.fronts.cdni.purges import AppliedPurge, Purges
 from lupintack.fronts.exchange import HttpError
 from lupintack.logs import fields
 
 LOG = logging.getLogger("triggers")
-TRIGGER_TYPES = ("preposition", "invalidate", "purge")
 SELECTORS = ("metadata.urls", "content.urls", "content.ccid", "metadata.patterns", "content.patterns")
 MAX_RESOURCES = 1000  # status resources kept
 STALE_RESOURCE_S = 3600  # a finished trigger is removed after this time
-PURGE_TIMEOUT_S = 2.0  # a purge that is not in force by then has failed
 DOWNSTREAM_CALL_TIMEOUT_US = 2_000_000  # one call to a downstream CDN
 DOWNSTREAM_END_TIMEOUT_S = 10.0  # for a downstream CDN to finish a trigger
 POLL_INTERVAL_S = 0.1
-WORKER_COUNT = 2
+PREPOSITION = "preposition"
+TRIGGER_TYPES = (PREPOSITION, "invalidate", "purge")
+PREPOSITION_WORKER_COUNT = 2
+PURGE_WORKER_COUNT = 2
 FINAL_STATUSES = ("complete", "processed", "failed", "cancelled")
 STATUS_FILTERS = {
     "pending": ("pending",),
@@ -51,6 +53,7 @@
     changed: int = 0
     status: str = "pending"
     errors: list[dict[str, Any]] = field(default_factory=list)
+    applied_purge: AppliedPurge | None = None  # of a purge or an invalidation
     cancelled: threading.Event = field(default_factory=threading.Event)
 
     def to_json(self) -> dict[str, Any]:
@@ -67,13 +70,14 @@
     ) -> None:
         """`store`: the metadata of upstream CDNs, which an invalidation drops."""
         self.conf = conf
-        self.member_table = member_table
+        self.purges = Purges(conf, member_table, store)
         self.delivery = delivery
         self.store = store
         self.lock = threading.Lock()
         self.resources: OrderedDict[int, Resource] = OrderedDict()
         self.last_number = 0
-        self.queue: SimpleQueue[Resource] = SimpleQueue()
+        self.preposition_queue: SimpleQueue[Resource] = SimpleQueue()
+        self.purge_queue: SimpleQueue[Resource] = SimpleQueue()
 
     # Called by the front
 
@@ -97,7 +101,10 @@
         return self.create(spec, path)
 
     def create(self, spec: dict[str, Any], path: list[str]) -> Resource:
-        """Create a resource and queue it for a worker; raise HttpError if too many triggers are active."""
+        """Create a resource and queue it for a worker; raise HttpError if too many triggers are active.
+
+        A purge is applied here, before its sender has an answer: no other trigger may hold it up.
+        """
         now = int(time.time())
         with self.lock:
             for number, existing in list(self.resources.items()):
@@ -110,7 +117,11 @@
             self.last_number += 1
             resource = Resource(self.last_number, spec, path, path[-1], now, now_us(), now)
             self.resources[resource.number] = resource
-        self.queue.put(resource)
+        if spec["type"] == PREPOSITION:
+            self.preposition_queue.put(resource)
+        else:
+            resource.applied_purge = self.purges.apply(spec, resource.owner)
+            self.purge_queue.put(resource)
         return resource
 
     def cancel(self, urls: list[str], owner: str) -> None:
@@ -160,10 +171,15 @@
 
     # Execution
 
-    def run(self) -> None:
-        """Execute queued triggers; the main loop of a worker thread."""
+    def run_prepositions(self) -> None:
+        """Execute queued prepositions; the main loop of a worker thread."""
+        while True:
+            self.execute(self.preposition_queue.get())
+
+    def run_purges(self) -> None:
+        """Execute queued purges and invalidations to their end; the main loop of a worker thread."""
         while True:
-            self.execute(self.queue.get())
+            self.execute(self.purge_queue.get())
 
     def execute(self, resource: Resource) -> None:
         """Execute a trigger in this and the downstream CDNs, and record its final status."""
@@ -182,7 +198,7 @@
                     self.forward(resource, downstream, errors)
         except Exception as error:  # keeps the worker alive and reports the failure to the sender
             LOG.exception("trigger failed", extra=fields(number=resource.number))
-            errors.append(error_description("ecdn", str(error)))
+            errors.append(messages.error_description("ecdn", str(error)))
         with self.lock:
             resource.errors = errors
             if resource.cancelled.is_set():
@@ -197,7 +213,7 @@
         if status == "cancelled":
             resource.errors = [
                 *resource.errors,
-                error_description("ecancelled", "cancelled by the upstream CDN"),
+                messages.error_description("ecancelled", "cancelled by the upstream CDN"),
             ]
 
     def execute_locally(self, resource: Resource, errors: list[dict[str, Any]]) -> None:
@@ -205,30 +221,14 @@
         spec = resource.spec
         for key in SELECTORS[3:]:
             if spec.get(key):
-                errors.append(error_description("ereject", "patterns are not supported", key, spec[key]))
-        if spec["type"] == "preposition":
+                errors.append(
+                    messages.error_description("ereject", "patterns are not supported", key, spec[key])
+                )
+        if resource.applied_purge is None:
             self.preposition(resource, errors)
-            return
-        # An invalidation is executed as a purge: no copy is served again in either case.
-        self.store.drop(messages.read_texts(spec, "metadata.urls"))
-        pending_purges: list[tuple[threading.Event, str, str]] = []
-        for url in messages.read_texts(spec, "content.urls"):
-            content = self.conf.locate(url)
-            if content is None or content.host.upstream not in ("", resource.owner):
-                errors.append(error_description("eperm", "not this CDN's content", "content.urls", [url]))
-                continue
-            in_force = threading.Event()
-            self.member_table.purge(int(content.item, 16), 0, None, in_force.set)
-            pending_purges.append((in_force, "content.urls", url))
-        for ccid in messages.read_texts(spec, "content.ccid"):
-            in_force = threading.Event()
-            self.member_table.purge(None, group_of_collection(ccid), None, in_force.set)
-            pending_purges.append((in_force, "content.ccid", ccid))
-        deadline_us = now_us() + int(PURGE_TIMEOUT_S * 1e6)
-        for in_force, key, value in pending_purges:
+        else:
             # A trigger is complete only when the purge applies to every later attempt.
-            if not in_force.wait(max(0.0, (deadline_us - now_us()) / 1e6)):
-                errors.append(error_description("ecdn", "the purge does not hold yet", key, [value]))
+            errors += resource.applied_purge.await_in_force()
 
     def preposition(self, resource: Resource, errors: list[dict[str, Any]]) -> None:
         """Fetch metadata, and fetch content into the caches."""
@@ -237,10 +237,10 @@
                 self.store.drop([url])
                 self.store.get(url, messages.HOST_INDEX)
             except metadata.MetadataError as error:
-                errors.append(error_description("emeta", str(error), "metadata.urls", [url]))
+                errors.append(messages.error_description("emeta", str(error), "metadata.urls", [url]))
         if resource.spec.get("content.ccid"):
             errors.append(
-                error_description(
+                messages.error_description(
                     "ereject", "a collection can't be listed", "content.ccid", resource.spec["content.ccid"]
                 )
             )
@@ -249,11 +249,17 @@
                 return
             content = self.conf.locate(url)
             if content is None or content.host.upstream not in ("", resource.owner):
-                errors.append(error_description("eperm", "not this CDN's content", "content.urls", [url]))
+                errors.append(
+                    messages.error_description("eperm", "not this CDN's content", "content.urls", [url])
+                )
             elif self.delivery.core.settings.classes[content.class_index].is_write:
-                errors.append(error_description("ereject", "this class is never kept", "content.urls", [url]))
+                errors.append(
+                    messages.error_description("ereject", "this class is never kept", "content.urls", [url])
+                )
             elif not self.delivery.fetch(content, content.group):
-                errors.append(error_description("econtent", "could not be fetched", "content.urls", [url]))
+                errors.append(
+                    messages.error_description("econtent", "could not be fetched", "content.urls", [url])
+                )
 
     def forward(self, resource: Resource, downstream: Downstream, errors: list[dict[str, Any]]) -> None:
         """Send the command to a downstream CDN, and wait until it has ended there."""
@@ -283,7 +289,7 @@
             if state["status"] not in ("complete", "processed"):
                 raise client.CallError(f"ended as {state['status']}")
         except (client.CallError, HttpError) as error:
-            errors.append({**error_description("ecdn", str(error)), "cdn": downstream.id})
+            errors.append({**messages.error_description("ecdn", str(error)), "cdn": downstream.id})
 
 
 def check_spec(spec: Any) -> None:
@@ -299,8 +305,3 @@
     for key in SELECTORS[3:]:
         if not isinstance(spec.get(key, []), list) or len(spec.get(key, [])) > messages.MAX_LIST_ITEMS:
             raise HttpError(400, f"{key}: a list of {messages.MAX_LIST_ITEMS} patterns at most is wanted")
-
-
-def error_description(code: str, text: str, key: str = "", values: list[Any] | None = None) -> dict[str, Any]:
-    """Return an Error Description object of RFC 8007."""
-    return {"error": code, "description": text[:200]} | ({key: values} if key and values else {})
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -437,8 +437,9 @@
         for case in CDNI["cases"]:
             del core.submitted[:], calls[:], members.purges[:]
             response = as_text(exchange_http1(port, as_bytes(case["request"])))
-            while not front.triggers.queue.empty():
-                front.triggers.execute(front.triggers.queue.get())
+            for queue in (front.triggers.purge_queue, front.triggers.preposition_queue):
+                while not queue.empty():
+                    front.triggers.execute(queue.get())
             for request in core.submitted:
                 request.pop("wait_us", None)
                 if "preposition" in case["name"]:
