Forward CDNI triggers on a thread for each downstream CDN, purges first

Callers would see copies from before a purge at a downstream CDN: it hears of the purge only once earlier triggers have ended there (up to 10 s each), or other downstream CDNs have answered (2 s each, and 10 s), or prepositions that came before have been sent.

Change: fronts/cdni/forwarding.py has one thread a downstream CDN. It sends commands as they come, purges first, and polls those that have not ended in between. A trigger ends with its last part, here or there. trigger_resource.py holds the resource. test_cdni_messages_match_recording steps the forwarders; the recording is unchanged.

--- a/lupintack/fronts/cdni/front.py
+++ b/lupintack/fronts/cdni/front.py
@@ -14,12 +14,7 @@
 from lupintack.fronts.cdni.conf import Cdni
 from lupintack.fronts.cdni.delivery import Delivery
 from lupintack.fronts.cdni.redirection import DEFAULT_MAX_HOPS, Redirection, RiError
-from lupintack.fronts.cdni.triggers import (
-    PREPOSITION_WORKER_COUNT,
-    PURGE_WORKER_COUNT,
-    STATUS_FILTERS,
-    Triggers,
-)
+from lupintack.fronts.cdni.triggers import STATUS_FILTERS, Triggers
 from lupintack.fronts.exchange import Exchange, HttpError
 
 
@@ -42,10 +37,8 @@
         self.delivery = Delivery(conf, core, self.store)
         self.triggers = Triggers(conf, member_table, self.delivery, self.store)
         self.redirection = Redirection(conf, self.delivery, ready, core.counters)
-        for _ in range(PREPOSITION_WORKER_COUNT):
-            spawn(self.triggers.run_prepositions, "prepositions")
-        for _ in range(PURGE_WORKER_COUNT):
-            spawn(self.triggers.run_purges, "purges")
+        for loop, name in self.triggers.loops():
+            spawn(loop, name)
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one request; called on the thread of its connection."""
--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -2,36 +2,36 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import threading
 import time
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from collections.abc import Callable
 from queue import SimpleQueue
 from typing import Any
 
 from lupintack.clock import now_us
 from lupintack.core.member_table import MemberTable
-from lupintack.fronts.cdni import client, messages, metadata
-from lupintack.fronts.cdni.conf import Cdni, Downstream
+from lupintack.fronts.cdni import messages, metadata
+from lupintack.fronts.cdni.conf import Cdni
 from lupintack.fronts.cdni.delivery import Delivery
-from lupintack.fronts.cdni.purges import AppliedPurge, Purges
+from lupintack.fronts.cdni.forwarding import Forwarder
+from lupintack.fronts.cdni.purges import Purges
+from lupintack.fronts.cdni.trigger_resource import (
+    FINAL_STATUSES,
+    PATTERN_SELECTORS,
+    SELECTORS,
+    TRIGGER_TYPES,
+    ErrorDescription,
+    Resource,
+)
 from lupintack.fronts.exchange import HttpError
 from lupintack.logs import fields
 
 LOG = logging.getLogger("triggers")
-SELECTORS = ("metadata.urls", "content.urls", "content.ccid", "metadata.patterns", "content.patterns")
 MAX_RESOURCES = 1000  # status resources kept
 STALE_RESOURCE_S = 3600  # a finished trigger is removed after this time
-DOWNSTREAM_CALL_TIMEOUT_US = 2_000_000  # one call to a downstream CDN
-DOWNSTREAM_END_TIMEOUT_S = 10.0  # for a downstream CDN to finish a trigger
-POLL_INTERVAL_S = 0.1
-PREPOSITION = "preposition"
-TRIGGER_TYPES = (PREPOSITION, "invalidate", "purge")
 PREPOSITION_WORKER_COUNT = 2
-PURGE_WORKER_COUNT = 2
-FINAL_STATUSES = ("complete", "processed", "failed", "cancelled")
 STATUS_FILTERS = {
     "pending": ("pending",),
     "active": ("active", "cancelling"),
@@ -40,28 +40,6 @@
 }
 
 
-@dataclass(slots=True, eq=False)
-class Resource:
-    """A Trigger Status Resource."""
-
-    number: int
-    spec: dict[str, Any]
-    cdn_path: list[str]
-    owner: str
-    created: int
-    taken_us: int
-    changed: int = 0
-    status: str = "pending"
-    errors: list[dict[str, Any]] = field(default_factory=list)
-    applied_purge: AppliedPurge | None = None  # of a purge or an invalidation
-    cancelled: threading.Event = field(default_factory=threading.Event)
-
-    def to_json(self) -> dict[str, Any]:
-        """Return the Trigger Status Resource object of RFC 8007."""
-        fields = {"trigger": self.spec, "ctime": self.created, "mtime": self.changed, "status": self.status}
-        return {**fields, "errors": self.errors} if self.errors else fields
-
-
 class Triggers:
     """The status resources, and the workers that execute triggers."""
 
@@ -78,6 +56,11 @@
         self.last_number = 0
         self.preposition_queue: SimpleQueue[Resource] = SimpleQueue()
         self.purge_queue: SimpleQueue[Resource] = SimpleQueue()
+        self.forwarders = [
+            Forwarder(conf.id, downstream, self)
+            for downstream in conf.downstreams.values()
+            if downstream.triggers
+        ]
 
     # Called by the front
 
@@ -117,11 +100,16 @@
             self.last_number += 1
             resource = Resource(self.last_number, spec, path, path[-1], now, now_us(), now)
             self.resources[resource.number] = resource
-        if spec["type"] == PREPOSITION:
+            # A trigger is not sent back to a CDN that it has passed through.
+            forwarders = [f for f in self.forwarders if f.downstream.id not in path]
+            resource.open_parts = 1 + len(forwarders)
+        if resource.is_preposition:
             self.preposition_queue.put(resource)
         else:
             resource.applied_purge = self.purges.apply(spec, resource.owner)
             self.purge_queue.put(resource)
+        for forwarder in forwarders:
+            forwarder.enqueue(resource)
         return resource
 
     def cancel(self, urls: list[str], owner: str) -> None:
@@ -171,42 +159,64 @@
 
     # Execution
 
+    def loops(self) -> list[tuple[Callable[[], None], str]]:
+        """Return the main loops of the threads that execute triggers, with their names."""
+        return [
+            *[(self.run_prepositions, "prepositions")] * PREPOSITION_WORKER_COUNT,
+            (self.run_purges, "purges"),
+            *[(forwarder.run, "trigger forwarder") for forwarder in self.forwarders],
+        ]
+
     def run_prepositions(self) -> None:
-        """Execute queued prepositions; the main loop of a worker thread."""
+        """Execute queued prepositions in this CDN; the main loop of a thread."""
         while True:
             self.execute(self.preposition_queue.get())
 
     def run_purges(self) -> None:
-        """Execute queued purges and invalidations to their end; the main loop of a worker thread."""
+        """Wait until queued purges and invalidations are in force; the main loop of a thread."""
         while True:
             self.execute(self.purge_queue.get())
 
     def execute(self, resource: Resource) -> None:
-        """Execute a trigger in this and the downstream CDNs, and record its final status."""
-        with self.lock:
-            if resource.status != "pending" or resource.cancelled.is_set():
-                return
-            resource.status, resource.changed = "active", int(time.time())
-        waited_ms = (now_us() - resource.taken_us) // 1000
-        details = {"number": resource.number, "type": resource.spec["type"], "waited_ms": waited_ms}
-        LOG.info("trigger started", extra=fields(**details))
-        errors: list[dict[str, Any]] = []
+        """Execute a trigger in this CDN."""
+        errors: list[ErrorDescription] = []
         try:
-            self.execute_locally(resource, errors)
-            for downstream in self.conf.downstreams.values():
-                if downstream.triggers and not resource.cancelled.is_set():
-                    self.forward(resource, downstream, errors)
+            if self.begin_part(resource):
+                self.execute_locally(resource, errors)
         except Exception as error:  # keeps the worker alive and reports the failure to the sender
             LOG.exception("trigger failed", extra=fields(number=resource.number))
             errors.append(messages.error_description("ecdn", str(error)))
+        self.end_part(resource, errors)
+
+    def begin_part(self, resource: Resource) -> bool:
+        """Begin the part of a trigger here or at a downstream CDN; return False if it has been cancelled."""
         with self.lock:
-            resource.errors = errors
+            if resource.cancelled.is_set():
+                return False
+            is_first = resource.status == "pending"
+            if is_first:
+                resource.status, resource.changed = "active", int(time.time())
+        if is_first:
+            waited_ms = (now_us() - resource.taken_us) // 1000
+            details = {"number": resource.number, "type": resource.spec["type"], "waited_ms": waited_ms}
+            LOG.info("trigger started", extra=fields(**details))
+        return True
+
+    def end_part(self, resource: Resource, errors: list[ErrorDescription]) -> None:
+        """Record the end of a part; the last one ends the trigger."""
+        with self.lock:
+            resource.part_errors += errors
+            resource.open_parts -= 1
+            if resource.open_parts or resource.status in FINAL_STATUSES:
+                return
+            resource.errors = resource.part_errors
             if resource.cancelled.is_set():
                 self._finish(resource, "cancelled")
             else:
-                self._finish(resource, "failed" if errors else "complete")
+                self._finish(resource, "failed" if resource.errors else "complete")
 
     def _finish(self, resource: Resource, status: str) -> None:
+        """Set a final status; called with the lock held."""
         resource.status, resource.changed = status, int(time.time())
         details = {"number": resource.number, "type": resource.spec["type"], "status": status}
         LOG.info("trigger ended", extra=fields(**details, age_ms=(now_us() - resource.taken_us) // 1000))
@@ -216,10 +226,10 @@
                 messages.error_description("ecancelled", "cancelled by the upstream CDN"),
             ]
 
-    def execute_locally(self, resource: Resource, errors: list[dict[str, Any]]) -> None:
+    def execute_locally(self, resource: Resource, errors: list[ErrorDescription]) -> None:
         """Execute a trigger in this CDN."""
         spec = resource.spec
-        for key in SELECTORS[3:]:
+        for key in PATTERN_SELECTORS:
             if spec.get(key):
                 errors.append(
                     messages.error_description("ereject", "patterns are not supported", key, spec[key])
@@ -230,7 +240,7 @@
             # A trigger is complete only when the purge applies to every later attempt.
             errors += resource.applied_purge.await_in_force()
 
-    def preposition(self, resource: Resource, errors: list[dict[str, Any]]) -> None:
+    def preposition(self, resource: Resource, errors: list[ErrorDescription]) -> None:
         """Fetch metadata, and fetch content into the caches."""
         for url in messages.read_texts(resource.spec, "metadata.urls"):
             try:
@@ -261,36 +271,6 @@
                     messages.error_description("econtent", "could not be fetched", "content.urls", [url])
                 )
 
-    def forward(self, resource: Resource, downstream: Downstream, errors: list[dict[str, Any]]) -> None:
-        """Send the command to a downstream CDN, and wait until it has ended there."""
-        if downstream.id in resource.cdn_path:
-            return  # the trigger has passed through that CDN
-        body = json.dumps({"trigger": resource.spec, "cdn-path": [*resource.cdn_path, self.conf.id]}).encode()
-        headers = {
-            "Content-Type": messages.media_type(messages.COMMAND),
-            "Accept": messages.media_type(messages.STATUS),
-        }
-        try:
-            reply = client.call("POST", downstream.triggers, DOWNSTREAM_CALL_TIMEOUT_US, body, headers)
-            if reply.status != 201 or not reply.headers.get("location"):
-                raise client.CallError(f"status {reply.status}")
-            url = reply.location(downstream.triggers)
-            state, deadline_us = (
-                messages.parse_object(reply.body),
-                now_us() + int(DOWNSTREAM_END_TIMEOUT_S * 1e6),
-            )
-            while state.get("status") not in FINAL_STATUSES:
-                if now_us() > deadline_us or resource.cancelled.wait(POLL_INTERVAL_S):
-                    raise client.CallError("no end in time")
-                reply = client.call(
-                    "GET", url, DOWNSTREAM_CALL_TIMEOUT_US, headers={"Accept": headers["Accept"]}
-                )
-                state = messages.parse_object(reply.body)
-            if state["status"] not in ("complete", "processed"):
-                raise client.CallError(f"ended as {state['status']}")
-        except (client.CallError, HttpError) as error:
-            errors.append({**messages.error_description("ecdn", str(error)), "cdn": downstream.id})
-
 
 def check_spec(spec: Any) -> None:
     """Raise HttpError if a trigger specification is not valid under RFC 8007."""
@@ -302,6 +282,6 @@
         raise HttpError(400, f"one of {', '.join(SELECTORS)} is wanted")
     for key in SELECTORS[:3]:
         messages.read_texts(spec, key)
-    for key in SELECTORS[3:]:
+    for key in PATTERN_SELECTORS:
         if not isinstance(spec.get(key, []), list) or len(spec.get(key, [])) > messages.MAX_LIST_ITEMS:
             raise HttpError(400, f"{key}: a list of {messages.MAX_LIST_ITEMS} patterns at most is wanted")
--- a/tests/test_cdni_triggers.py
+++ b/tests/test_cdni_triggers.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
+import http.server
+import json
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+
 from tests.scenario import Scenario
+from tests.site import eventually
 from tests.test_cdni import CI_TYPE, CONFIG, DOWNSTREAM, DOWNSTREAM_WITHOUT_URLS, command
 
 GROUP = 17
@@ -49,3 +58,113 @@
         cache send w ok - fresh
         client a expect 200 body=fresh
     """)
+
+
+class DownstreamCdn:
+    """A downstream CDN that takes triggers, and reports them as active until the test has ended them."""
+
+    def __init__(self) -> None:
+        """Listen on a loopback address."""
+        self.taken: list[str] = []  # the first value of each trigger, in the order in which they came
+        self.ended: set[str] = set()
+        self.is_silent = threading.Event()
+        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), self._handler())
+        self.url = f"http://127.0.0.1:{self.server.server_port}/triggers"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def _handler(self) -> type[http.server.BaseHTTPRequestHandler]:
+        cdn = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            def do_POST(self) -> None:
+                spec = json.loads(self.rfile.read(int(self.headers["Content-Length"])))["trigger"]
+                value = (spec.get("content.ccid") or spec["content.urls"])[0]
+                cdn.taken.append(value)
+                self.answer(201, value)
+
+            def do_GET(self) -> None:
+                self.answer(200, self.path.rsplit("/", 1)[-1])
+
+            def answer(self, status: int, value: str) -> None:
+                while cdn.is_silent.is_set():
+                    time.sleep(0.01)
+                body = json.dumps({"status": "complete" if value in cdn.ended else "active"}).encode()
+                self.send_response(status)
+                self.send_header("Location", f"{cdn.url}/{value}")
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, format: str, *args: object) -> None:
+                pass
+
+        return Handler
+
+    def close(self) -> None:
+        """End the server."""
+        self.is_silent.clear()
+        self.server.shutdown()
+        self.server.server_close()
+
+
+@pytest.fixture
+def downstreams() -> Iterator[list[DownstreamCdn]]:
+    cdns = [DownstreamCdn(), DownstreamCdn()]
+    yield cdns
+    for cdn in cdns:
+        cdn.close()
+
+
+def config_with(downstreams: list[DownstreamCdn]) -> str:
+    """Return the configuration of a CDN that delegates to these."""
+    tables = [
+        f"[[downstream]]\nid = 'AS{64499 + n}:0'\ntriggers = '{cdn.url}'\n"
+        for n, cdn in enumerate(downstreams)
+    ]
+    return CONFIG + "\n".join(tables)
+
+
+def test_purge_is_forwarded_while_earlier_triggers_have_not_ended_there(
+    downstreams: list[DownstreamCdn],
+) -> None:
+    """Guards against a downstream CDN that hears of a purge only when it has ended what came before."""
+    scenario = Scenario(config_with(downstreams[:1]))
+    numbers = [str(n) for n in range(6)]
+    scenario.run("".join(send_trigger(f"p{n}", content_ccid=[n]) for n in numbers), close=False)
+    eventually(lambda: sorted(downstreams[0].taken) == numbers)
+    downstreams[0].ended.add("4")
+    scenario.run("""
+        client u wait {p4} body='*"status": "complete"*'
+        client u send GET {p3}
+        client u expect 200 body='*"status": "active"*'
+    """)
+
+
+def test_silent_downstream_cdn_holds_up_no_other(downstreams: list[DownstreamCdn]) -> None:
+    """Guards against a downstream CDN that hears of a purge late, as another one does not answer."""
+    silent, sound = downstreams
+    silent.is_silent.set()
+    scenario = Scenario(config_with(downstreams))
+    numbers = [str(n) for n in range(6)]
+    scenario.run("".join(send_trigger(f"p{n}", content_ccid=[n]) for n in numbers), close=False)
+    eventually(lambda: sorted(sound.taken) == numbers)
+    sound.ended.add("0")
+    scenario.run("""
+        client u wait {p0} body='*"status": "failed"*"error": "ecdn"*AS64499:0*'
+    """)
+
+
+def test_purge_is_forwarded_before_prepositions_that_wait(downstreams: list[DownstreamCdn]) -> None:
+    """Guards against a downstream CDN that hears of a purge behind prepositions that came before."""
+    cdn = downstreams[0]
+    cdn.is_silent.set()
+    scenario = Scenario(config_with([cdn]))
+    urls = [f"http://maps.up/maps/{n}" for n in range(4)]
+    lines = [send_trigger(f"w{n}", "preposition", content_urls=[url]) for n, url in enumerate(urls)]
+    scenario.run(lines[0], close=False)
+    eventually(lambda: cdn.taken == urls[:1])
+    scenario.run("".join(lines[1:]) + send_trigger("purge", content_ccid=["5"]), close=False)
+    cdn.is_silent.clear()
+    eventually(lambda: len(cdn.taken) == 5)
+    assert cdn.taken == [urls[0], "5", *urls[1:]]
+    scenario.node.stop()
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -440,6 +440,9 @@
             for queue in (front.triggers.purge_queue, front.triggers.preposition_queue):
                 while not queue.empty():
                     front.triggers.execute(queue.get())
+            for forwarder in front.triggers.forwarders:
+                while not forwarder.is_idle():
+                    forwarder.step()
             for request in core.submitted:
                 request.pop("wait_us", None)
                 if "preposition" in case["name"]:
