Count deleted CDNI triggers until they have left their queues

Memory of the process grows without a bound: DELETE takes a trigger out of the 1,000 that are kept, and it stays in the queues of the workers and forwarders.

Cause: the bound counted status resources, not what is queued.

Change: a trigger counts until its last part has ended; refusals are counted in cdni.triggers_refused.

--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -20,6 +20,7 @@
 from lupintack.fronts.cdni.trigger_resource import (
     FINAL_STATUSES,
     PATTERN_SELECTORS,
+    PREPOSITION,
     SELECTORS,
     TRIGGER_TYPES,
     ErrorDescription,
@@ -54,6 +55,7 @@
         self.lock = threading.Lock()
         self.resources: OrderedDict[int, Resource] = OrderedDict()
         self.last_number = 0
+        self.open_count = 0  # triggers with parts that have not ended
         self.preposition_queue: SimpleQueue[Resource] = SimpleQueue()
         self.purge_queue: SimpleQueue[Resource] = SimpleQueue()
         self.forwarders = [
@@ -89,13 +91,11 @@
         A purge is applied here, before its sender has an answer: no other trigger may hold it up.
         """
         now = int(time.time())
+        is_preposition = spec["type"] == PREPOSITION
         with self.lock:
-            for number, existing in list(self.resources.items()):
-                if existing.status in FINAL_STATUSES and (
-                    existing.changed < now - STALE_RESOURCE_S or len(self.resources) >= MAX_RESOURCES
-                ):
-                    del self.resources[number]
-            if len(self.resources) >= MAX_RESOURCES:
+            self._remove_finished(now)
+            if not self._has_room():
+                self.delivery.core.counters.increment("cdni.triggers_refused")
                 raise HttpError(503, "too many triggers are under way")
             self.last_number += 1
             resource = Resource(self.last_number, spec, path, path[-1], now, now_us(), now)
@@ -103,7 +103,8 @@
             # A trigger is not sent back to a CDN that it has passed through.
             forwarders = [f for f in self.forwarders if f.downstream.id not in path]
             resource.open_parts = 1 + len(forwarders)
-        if resource.is_preposition:
+            self.open_count += 1
+        if is_preposition:
             self.preposition_queue.put(resource)
         else:
             resource.applied_purge = self.purges.apply(spec, resource.owner)
@@ -112,6 +113,21 @@
             forwarder.enqueue(resource)
         return resource
 
+    def _remove_finished(self, now: int) -> None:
+        """Remove finished resources that are stale, or whose room is needed; called with the lock held."""
+        for number, resource in list(self.resources.items()):
+            if resource.status in FINAL_STATUSES and (
+                resource.changed < now - STALE_RESOURCE_S or len(self.resources) >= MAX_RESOURCES
+            ):
+                del self.resources[number]
+
+    def _has_room(self) -> bool:
+        """Return whether another trigger may be accepted; called with the lock held.
+
+        A trigger that was deleted counts until all its parts have left their queues.
+        """
+        return max(len(self.resources), self.open_count) < MAX_RESOURCES
+
     def cancel(self, urls: list[str], owner: str) -> None:
         """Cancel triggers that have not ended; raise HttpError, and cancel none, if one cannot be."""
         resources = [self.find_by_url(url) for url in urls]
@@ -207,7 +223,10 @@
         with self.lock:
             resource.part_errors += errors
             resource.open_parts -= 1
-            if resource.open_parts or resource.status in FINAL_STATUSES:
+            if resource.open_parts:
+                return
+            self.open_count -= 1
+            if resource.status in FINAL_STATUSES:
                 return
             resource.errors = resource.part_errors
             if resource.cancelled.is_set():
--- a/tests/test_cdni_triggers.py
+++ b/tests/test_cdni_triggers.py
@@ -6,10 +6,17 @@
 import json
 import threading
 import time
+import unittest.mock
 from collections.abc import Iterator
 
 import pytest
 
+from lupintack.core.counters import Counters
+from lupintack.core.member_table import MemberTable
+from lupintack.fronts.cdni import triggers
+from lupintack.fronts.cdni.conf import Cdni, Upstream
+from lupintack.fronts.cdni.metadata import MetadataStore
+from lupintack.fronts.exchange import HttpError
 from tests.scenario import Scenario
 from tests.site import eventually
 from tests.test_cdni import CI_TYPE, CONFIG, DOWNSTREAM, DOWNSTREAM_WITHOUT_URLS, command
@@ -168,3 +175,22 @@
     eventually(lambda: len(cdn.taken) == 5)
     assert cdn.taken == [urls[0], "5", *urls[1:]]
     scenario.node.stop()
+
+
+def test_triggers_that_are_deleted_count_until_they_have_left_their_queue() -> None:
+    """Guards against memory that grows without a bound: a client may create and delete triggers."""
+    upstream = Upstream("AS64496:0")
+    conf = Cdni(("127.0.0.1", 0), "AS64500:0", "http://cdni", upstreams={upstream.id: upstream})
+    core = unittest.mock.Mock(counters=Counters())
+    table, store = MemberTable(6000.0), MetadataStore()
+    workers = triggers.Triggers(conf, table, unittest.mock.Mock(core=core), store)
+    spec = {"type": "preposition", "content.urls": CONTENT}
+    with unittest.mock.patch.object(triggers, "MAX_RESOURCES", 3):
+        for _ in range(3):
+            workers.delete(workers.create(spec, [upstream.id]))
+        with pytest.raises(HttpError) as refused:
+            workers.create(spec, [upstream.id])
+        assert refused.value.status == 503 and core.counters["cdni.triggers_refused"] == 1
+        workers.execute(workers.preposition_queue.get())
+        workers.create(spec, [upstream.id])
+    assert (workers.open_count, workers.preposition_queue.qsize()) == (3, 3)
