Leave room for purges beside CDNI prepositions that wait

Callers would see copies from before a purge: with 1,000 prepositions waiting for a slow central store, the upstream CDN's purge is refused with 503.

Change: at most 500 prepositions are open; over that a preposition is refused and counted, and purges have the rest.

--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -31,6 +31,7 @@
 
 LOG = logging.getLogger("triggers")
 MAX_RESOURCES = 1000  # status resources kept
+MAX_OPEN_PREPOSITIONS = 500  # the others are room for purges
 STALE_RESOURCE_S = 3600  # a finished trigger is removed after this time
 PREPOSITION_WORKER_COUNT = 2
 STATUS_FILTERS = {
@@ -56,6 +57,7 @@
         self.resources: OrderedDict[int, Resource] = OrderedDict()
         self.last_number = 0
         self.open_count = 0  # triggers with parts that have not ended
+        self.open_preposition_count = 0  # of these, the prepositions
         self.preposition_queue: SimpleQueue[Resource] = SimpleQueue()
         self.purge_queue: SimpleQueue[Resource] = SimpleQueue()
         self.forwarders = [
@@ -94,7 +96,7 @@
         is_preposition = spec["type"] == PREPOSITION
         with self.lock:
             self._remove_finished(now)
-            if not self._has_room():
+            if not self._has_room(is_preposition):
                 self.delivery.core.counters.increment("cdni.triggers_refused")
                 raise HttpError(503, "too many triggers are under way")
             self.last_number += 1
@@ -104,6 +106,7 @@
             forwarders = [f for f in self.forwarders if f.downstream.id not in path]
             resource.open_parts = 1 + len(forwarders)
             self.open_count += 1
+            self.open_preposition_count += is_preposition
         if is_preposition:
             self.preposition_queue.put(resource)
         else:
@@ -121,11 +124,13 @@
             ):
                 del self.resources[number]
 
-    def _has_room(self) -> bool:
+    def _has_room(self, is_preposition: bool) -> bool:
         """Return whether another trigger may be accepted; called with the lock held.
 
         A trigger that was deleted counts until all its parts have left their queues.
         """
+        if is_preposition and self.open_preposition_count >= MAX_OPEN_PREPOSITIONS:
+            return False
         return max(len(self.resources), self.open_count) < MAX_RESOURCES
 
     def cancel(self, urls: list[str], owner: str) -> None:
@@ -226,6 +231,7 @@
             if resource.open_parts:
                 return
             self.open_count -= 1
+            self.open_preposition_count -= resource.is_preposition
             if resource.status in FINAL_STATUSES:
                 return
             resource.errors = resource.part_errors
--- a/tests/test_cdni_triggers.py
+++ b/tests/test_cdni_triggers.py
@@ -177,6 +177,31 @@
     scenario.node.stop()
 
 
+def test_prepositions_that_wait_leave_room_for_purges() -> None:
+    """Guards against a purge that is refused behind prepositions, while the origin is slow."""
+    body = command("preposition", content_urls=CONTENT)
+    with (
+        unittest.mock.patch.object(triggers, "MAX_OPEN_PREPOSITIONS", 3),
+        unittest.mock.patch.object(triggers, "MAX_RESOURCES", 5),
+    ):
+        scenario = Scenario(CONFIG + DOWNSTREAM_WITHOUT_URLS)
+        for n in range(7):
+            scenario.run(
+                f"""
+                client c{n} send POST {{cdni}}/triggers {CI_TYPE} body='{body}'
+                client c{n} expect {201 if n < 3 else "???"}
+                """,
+                close=False,
+            )
+        scenario.run(
+            f"""
+            {send_trigger("purge", content_ccid=[str(GROUP)])}
+            client u wait {{purge}} body='*"status": "complete"*'
+            """
+        )
+    assert scenario.node.core.counters["cdni.triggers_refused"] == 4
+
+
 def test_triggers_that_are_deleted_count_until_they_have_left_their_queue() -> None:
     """Guards against memory that grows without a bound: a client may create and delete triggers."""
     upstream = Upstream("AS64496:0")
