--- a/lupintack/core/deduplication.py
+++ b/lupintack/core/deduplication.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from lupintack.core.core_state import CoreState
 from lupintack.core.messages import Attempt, ClientRequest
 from lupintack.interface import Idempotency, ServiceClass
 from lupintack.limits.idempotency_cache import IdempotencyCache, IdempotencyKey, PossibleRun
 
 
+class FirstRun(NamedTuple):
+    """The first attempt that may have run, as the router is told of it."""
+
+    member: int
+    sent_us: int  # or earlier: so that a window of the present length ends when the earliest one does
+
+
 class Deduplication:
     """Applies the idempotency keys of clients. Used by the core's turn alone."""
 
@@ -30,17 +39,17 @@
             self._state.counters["idempotency_keys.refused"] += 1
         return is_reserved
 
-    def first_run(self, request: ClientRequest) -> PossibleRun | None:
+    def first_run(self, request: ClientRequest) -> FirstRun | None:
         """Return the first attempt that may have run under a request's key, or None."""
         service_class = self._class_of(request)
         if not request.idempotency_key or service_class.idempotency is Idempotency.IDEMPOTENT:
             return None
-        return self._cache.first_run(IdempotencyKey(service_class.name, request.idempotency_key))
-
-    def window_start_us(self, request: ClientRequest, first_run: PossibleRun) -> int:
-        """Return when a window of the class's present length would have begun to end when the run's does."""
-        window_us = _window_us(self._class_of(request))
-        return first_run.window_end_us(window_us) - window_us
+        key = IdempotencyKey(service_class.name, request.idempotency_key)
+        run, window_us = self._cache.first_run(key), _window_us(service_class)
+        window_end_us = self._cache.window_end_us(key, window_us)
+        if run is None or window_end_us is None:
+            return None
+        return FirstRun(run.member, window_end_us - window_us)
 
     def record(self, attempt: Attempt) -> bool:
         """Limit a keyed attempt to the window of its key's first attempt, and record it.
@@ -53,9 +62,7 @@
             return True
         key = IdempotencyKey(service_class.name, request.idempotency_key)
         window_us = _window_us(service_class)
-        first_run = self._cache.first_run(key)
-        if first_run is not None:
-            attempt.not_after_us = first_run.window_end_us(window_us)
+        attempt.not_after_us = self._cache.window_end_us(key, window_us) or 0
         run = PossibleRun(self._state.now_us, attempt.member, request.number, attempt.number, window_us)
         # The class may have been keyed only after the request was read: then no room was kept.
         is_recorded = self._reserve(request, service_class) and self._cache.add_run(key, run)
--- a/lupintack/core/request_intake.py
+++ b/lupintack/core/request_intake.py
@@ -88,7 +88,6 @@
         request = entry.request
         age_ms, wait_ms = self._local_copy(request)
         first_run = self._deduplication.first_run(request)
-        window_start_us = self._deduplication.window_start_us(request, first_run) if first_run else 0
         return Request(
             request.number,
             request.class_index,
@@ -102,7 +101,7 @@
             request.is_write,
             age_ms,
             wait_ms,
-            module_ms(window_start_us) if first_run else 0.0,
+            module_ms(first_run.sent_us) if first_run else 0.0,
             first_run.member if first_run else 0,
         )
 
--- a/lupintack/limits/idempotency_cache.py
+++ b/lupintack/limits/idempotency_cache.py
@@ -90,6 +90,17 @@
         record = self.records.get(key)
         return record.runs[0] if record is not None and record.runs else None
 
+    def window_end_us(self, key: IdempotencyKey, window_us: int) -> int | None:
+        """Return until when duplicates of all possible runs are dropped, or None where none is recorded.
+
+        `window_us`: of the class by the present settings. Windows that settings have changed may end in
+        another order than that of the attempts.
+        """
+        record = self.records.get(key)
+        if record is None or not record.runs:
+            return None
+        return min(run.window_end_us(window_us) for run in record.runs)
+
     def add_run(self, key: IdempotencyKey, run: PossibleRun) -> bool:
         """Record an attempt under a reserved key; return False if the key is full: it must not be sent."""
         runs = self.records[key].runs
--- a/tests/test_idempotency_cache.py
+++ b/tests/test_idempotency_cache.py
@@ -105,3 +105,15 @@
     assert run.window_end_us(100) == 1100
     assert run.window_end_us(2000) == 1100
     assert run.window_end_us(50) == 1050
+
+
+def test_earliest_end_of_the_windows_counts_whatever_the_order_of_attempts() -> None:
+    cache = IdempotencyCache(Counter())
+    assert cache.window_end_us(A, 9000) is None
+    for n, window_us in enumerate((5000, 50, 3000)):
+        assert cache.reserve(A, n, 10_000)
+        assert cache.window_end_us(A, 9000) == (None, 5000, 51)[n]
+        assert cache.add_run(A, PossibleRun(n, 11, n, 0, window_us))
+    assert cache.window_end_us(A, 9000) == 51 and cache.window_end_us(A, 20) == 20
+    cache.remove_run(A, 1, 0)
+    assert cache.window_end_us(A, 9000) == 3002
--- a/tests/test_idempotency_retention.py
+++ b/tests/test_idempotency_retention.py
@@ -4,13 +4,17 @@
 
 import dataclasses
 import itertools
+import random
 import unittest.mock
 
+import pytest
+
 from lupintack import interface as i
 from lupintack.clock import module_ms
 from lupintack.core.actor import Core
+from lupintack.core.attempt_status import AttemptStatus
 from lupintack.core.member_table import MemberTable
-from lupintack.core.messages import Attempt, ClientRequest
+from lupintack.core.messages import Attempt, AttemptResult, ClientRequest
 from lupintack.core.settings_update import SettingsUpdate, apply
 from lupintack.core.table_updates import Endpoint
 from tests import helpers as h
@@ -188,3 +192,54 @@
     ended = core.core.mailbox.deferred_events
     assert [event.outcome for event in ended if isinstance(event, i.AttemptEnded)] == [i.Outcome.DISCARDED]
     assert core.core.counters["idempotency_keys.held_back"] == 1
+
+
+def random_class(rng: random.Random, name: str) -> i.ServiceClass:
+    """Return a keyed class with random times."""
+    return dataclasses.replace(
+        POST,
+        name=name,
+        deadline_ms=float(rng.choice([100, 700, 3000, 5000])),
+        deduplication_window_ms=float(rng.choice([50, 300, 2000, 8000])),
+    )
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_attempt_is_sendable_past_the_window_of_an_earlier_one_in_any_order(seed: int) -> None:
+    """Guards against a write that runs twice, for random classes, reloads, keys, outcomes and times."""
+    rng = random.Random(seed)
+    names = ["post", "vote", "note"]
+    core = ManualCore(*(random_class(rng, name) for name in names))
+    core.core.idempotency_cache.max_keys = rng.choice([4, 8, 1000])
+    runs: dict[tuple[str, str], list[tuple[Attempt, int]]] = {}  # attempts that may have run, window ends
+    kept_until_us: dict[tuple[str, str], int] = {}
+    at_ms, bounded = 0.0, 0
+    for _ in range(400):
+        at_ms += rng.choice([0, 1, 40, 400, 2500])
+        if rng.random() < 0.05:
+            served = rng.sample(names, rng.randint(1, 3))
+            core.reload(*(random_class(rng, name) for name in served))
+        state = core.core.state
+        name, key = rng.choice(list(state.class_indexes)), str(rng.randrange(6))
+        service_class = state.settings.classes[state.class_indexes[name]]
+        window_us = int(service_class.deduplication_window_ms * MS)
+        request = core.receive(name, key, at_ms, wait_ms=rng.choice([0.0, 200.0, 20_000.0]))
+        if request is None:
+            assert core.core.counters["idempotency_keys.refused"]
+            continue
+        earlier = runs.setdefault((name, key), [])
+        if state.now_us > kept_until_us.get((name, key), 0):
+            earlier.clear()  # no client comes back so late
+        expires_us = request.deadline_us + int(service_class.deadline_ms * MS) + window_us
+        kept_until_us[name, key] = max(kept_until_us.get((name, key), 0), expires_us)
+        attempt = core.attempt(request)
+        for run, window_end_us in earlier:
+            bounded += 1
+            limit_us = min(window_end_us, run.decided_us + window_us)
+            assert 0 < attempt.not_after_us <= limit_us, (seed, at_ms, name, key)
+        if rng.random() < 0.3:
+            status = rng.choice([AttemptStatus.REJECTED, AttemptStatus.CONNECT_REFUSED])
+            core.core.results.on_result(AttemptResult(attempt, status), [])
+        else:
+            earlier.append((attempt, state.now_us + window_us))
+    assert bounded > 20
