Let only the first attempt's own outcome clear it, not a retry of the same millisecond

Change: RequestState holds the first attempt itself, and forget_attempt_without_effect compares that.

--- a/lupintack/decisions/request_state.py
+++ b/lupintack/decisions/request_state.py
@@ -50,6 +50,9 @@
     """Send time of the first attempt that may have had an effect."""
 
     first_attempt_endpoint: EndpointState | None = None
+    first_attempt: AttemptState | None = None
+    """That attempt, where it is one of this request's own."""
+
     errored_attempts: list[AttemptState] = field(default_factory=list)
     reason: str = ""
     """Why it was rejected, or how its last attempt failed; for the log."""
@@ -59,6 +62,7 @@
         if self.first_attempt_endpoint is None:
             self.first_attempt_ms = attempt.sent_ms
             self.first_attempt_endpoint = attempt.endpoint
+            self.first_attempt = attempt
         self.open_attempts[self.attempt_count] = attempt
         self.attempt_count += 1
         self.tried_members.append(attempt.endpoint.id)
--- a/lupintack/decisions/retries.py
+++ b/lupintack/decisions/retries.py
@@ -54,12 +54,8 @@
 
 def forget_attempt_without_effect(state: RequestState, attempt: AttemptState, outcome: Outcome) -> None:
     """Clear the record of the first attempt if its outcome proves that it had no effect."""
-    if (
-        outcome in OUTCOMES_WITHOUT_EFFECT
-        and attempt.sent_ms == state.first_attempt_ms
-        and not state.open_attempts
-    ):
-        state.first_attempt_endpoint = None
+    if outcome in OUTCOMES_WITHOUT_EFFECT and attempt is state.first_attempt and not state.open_attempts:
+        state.first_attempt = state.first_attempt_endpoint = None
 
 
 class RetryBudget:
--- a/tests/test_decision_retries.py
+++ b/tests/test_decision_retries.py
@@ -76,6 +76,29 @@
     assert (state.first_attempt_endpoint is None) == cleared
 
 
+def test_retry_of_the_same_millisecond_without_effect_clears_only_itself() -> None:
+    """Guards against a write that runs twice: a refused retry was taken for the first attempt by its time."""
+    state, endpoints = parts.request_state(h.KEYED), parts.endpoint_table().by_id
+    first, retry = parts.attempt_state(endpoints[11]), parts.attempt_state(endpoints[13])
+    for attempt, outcome in ((first, Outcome.RESET), (retry, Outcome.REJECTED)):
+        state.add_attempt(attempt)
+        state.open_attempts.clear()
+        retries.forget_attempt_without_effect(state, attempt, outcome)
+    assert state.first_attempt_endpoint is endpoints[11]
+    assert not retries.may_repeat(state, endpoints[12], 0.0), "another cell"
+
+
+def test_attempt_of_an_earlier_request_is_not_cleared_by_one_of_the_same_millisecond() -> None:
+    """Guards against a write that runs twice: the attempt of a client's earlier try was forgotten."""
+    state, endpoints = parts.request_state(h.KEYED), parts.endpoint_table().by_id
+    state.first_attempt_ms, state.first_attempt_endpoint = 0.0, endpoints[11]
+    retry = parts.attempt_state(endpoints[13])
+    state.add_attempt(retry)
+    state.open_attempts.clear()
+    retries.forget_attempt_without_effect(state, retry, Outcome.REJECTED)
+    assert state.first_attempt_endpoint is endpoints[11]
+
+
 @pytest.mark.parametrize(
     ("objective_ms", "transfer_ms", "expected"),
     [(1000.0, 200.0, 720.0), (500.0, 300.0, 250.0), (100.0, 0.0, 250.0), (900.0, 0.0, 780.0)],
