--- a/lupintack/limits/idempotency_cache.py
+++ b/lupintack/limits/idempotency_cache.py
@@ -15,7 +15,7 @@
 
 MAX_KEYS = 8192
 MAX_RUNS_PER_KEY = 64  # attempts of all requests with one key
-MAX_EXPIRIES_PER_CALL = 64  # keys looked at in one call: bounds what one attempt pays for others
+MAX_EXPIRIES_PER_CALL = 16  # keys looked at in one call: bounds what one attempt pays for others
 
 
 class IdempotencyKey(NamedTuple):
