Write the log lines of CDNI triggers without the lock that a new purge needs

Cause: 'trigger ended' was written with the triggers' lock held; while standard error takes no bytes, a purge would wait for that lock. Found by reading, not shown.

Change: the final status is set under the lock, the line is written after it.

Measured: test_cdni_triggers, test_cdni, test_wire_recordings, test_shape: 240 passed.

--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -142,10 +142,13 @@
         for resource in resources:
             with self.lock:
                 resource.cancelled.set()
-                if resource.status == "active":
+                is_pending = resource.status == "pending"
+                if is_pending:
+                    _set_final_status(resource, "cancelled")
+                elif resource.status == "active":
                     resource.status, resource.changed = "cancelling", int(time.time())
-                elif resource.status == "pending":
-                    self._finish(resource, "cancelled")
+            if is_pending:
+                _log_end(resource)
 
     def find_by_url(self, url: str) -> Resource:
         """Return the resource at a URL; raise HttpError if it does not exist."""
@@ -235,21 +238,10 @@
             if resource.status in FINAL_STATUSES:
                 return
             resource.errors = resource.part_errors
-            if resource.cancelled.is_set():
-                self._finish(resource, "cancelled")
-            else:
-                self._finish(resource, "failed" if resource.errors else "complete")
-
-    def _finish(self, resource: Resource, status: str) -> None:
-        """Set a final status; called with the lock held."""
-        resource.status, resource.changed = status, int(time.time())
-        details = {"number": resource.number, "type": resource.spec["type"], "status": status}
-        LOG.info("trigger ended", extra=fields(**details, age_ms=(now_us() - resource.taken_us) // 1000))
-        if status == "cancelled":
-            resource.errors = [
-                *resource.errors,
-                messages.error_description("ecancelled", "cancelled by the upstream CDN"),
-            ]
+            is_cancelled = resource.cancelled.is_set()
+            status = "cancelled" if is_cancelled else "failed" if resource.errors else "complete"
+            _set_final_status(resource, status)
+        _log_end(resource)
 
     def execute_locally(self, resource: Resource, errors: list[ErrorDescription]) -> None:
         """Execute a trigger in this CDN."""
@@ -297,6 +289,20 @@
                 )
 
 
+def _set_final_status(resource: Resource, status: str) -> None:
+    """End a trigger; called with the lock held."""
+    resource.status, resource.changed = status, int(time.time())
+    if status == "cancelled":
+        description = messages.error_description("ecancelled", "cancelled by the upstream CDN")
+        resource.errors = [*resource.errors, description]
+
+
+def _log_end(resource: Resource) -> None:
+    """Log the end of a trigger; called without the lock, which a new purge needs."""
+    details = {"number": resource.number, "type": resource.spec["type"], "status": resource.status}
+    LOG.info("trigger ended", extra=fields(**details, age_ms=(now_us() - resource.taken_us) // 1000))
+
+
 def check_spec(spec: Any) -> None:
     """Raise HttpError if a trigger specification is not valid under RFC 8007."""
     if not isinstance(spec, dict):
