Split the coordinator of scale runs: its processes and the kernel's figures on their own

Change: scale/run_process.py has Child and RunError, scale/process_stats.py the kernel's figures, which request_path.py uses too; run_command hands the run to a function.

--- a/lupintack/cli/scale_run.py
+++ b/lupintack/cli/scale_run.py
@@ -7,10 +7,13 @@
 import sys
 from pathlib import Path
 from types import FrameType
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 
+if TYPE_CHECKING:
+    from lupintack.scale.coordinator import Options
+
 
 class UnusableRunError(click.ClickException):
     """The options, the script or the machine can't be used for the run."""
@@ -73,7 +76,7 @@
     budget in sum, 2: it can't be started.
     """
     from lupintack.scale import resources
-    from lupintack.scale.coordinator import Coordinator, Options, RunError
+    from lupintack.scale.coordinator import Options
     from lupintack.scale.hollow_plan import FleetSize, ScaleError, plan_routers
     from lupintack.scale.script import Script, read_script
 
@@ -103,16 +106,24 @@
         changes_per_day,
         starts_per_s,
     )
+    result = run(options)
+    click.echo(json.dumps(result) if as_json else text_line(result))
+    sys.exit(1 if result["oversum"] > 0 else 0)
+
+
+def run(options: Options) -> dict[str, Any]:
+    """Run to the end and return the result; raise ClickException if the run is broken off."""
+    from lupintack.scale.coordinator import Coordinator
+    from lupintack.scale.run_process import RunError
+
     signal.signal(signal.SIGTERM, raise_keyboard_interrupt)
     coordinator = Coordinator(options)
     try:
-        result = coordinator.run()
+        return coordinator.run()
     except (RunError, TimeoutError) as error:
         raise click.ClickException(str(error)) from None
     finally:
         coordinator.close()
-    click.echo(json.dumps(result) if as_json else text_line(result))
-    sys.exit(1 if result["oversum"] > 0 else 0)
 
 
 def check_numbers(
--- a/lupintack/scale/coordinator.py
+++ b/lupintack/scale/coordinator.py
@@ -8,10 +8,7 @@
 import queue
 import secrets
 import shutil
-import subprocess
-import sys
 import tempfile
-import threading
 import time
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
@@ -22,13 +19,14 @@
 from lupintack.clock import now_us
 from lupintack.scale import hollow_messages as messages
 from lupintack.scale.hollow_plan import FleetSize, plan_budgets, plan_regions, plan_routers, plan_voters
+from lupintack.scale.process_stats import children_of, cpu_s, rss_bytes
 from lupintack.scale.report import CutTime, Downtime, DowntimeKind, History, result_line
 from lupintack.scale.resources import Processes
+from lupintack.scale.run_process import Child, RunError
 from lupintack.scale.script import Fault, FaultKind, Script, select
 from lupintack.standins import deployment
 from lupintack.standins.net import free_ports
 
-PACKAGE = "lupintack.scale"
 SECOND_US = 1_000_000
 DAY_S = 86_400
 SAMPLE_INTERVAL_US = 1_000_000  # between two samples of the memory of all processes
@@ -37,12 +35,6 @@
 FINISH_TIMEOUT_S = 120.0  # for all processes to send their results
 STOP_TIMEOUT_S = 5.0  # for a process to exit before it is killed
 CACHES = 630
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-
-
-class RunError(RuntimeError):
-    """A run was aborted; the text gives the reason in one line."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,61 +53,6 @@
     starts_per_s: float = 20.0
 
 
-class Child:
-    """One process of the run: sends it frames on standard input and reads its replies in a thread."""
-
-    def __init__(
-        self, module: str, log: Path, replies: queue.Queue[tuple[Child, messages.Reply | None]]
-    ) -> None:
-        """Start the module; its replies are put into `replies`, followed by None when its output ends."""
-        self.log = log
-        self.status: messages.Status | None = None
-        self.finished = False  # its results have been received
-        with log.open("wb") as errors:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", f"{PACKAGE}.{module}"],
-                stdin=subprocess.PIPE,
-                stdout=subprocess.PIPE,
-                stderr=errors,
-            )
-        self.replies = replies
-        threading.Thread(target=self._read, name=module, daemon=True).start()
-
-    def send(self, message: messages.Command | messages.Publish) -> None:
-        """Send a frame; raise RunError if the process has ended."""
-        assert self.process.stdin is not None
-        try:
-            self.process.stdin.write(messages.encode_frame(message))
-            self.process.stdin.flush()
-        except (OSError, ValueError):
-            raise RunError(f"a process has ended: {self.last_error_line()}") from None
-
-    def last_error_line(self) -> str:
-        """Return the last line of its standard error."""
-        lines = self.log.read_text(errors="replace").strip().splitlines()
-        return lines[-1] if lines else "no error output"
-
-    def stop(self, until: float) -> None:
-        """Close its standard input, and kill it unless it exits by `until` (time.monotonic)."""
-        assert self.process.stdin is not None
-        try:
-            self.process.stdin.close()
-        except OSError:
-            pass
-        try:
-            self.process.wait(max(0.0, until - time.monotonic()))
-        except subprocess.TimeoutExpired:
-            self.process.kill()
-            self.process.wait()
-
-    def _read(self) -> None:
-        assert self.process.stdout is not None
-        pipe: Any = self.process.stdout
-        while (raw := messages.read_frame(pipe)) is not None:
-            self.replies.put((self, messages.reply_decoder.decode(raw)))
-        self.replies.put((self, None))
-
-
 class Coordinator:
     """Controls one run. `close` ends all processes of the run, also after an error."""
 
@@ -426,28 +363,3 @@
         pids = [os.getpid(), *(child.process.pid for child in children)]
         pids += [pid for child in self.real for pid in children_of(child.process.pid)]
         self.history.max_rss_bytes = max(self.history.max_rss_bytes, sum(map(rss_bytes, pids)))
-
-
-def rss_bytes(pid: int) -> int:
-    """Return the resident memory of a process; 0 if it has ended."""
-    try:
-        return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
-    except OSError:
-        return 0
-
-
-def cpu_s(pid: int) -> float:
-    """Return the processor time of a process; 0 if it has ended."""
-    try:
-        words = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    except OSError:
-        return 0.0
-    return (int(words[11]) + int(words[12])) / TICKS_PER_S
-
-
-def children_of(pid: int) -> list[int]:
-    """Return the pids of the child processes of a process."""
-    try:
-        return [int(word) for word in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
-    except OSError:
-        return []
--- a/lupintack/scale/request_path.py
+++ b/lupintack/scale/request_path.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import json
-import os
 import statistics
 import tempfile
 import time
@@ -19,13 +18,13 @@
 
 import click
 
+from lupintack.scale.process_stats import cpu_s
 from lupintack.scale.slope import REPEATS
 from lupintack.standins.fleet import SIZES, Fleet, Terms
 from lupintack.standins.processes import Load, Processes
 
 CLIENTS = 16
 SERVICE_CLASS = "map-tiles"  # of the clients' requests
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 IDLE_S = 2.0
 
 
@@ -38,12 +37,6 @@
     failures: int  # requests without status 200
 
 
-def cpu_s(pid: int) -> float:
-    """Return the user and system time of a process so far."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
 def resident_kib(pid: int) -> int:
     """Return the resident memory of a process."""
     lines = Path(f"/proc/{pid}/status").read_text().splitlines()
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -23,7 +23,7 @@
 from lupintack.core.table_updates import TableChange as ListChange
 from lupintack.scale import hollow_messages as messages
 from lupintack.scale import report, resources
-from lupintack.scale.coordinator import Coordinator, Options, children_of
+from lupintack.scale.coordinator import Coordinator, Options
 from lupintack.scale.hollow_demand import Demand
 from lupintack.scale.hollow_discovery import DiscoveryConnection
 from lupintack.scale.hollow_network import Network
@@ -36,6 +36,7 @@
     plan_voters,
 )
 from lupintack.scale.hollow_shared import SharedRings, SharedView
+from lupintack.scale.process_stats import children_of
 from lupintack.scale.report import CutTime, Downtime, DowntimeKind, History
 from lupintack.scale.resources import Machine
 from lupintack.scale.script import Fault, FaultKind, Script, read_script, select
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -8,9 +8,9 @@
 PACKAGE = Path(__file__).parent.parent / "lupintack"
 MAX_FILE_LINES = 400
 MAX_FUNCTION_LINES = 45
-LONG_FILES = {"scale/coordinator.py": 453}
+LONG_FILES: dict[str, int] = {}
 LONG_FUNCTIONS = {
-    "cli/scale_run.py:run_command": 63,
+    "cli/scale_run.py:run_command": 56,
     "scale/hollow_router.py:__init__": 52,
     "scale/report.py:result_line": 69,
     "standins/fleet.py:serve": 73,
