--- a/lupintack/standins/edge.py
+++ b/lupintack/standins/edge.py
@@ -28,6 +28,7 @@
 from lupintack.standins.processes import RUN, call
 from lupintack.standins.proxy import Proxy
 
+HEAD_END = b"\r\n\r\n"
 ROOT = Path(__file__).parents[2]
 SHIM = Path(__file__).parent / "shim"
 PLAN_RELOAD_S = 0.06  # until a running process has read a new plan
@@ -303,19 +304,26 @@
     return status, is_reusable
 
 
-def read_response(sock: socket.socket) -> tuple[int, bool, bytes]:
-    """Read an answer; like `read_answer`, but also return the body."""
+def read_head(sock: socket.socket) -> bytes:
+    """Read the head of an answer, without the empty line that ends it."""
     data = b""
-    while b"\r\n\r\n" not in data:
-        chunk = sock.recv(65536)
-        if not chunk:
+    while HEAD_END not in data:
+        available = sock.recv(65536, socket.MSG_PEEK)
+        if not available:
             raise EOFError
-        data += chunk
-    head, _, body = data.partition(b"\r\n\r\n")
+        end = (data + available).find(HEAD_END)
+        data += sock.recv(len(available) if end < 0 else end + len(HEAD_END) - len(data))
+    return data.removesuffix(HEAD_END)
+
+
+def read_response(sock: socket.socket) -> tuple[int, bool, bytes]:
+    """Read an answer; like `read_answer`, but also return the body. What follows the answer stays unread."""
+    head = read_head(sock)
     lines = head.decode("latin-1").lower().split("\r\n")
     length = next((int(line.split(":")[1]) for line in lines if line.startswith("content-length:")), 0)
+    body = b""
     while len(body) < length:
-        chunk = sock.recv(65536)
+        chunk = sock.recv(min(65536, length - len(body)))
         if not chunk:
             raise EOFError
         body += chunk
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -469,6 +469,23 @@
 MAX_LOST_S = 0.4  # of a request's time, on a busy machine
 
 
+def test_answers_that_come_together_are_read_one_by_one() -> None:
+    """Guards against a stand-in client that drops the next answer where both lie in its buffer."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.settimeout(5.0)
+        bodies = [b"first", b"", b"third" * 20_000]
+        for body in bodies[:2]:
+            theirs.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        theirs.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r" % len(bodies[2]))
+        assert [read_response(ours)[2] for _ in bodies[:2]] == bodies[:2]
+        threading.Thread(target=theirs.sendall, args=(b"\n\r\n" + bodies[2],), daemon=True).start()
+        assert read_response(ours) == (200, True, bodies[2])
+        theirs.shutdown(socket.SHUT_WR)
+        with pytest.raises(EOFError):
+            read_response(ours)
+
+
 def test_requests_in_several_writes_on_idle_connection_keep_their_time(edge: Edge) -> None:
     """Guards against an age that is measured from the end of the previous request."""
     edge.start()
