Review: take free ports below those that the kernel gives to connections

Cause: in a trial with many processes beside one another a port was taken by another trial's stand-in before a router bound it.

Change: ports from 15,000 to 32,000 that can be bound.

--- a/review/common2/frame.py
+++ b/review/common2/frame.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
+import secrets
 import shutil
 import signal
 import socket
@@ -21,6 +23,7 @@
 ROOT = Path(__file__).parents[2]
 START_TIMEOUT_S = 30.0
 CASE_TIMEOUT_S = 110
+PORTS = range(15_000, 32_000)
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 
 
@@ -154,11 +157,14 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return loopback ports that nothing listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [int(sock.getsockname()[1]) for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return loopback ports that are free for TCP, below those that the kernel gives to connections."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = PORTS.start + secrets.randbelow(len(PORTS))
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind(("127.0.0.1", port))
+            if port not in ports:
+                ports.append(port)
     return ports
 
 
