Trace the group of a request

Cause: the trace of a router (LUPINTACK_TRACE=1) shows the group of a purge, but not that of the requests that it should bind, so a wrong group can't be told from a purge that has not arrived.

--- a/lupintack/core/trace.py
+++ b/lupintack/core/trace.py
@@ -47,7 +47,7 @@
 def _request_line(event: Request) -> str:
     return (
         f"request {event.id} {event.class_index} {event.object_id:x} {event.part} {int(event.is_retry)} "
-        f"{event.local_copy_age_ms:.0f}"
+        f"{event.local_copy_age_ms:.0f} {event.group}"
     )
 
 
