Preposition content under the group that its metadata names

Change: Content has no group any more, as a URL alone doesn't tell it; a delivery and a preposition both get it from the metadata (Delivery._group). A preposition fails with emeta where the metadata is not to be had, and with ereject where it must be enforced and isn't supported; access lists that hold for clients don't forbid it.

Tests: tests/test_cdni_groups.py, five, all failed before (no call for the metadata). test_preposition_fetches_content_and_can_be_cancelled_and_deleted and test_purge_binds_at_once_while_all_workers_preposition answer that call now, nothing else of them changed; test_reset_while_cdni_metadata_is_fetched_is_noticed takes the group from the host, where it stands.

--- a/lupintack/fronts/cdni/conf.py
+++ b/lupintack/fronts/cdni/conf.py
@@ -58,12 +58,14 @@
 
 @dataclass(frozen=True)
 class Content:
-    """The object at a URL, as the core identifies it."""
+    """The object at a URL, as the core identifies it.
+
+    Its group is not known by the URL alone: an upstream's metadata may name another one than its host's.
+    """
 
     class_index: int
     item: str
     part: int
-    group: int
     host: ContentHost
 
 
@@ -97,7 +99,7 @@
         if not OBJECT_ID.fullmatch(item):
             item = hashlib.blake2b(f"{host.name}{path}".encode(), digest_size=8).hexdigest()
         longest_match = max(matching, key=lambda p: len(p.prefix))
-        return Content(longest_match.class_index, item, int(nth), host.group, host)
+        return Content(longest_match.class_index, item, int(nth), host)
 
 
 def group_of_collection(ccid: str) -> int:
--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -7,6 +7,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from enum import Enum, auto
+from typing import Any
 
 from lupintack.clock import now_us, unix_now_ms
 from lupintack.core.actor import Core
@@ -128,17 +129,25 @@
         self.run_once_ids = RunOnceIds()
 
     def resolve_group(self, content: Content, url: str, client_ip: str) -> int:
-        """Return the content's group.
+        """Return the group of content for a delivery to a client.
 
         Raises DeliveryDeniedError if the upstream's metadata forbids the delivery, MetadataError if it is not
         available.
         """
+        entries = self._metadata(content, url)
+        metadata.check_delivery(entries, client_ip, unix_now_ms() / 1000.0)
+        return self._group(content, entries)
+
+    def _metadata(self, content: Content, url: str) -> list[dict[str, Any]]:
+        """Return the upstream's metadata of content; raise MetadataError if it is not available."""
         upstream = self.conf.upstreams.get(content.host.upstream)
         if upstream is None or not upstream.metadata:
-            return content.group
-        entries = self.store.resolve(upstream.metadata, url)
-        group = metadata.check_delivery(entries, client_ip, unix_now_ms() / 1000.0)
-        return content.group if group is None else group
+            return []
+        return self.store.resolve(upstream.metadata, url)
+
+    def _group(self, content: Content, entries: list[dict[str, Any]]) -> int:
+        group = metadata.content_group(entries)
+        return content.host.group if group is None else group
 
     def serve(self, exchange: Exchange, url: str) -> None:
         """Submit a client's request for content; raise HttpError if it is not accepted."""
@@ -163,8 +172,7 @@
             self.core.counters.increment("cdni.ids_refused")
             reject(exchange, int(self.core.settings.max_retry_after_ms))
             return
-        client_request = self.build_request(exchange, content, request_id, wait_ms)
-        client_request.group = group
+        client_request = self.build_request(exchange, content, group, request_id, wait_ms)
         exchange.on_disconnected = lambda: self.core.on_client_disconnected(client_request)
         if exchange.is_disconnected():
             # The client disconnected while the metadata was fetched, when on_disconnected was not set yet.
@@ -184,7 +192,7 @@
             raise HttpError(502, f"metadata: {error}") from None
 
     def build_request(
-        self, exchange: Exchange, content: Content, request_id: str, wait_ms: int
+        self, exchange: Exchange, content: Content, group: int, request_id: str, wait_ms: int
     ) -> ClientRequest:
         """Return the request to the core for a client's HTTP request."""
         request, headers = exchange.request, exchange.request.headers
@@ -198,7 +206,7 @@
             item=content.item,
             object_id=int(content.item, 16),
             part=content.part,
-            group=content.group,
+            group=group,
             class_name=self.class_names[content.class_index],
             deadline_us=deadline_us(request.received_us, wait_ms),
             sink=CdnSink(exchange, lambda: self.run_once_ids.remove(request_id) if runs_once else None),
@@ -209,8 +217,14 @@
             cached_tag="" if service_class.is_write else headers.get("if-none-match", "").strip().strip('"'),
         )
 
-    def fetch(self, content: Content, group: int) -> bool:
-        """Fetch content into the caches; return whether it was served within the deadline of its class."""
+    def preposition(self, content: Content, url: str) -> bool:
+        """Fetch content into the caches; return whether it was served within the deadline of its class.
+
+        Its metadata may allow it to some clients only, or later: that does not matter before a client asks.
+        Raises DeliveryDeniedError if the metadata can't be enforced, MetadataError if it is not available.
+        """
+        entries = self._metadata(content, url)
+        metadata.check_supported(entries)
         service_class = self.core.settings.classes[content.class_index]
         sink = WaitSink()
         request = ClientRequest(
@@ -219,7 +233,7 @@
             item=content.item,
             object_id=int(content.item, 16),
             part=content.part,
-            group=group,
+            group=self._group(content, entries),
             class_name=self.class_names[content.class_index],
             deadline_us=now_us() + int(service_class.deadline_ms * 1000),
             sink=sink,
--- a/lupintack/fronts/cdni/metadata.py
+++ b/lupintack/fronts/cdni/metadata.py
@@ -4,7 +4,7 @@
 
 import re
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from fnmatch import translate
 from ipaddress import ip_address, ip_network
@@ -21,6 +21,8 @@
 MAX_AGE_LIMIT_US = 3_600_000_000
 MAX_DOCUMENTS = 256
 MAX_DEPTH = 8  # nested paths for one URL, and links in a row
+GROUPING = "MI.Grouping"
+SUPPORTED_KINDS = (GROUPING, "MI.TimeWindowACL", "MI.LocationACL", "MI.ProtocolACL", "MI.SourceMetadata")
 
 
 class MetadataError(Exception):
@@ -149,13 +151,10 @@
 
 def check_delivery(
     entries: list[dict[str, Any]], client_ip: str, unix_s: float, protocol: str = "http/1.1"
-) -> int | None:
-    """Return the content group in metadata, if any; raise DeliveryDeniedError if it forbids a delivery."""
-    group = None
-    for generic in entries:
-        kind, value = generic.get("generic-metadata-type"), generic.get("generic-metadata-value")
-        if not isinstance(value, dict):
-            raise MetadataError(f"{kind}: a value is wanted")
+) -> None:
+    """Raise DeliveryDeniedError if metadata forbids a delivery to a client, now and over this protocol."""
+    check_supported(entries)
+    for kind, value in _typed_values(entries):
         if kind == "MI.TimeWindowACL":
             _check_acl(value, "times", lambda rule: _in_time_window(rule, unix_s), "outside the time windows")
         elif kind == "MI.LocationACL":
@@ -165,14 +164,34 @@
         elif kind == "MI.ProtocolACL":
             text = "not over this protocol"
             _check_acl(value, "protocol-acl", lambda rule: protocol in rule.get("protocols", []), text, True)
-        elif kind == "MI.Grouping":
-            group = group_of_collection(str(value["ccid"])) if "ccid" in value else group
-        elif kind != "MI.SourceMetadata" and generic.get("mandatory-to-enforce", True) is not False:
-            # Metadata that is mandatory to enforce and not supported forbids the delivery.
+
+
+def check_supported(entries: list[dict[str, Any]]) -> None:
+    """Raise DeliveryDeniedError for metadata that must be enforced and is not supported."""
+    for generic in entries:
+        kind = generic.get("generic-metadata-type")
+        if kind not in SUPPORTED_KINDS and generic.get("mandatory-to-enforce", True) is not False:
             raise DeliveryDeniedError(f"{kind} is not supported and must be enforced")
+
+
+def content_group(entries: list[dict[str, Any]]) -> int | None:
+    """Return the group of the content collection that metadata names, None if it names none."""
+    group = None
+    for kind, value in _typed_values(entries):
+        if kind == GROUPING and "ccid" in value:
+            group = group_of_collection(str(value["ccid"]))
     return group
 
 
+def _typed_values(entries: list[dict[str, Any]]) -> Iterator[tuple[Any, dict[str, Any]]]:
+    """Yield the kind and the value of each entry; raise MetadataError for one without a value."""
+    for generic in entries:
+        kind, value = generic.get("generic-metadata-type"), generic.get("generic-metadata-value")
+        if not isinstance(value, dict):
+            raise MetadataError(f"{kind}: a value is wanted")
+        yield kind, value
+
+
 def _check_acl(
     value: dict[str, Any],
     key: str,
@@ -235,7 +254,7 @@
             _generic_metadata(
                 "MI.ProtocolACL", {"protocol-acl": [{"protocols": ["http/1.1"], "action": "allow"}]}
             ),
-            _generic_metadata("MI.Grouping", {"ccid": str(host.group)}),
+            _generic_metadata(GROUPING, {"ccid": str(host.group)}),
         ],
         "paths": [],
     }
--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -13,7 +13,7 @@
 from lupintack.clock import now_us
 from lupintack.core.member_table import MemberTable
 from lupintack.fronts.cdni import messages, metadata
-from lupintack.fronts.cdni.conf import Cdni
+from lupintack.fronts.cdni.conf import Cdni, Content
 from lupintack.fronts.cdni.delivery import Delivery
 from lupintack.fronts.cdni.forwarding import Forwarder
 from lupintack.fronts.cdni.purges import Purges
@@ -283,10 +283,20 @@
                 errors.append(
                     messages.error_description("ereject", "this class is never kept", "content.urls", [url])
                 )
-            elif not self.delivery.fetch(content, content.group):
-                errors.append(
-                    messages.error_description("econtent", "could not be fetched", "content.urls", [url])
-                )
+            else:
+                errors += self._preposition_content(content, url)
+
+    def _preposition_content(self, content: Content, url: str) -> list[ErrorDescription]:
+        """Fetch content into the caches; return the error if that failed."""
+        try:
+            if self.delivery.preposition(content, url):
+                return []
+            code, text = "econtent", "could not be fetched"
+        except metadata.MetadataError as error:
+            code, text = "emeta", str(error)
+        except metadata.DeliveryDeniedError as error:
+            code, text = "ereject", str(error)
+        return [messages.error_description(code, text, "content.urls", [url])]
 
 
 def _set_final_status(resource: Resource, status: str) -> None:
--- a/tests/test_cdni.py
+++ b/tests/test_cdni.py
@@ -306,6 +306,7 @@
         run_scenario(f"""
             client u send POST {{cdni}}/triggers {CI_TYPE} body='{command("preposition", content_urls=urls)}'
             client u expect 201 place>Location
+            {EXPECT_METADATA_CALL}
             cache expect w cls=map-tiles miss=p-*
             client u send GET {{cdni}}/triggers/active
             client u expect 200 body=*{{place}}*
--- /dev/null
+++ b/tests/test_cdni_groups.py
@@ -0,0 +1,87 @@
+"""Content of an upstream CDN has the group that the upstream's metadata names, on every path to it."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.scenario import Scenario
+from tests.test_cdni import CONFIG, DOWNSTREAM_WITHOUT_URLS, EXPECT_METADATA_CALL, host_index
+from tests.test_cdni_triggers import send_trigger
+
+GROUP = 17  # by the upstream's metadata; the host's own is 9
+CONTENT = "http://maps.up/maps/a"
+
+
+def run(text: str) -> None:
+    Scenario(CONFIG + DOWNSTREAM_WITHOUT_URLS).run(text)
+
+
+def test_preposition_after_a_purge_uses_the_group_of_the_metadata() -> None:
+    """Guards against a preposition that is answered from a copy older than a purge of its collection."""
+    run(f"""
+        {send_trigger("purge", "purge", content_ccid=[str(GROUP)])}
+        {send_trigger("place", "preposition", content_urls=[CONTENT])}
+        {EXPECT_METADATA_CALL}
+        cache expect w cls=map-tiles within=?*
+    """)
+
+
+def test_purge_of_the_collection_drops_a_prepositioned_copy() -> None:
+    """Guards against a router's own copy that is kept under the host's group, where no purge finds it."""
+    scenario = Scenario(CONFIG + DOWNSTREAM_WITHOUT_URLS, 1e6)
+    scenario.run(
+        f"""
+        {send_trigger("place", "preposition", content_urls=[CONTENT])}
+        {EXPECT_METADATA_CALL}
+        cache expect w1
+        cache send w1 ok entity=t,issued={{now}} map
+        client u wait {{place}} body='*"status": "complete"*'
+        {send_trigger("again", "preposition", content_urls=[CONTENT])}
+        cache expect w2
+        cache send w2 ok entity=t,issued={{now}} map
+        client u wait {{again}} body='*"status": "complete"*'
+        """,
+        close=False,
+    )
+    cache = scenario.node.core.local_cache
+    assert cache is not None and len(cache.copies) == 1
+    scenario.run(f"""
+        {send_trigger("purge", "purge", content_ccid=[str(GROUP)])}
+        client u wait {{purge}} body='*"status": "complete"*'
+    """)
+    assert not cache.copies
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        ("500 MI.HostIndex '{}'", "emeta"),
+        (f"200 MI.HostIndex '{host_index(kind='MI.Odd', value={'x': 1})}'", "ereject"),
+    ],
+)
+def test_preposition_fails_without_usable_metadata(answer: str, error: str) -> None:
+    """Guards against content that is fetched, though its collection is not known."""
+    run(f"""
+        {send_trigger("place", "preposition", content_urls=[CONTENT])}
+        peer up expect GET /hostindex
+        peer up send {answer}
+        client u wait {{place}} body='*"status": "failed"*"error": "{error}"*'
+        cache expect nothing 30
+    """)
+
+
+def test_preposition_is_allowed_before_clients_are() -> None:
+    """Metadata that denies a delivery to some clients, or for now, doesn't forbid to place content."""
+    later = {"times": [{"action": "allow", "windows": [{"start": 1, "end": 2}]}]}
+    grouping: dict[str, object] = {
+        "generic-metadata-type": "MI.Grouping",
+        "generic-metadata-value": {"ccid": str(GROUP)},
+    }
+    index = host_index(grouping, kind="MI.TimeWindowACL", value=later)
+    run(f"""
+        {send_trigger("purge", "purge", content_ccid=[str(GROUP)])}
+        {send_trigger("place", "preposition", content_urls=[CONTENT])}
+        peer up expect GET /hostindex
+        peer up send 200 MI.HostIndex '{index}'
+        cache expect w within=?*
+    """)
--- a/tests/test_cdni_triggers.py
+++ b/tests/test_cdni_triggers.py
@@ -19,7 +19,14 @@
 from lupintack.fronts.exchange import HttpError
 from tests.scenario import Scenario
 from tests.site import eventually
-from tests.test_cdni import CI_TYPE, CONFIG, DOWNSTREAM, DOWNSTREAM_WITHOUT_URLS, command
+from tests.test_cdni import (
+    CI_TYPE,
+    CONFIG,
+    DOWNSTREAM,
+    DOWNSTREAM_WITHOUT_URLS,
+    EXPECT_METADATA_CALL,
+    command,
+)
 
 GROUP = 17
 CONTENT = ["http://maps.up/maps/a", "http://maps.up/maps/b"]
@@ -38,6 +45,7 @@
     """Guards against copies from before a purge that waits behind prepositions, while the origin is slow."""
     Scenario(CONFIG + DOWNSTREAM_WITHOUT_URLS).run(f"""
         {send_trigger("one", "preposition", content_urls=CONTENT[:1])}
+        {EXPECT_METADATA_CALL}
         cache expect w1 cls=map-tiles
         {send_trigger("two", "preposition", content_urls=CONTENT[1:])}
         cache expect w2 cls=map-tiles
--- a/tests/test_client_disconnection.py
+++ b/tests/test_client_disconnection.py
@@ -219,7 +219,7 @@
         def delayed(self: Delivery, content: Content, url: str, client_ip: str) -> int:
             reached.set()
             gate.wait(5)
-            return content.group
+            return content.host.group
 
         with (
             unittest.mock.patch.object(Delivery, "resolve_group", delayed),
