Let purges of groups reach requests and own copies whose group is not known

The client library sent X-Batch: 0 for a caller that named no group; a host of the CDNI file without `group` had 0 as well.

Cause: the group came from whoever asked, and 0 stood for "not said". A copy was served to requests of any group, though only purges of its own had been applied to it.

Change: interface.UNKNOWN_GROUP for what names no group (platform front, client library, CDNI file). Purges of every group concern it: in the decisions' PurgeLog, in the check at a write (PurgeMemory) and for own copies. A copy serves only a request whose purges would have dropped it: of its own group, or any request if its group is unknown. A purge of UNKNOWN_GROUP concerns every object. The CDNI metadata of a host without a group has no MI.Grouping any more, where it had "0".

--- a/lupintack/client/api.py
+++ b/lupintack/client/api.py
@@ -35,7 +35,7 @@
     cls: str
     item: str
     part: int
-    group: int
+    group: int | None
     body: bytes
     have: str
     began_us: int
@@ -86,12 +86,24 @@
     # Calls
 
     def get(
-        self, cls: str, item: str, *, part: int = 0, group: int = 0, have: str = "", wait_ms: int = 2000
+        self,
+        cls: str,
+        item: str,
+        *,
+        part: int = 0,
+        group: int | None = None,
+        have: str = "",
+        wait_ms: int = 2000,
     ) -> Result:
-        """Fetch a part of an object; `have` is the tag of the caller's copy."""
+        """Fetch a part of an object; `have` is the tag of the caller's copy.
+
+        Without the object's group, the router takes every group's purge for one of the object.
+        """
         return self.begin(cls, item, part=part, group=group, have=have, wait_ms=wait_ms).result()
 
-    def put(self, cls: str, item: str, body: bytes, *, group: int = 0, wait_ms: int = 2000) -> Result:
+    def put(
+        self, cls: str, item: str, body: bytes, *, group: int | None = None, wait_ms: int = 2000
+    ) -> Result:
         """Send a write, such as an alert-ack."""
         return self.begin(cls, item, group=group, body=body, wait_ms=wait_ms).result()
 
@@ -101,7 +113,7 @@
         item: str,
         *,
         part: int = 0,
-        group: int = 0,
+        group: int | None = None,
         body: bytes | None = None,
         have: str = "",
         wait_ms: int = 2000,
@@ -241,8 +253,9 @@
         headers = {
             "Req-Id": secrets.token_hex(8),  # a new one for each attempt
             "Req-Wait-Ms": str(max(1, (call.deadline_us - now) // 1000)),
-            "X-Batch": str(call.group),
         }
+        if call.group is not None:
+            headers["X-Batch"] = str(call.group)
         if call.tries > 1:
             headers["Req-Retry"] = "1"
         if call.have:
--- a/lupintack/core/handoff.py
+++ b/lupintack/core/handoff.py
@@ -25,6 +25,7 @@
     restore,
 )
 from lupintack.decisions.router import Router
+from lupintack.interface import UNKNOWN_GROUP
 
 VERSION = 1
 RECORD_HEADER = struct.Struct(">II")  # lengths of a record's JSON and of its body
@@ -163,7 +164,8 @@
 def restore_copy(copies: LocalCache, fields: Any, body: bytes) -> None:
     """Store one copy; raise ValueError or TypeError if the record is not a valid copy."""
     object_id, part, group, tag, issued_ms = fields
-    numbers = (object_id, part, group, issued_ms)
-    if not (body and isinstance(tag, str) and all(type(x) is int and x >= 0 for x in numbers)):
+    numbers = (object_id, part, issued_ms)
+    is_group = type(group) is int and group >= UNKNOWN_GROUP
+    if not (body and isinstance(tag, str) and is_group and all(type(x) is int and x >= 0 for x in numbers)):
         raise HandoffError(f"not a valid copy: {fields!r:.80}")
     copies.put((object_id, part), group, Answer(body, tag, issued_ms))
--- a/lupintack/core/local_cache.py
+++ b/lupintack/core/local_cache.py
@@ -13,6 +13,7 @@
 from lupintack.clock import UNIX_OFFSET_US, now_us
 from lupintack.core.messages import Answer, ClientRequest
 from lupintack.core.timestamps import CopyClock
+from lupintack.interface import UNKNOWN_GROUP
 
 MEMORY_SHARE = 0.15  # of the memory that the process leaves free; the bodies' overhead doubles it
 PROCESS_MB = 24
@@ -27,11 +28,18 @@
 
 @dataclass(slots=True)
 class CachedCopy:
-    """A cached part of an object."""
+    """A cached part of an object.
+
+    It was dropped at every purge of its group, of any group if that is UNKNOWN_GROUP, and of no other.
+    """
 
     answer: Answer
     group: int
 
+    def may_serve(self, request: ClientRequest) -> bool:
+        """Return whether every purge that concerns a request would have dropped the copy."""
+        return self.group in (request.group, UNKNOWN_GROUP)
+
 
 class Transfer(NamedTuple):
     """A copy to be sent; `not_modified`: the client already has the same copy."""
@@ -56,11 +64,13 @@
         self.used_bytes = 0
         self.link_free_us = 0
         self.purged_unix_ms: OrderedDict[tuple[bool, int], float] = OrderedDict()
+        self.last_group_purge_unix_ms = 0.0  # newest purge of any group
+        self.last_purge_of_all_unix_ms = 0.0  # newest purge of every object
         self.clock = clock or CopyClock(UNIX_OFFSET_US)
 
     def age_ms(self, request: ClientRequest) -> float:
         """Return the age of the copy for a request, NO_COPY_MS if there is none."""
-        copy = self.copies.get((request.object_id, request.part))
+        copy = self._find(request)
         if copy is None or request.is_write:
             return NO_COPY_MS
         return self.clock.age_us(copy.answer.issued_ms * 1000, now_us()) / 1000.0
@@ -71,7 +81,7 @@
 
     def start_transfer(self, request: ClientRequest, now_us: int) -> Transfer | None:
         """Reserve the link for the copy of a request; return None if it is gone."""
-        copy = self.copies.get((request.object_id, request.part))
+        copy = self._find(request)
         if copy is None:
             return None
         self.copies.move_to_end((request.object_id, request.part))
@@ -80,6 +90,11 @@
         self.link_free_us = max(self.link_free_us, now_us) + int(size / self.link_bytes_per_s * 1e6)
         return Transfer(copy.answer, not_modified)
 
+    def _find(self, request: ClientRequest) -> CachedCopy | None:
+        """Return the copy that may serve a request, None if there is none."""
+        copy = self.copies.get((request.object_id, request.part))
+        return copy if copy is not None and copy.may_serve(request) else None
+
     def store(self, request: ClientRequest, answer: Answer) -> None:
         """Cache an answer that has just been served."""
         self.put((request.object_id, request.part), request.group, answer)
@@ -87,10 +102,8 @@
     def put(self, key: tuple[int, int], group: int, answer: Answer) -> None:
         """Cache a copy unless it predates a purge; evict the least recently used ones to make room."""
         size = len(answer.body) + COPY_OVERHEAD_BYTES
-        purge = max(
-            self.purged_unix_ms.get((True, key[0]), 0.0), self.purged_unix_ms.get((False, group), 0.0)
-        )
-        if not answer.issued_ms or answer.issued_ms <= purge or size > self.max_bytes // 16:
+        purged_unix_ms = self._last_purge_unix_ms(key[0], group)
+        if not answer.issued_ms or answer.issued_ms <= purged_unix_ms or size > self.max_bytes // 16:
             return
         if not self.clock.observe(answer.issued_ms * 1000, now_us()):
             return  # its age would be unknown
@@ -100,6 +113,15 @@
         while self.used_bytes > self.max_bytes:
             self.remove(next(iter(self.copies)))
 
+    def _last_purge_unix_ms(self, object_id: int, group: int) -> float:
+        """Return the Unix time of the last dated purge of an object of a group, 0 for none."""
+        if group == UNKNOWN_GROUP:
+            of_group = self.last_group_purge_unix_ms
+        else:
+            of_group = self.purged_unix_ms.get((False, group), 0.0)
+        of_object = self.purged_unix_ms.get((True, object_id), 0.0)
+        return max(self.last_purge_of_all_unix_ms, of_object, of_group)
+
     def set_max_bytes(self, max_bytes: int) -> None:
         """Change the capacity; evict the least recently used copies that exceed it."""
         self.max_bytes = max_bytes
@@ -115,18 +137,27 @@
     def purge(self, object_id: int | None, group: int, unix_ms: float | None) -> None:
         """Remove the copies of an object, or of a group where `object_id` is None, whatever their age.
 
-        Answers that arrive later are cached if they were issued after the purge. `unix_ms`: the time of the
-        purge by its sender's clock; None: unknown.
+        A purge of UNKNOWN_GROUP concerns every object. Answers that arrive later are cached if they were
+        issued after the purge. `unix_ms`: the time of the purge by its sender's clock; None: unknown.
         """
-        key = (object_id is not None, group if object_id is None else object_id)
         if unix_ms is not None:
-            self.purged_unix_ms[key] = max(unix_ms, self.purged_unix_ms.pop(key, 0.0))
-        if len(self.purged_unix_ms) > MAX_PURGES:
+            self._remember_purge(object_id, group, unix_ms)
+        if (object_id is None and group == UNKNOWN_GROUP) or len(self.purged_unix_ms) > MAX_PURGES:
             self.copies.clear()
             self.purged_unix_ms.clear()
             self.used_bytes = 0
             return
         for copy_key, copy in list(self.copies.items()):
-            is_concerned = copy.group == group if object_id is None else copy_key[0] == object_id
+            is_concerned = (
+                copy.group in (group, UNKNOWN_GROUP) if object_id is None else copy_key[0] == object_id
+            )
             if is_concerned:
                 self.remove(copy_key)
+
+    def _remember_purge(self, object_id: int | None, group: int, unix_ms: float) -> None:
+        key = (object_id is not None, group if object_id is None else object_id)
+        self.purged_unix_ms[key] = max(unix_ms, self.purged_unix_ms.pop(key, 0.0))
+        if object_id is None:
+            self.last_group_purge_unix_ms = max(self.last_group_purge_unix_ms, unix_ms)
+            if group == UNKNOWN_GROUP:
+                self.last_purge_of_all_unix_ms = max(self.last_purge_of_all_unix_ms, unix_ms)
--- a/lupintack/core/messages.py
+++ b/lupintack/core/messages.py
@@ -38,7 +38,7 @@
     item: str
     object_id: int
     part: int
-    group: int
+    group: int  # of the object, or UNKNOWN_GROUP
     deadline_us: int
     sink: ResponseSink
     is_retry: bool = False
--- a/lupintack/core/purge_memory.py
+++ b/lupintack/core/purge_memory.py
@@ -5,6 +5,8 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from lupintack.interface import UNKNOWN_GROUP
+
 MAX_REMEMBERED_PURGES = 8192  # beyond that the oldest one is treated as concerning every object
 SETTLE_MARGIN_US = 4_000_000
 
@@ -30,7 +32,8 @@
         """Start empty; see `set_settle_ms` for `settle_ms`."""
         self.set_settle_ms(settle_ms)
         self.purges: OrderedDict[PurgeKey, RememberedPurge] = OrderedDict()
-        self.forgotten_purge = 0  # number of the last purge that was dropped before it settled
+        self.last_purge_of_all = 0  # number of the last purge of every object, or dropped before it settled
+        self.last_group_purge = 0  # number of the last purge of any group
         self.last_number = 0
 
     def set_settle_ms(self, settle_ms: float) -> None:
@@ -38,11 +41,18 @@
         self.settle_us = int(settle_ms * 1000) + SETTLE_MARGIN_US
 
     def remember(self, object_id: int | None, group: int, now_us: int) -> int:
-        """Remember a purge of an object, or of a group where `object_id` is None; return its number."""
+        """Remember a purge of an object, or of a group where `object_id` is None; return its number.
+
+        A purge of UNKNOWN_GROUP concerns every object.
+        """
         key = PurgeKey(False, group) if object_id is None else PurgeKey(True, object_id)
         self.purges.pop(key, None)
         self.last_number += 1
         self.purges[key] = RememberedPurge(now_us, self.last_number)
+        if object_id is None:
+            self.last_group_purge = self.last_number
+            if group == UNKNOWN_GROUP:
+                self.last_purge_of_all = self.last_number
         self._drop_old(now_us)
         return self.last_number
 
@@ -50,7 +60,9 @@
         """Return whether a purge later than `known_number` concerns the object or its group."""
         of_object = self.purges.get(PurgeKey(True, object_id))
         of_group = self.purges.get(PurgeKey(False, group))
-        latest = self.forgotten_purge
+        latest = self.last_purge_of_all
+        if group == UNKNOWN_GROUP:
+            latest = max(latest, self.last_group_purge)
         if of_object is not None:
             latest = max(latest, of_object.number)
         if of_group is not None:
@@ -65,5 +77,5 @@
             if matters and len(self.purges) <= MAX_REMEMBERED_PURGES:
                 break
             if matters:
-                self.forgotten_purge = purge.number
+                self.last_purge_of_all = max(self.last_purge_of_all, purge.number)
             del self.purges[oldest]
--- a/lupintack/decisions/purges.py
+++ b/lupintack/decisions/purges.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from lupintack.decisions.request_state import RequestState
-from lupintack.interface import Purged, Settings
+from lupintack.interface import UNKNOWN_GROUP, Purged, Settings
 
 PURGE_MARGIN_MS = 4000.0  # a purge is remembered this long after it has settled
 MAX_PURGES = 4096  # beyond that the oldest one is dropped and applies to every object
@@ -30,12 +30,13 @@
 class PurgeLog:
     """The purges that have not settled yet, by object and by group."""
 
-    __slots__ = ("floor_ms", "purge_times")
+    __slots__ = ("floor_ms", "last_group_purge_ms", "purge_times")
 
     def __init__(self) -> None:
         """Start without any purge."""
         self.purge_times: OrderedDict[tuple[int, int], float] = OrderedDict()  # oldest first
-        self.floor_ms = -math.inf  # newest purge dropped before it settled; applies to every object
+        self.floor_ms = -math.inf  # newest purge of every object, or dropped before it settled
+        self.last_group_purge_ms = -math.inf  # newest purge of any group
 
     def record(self, event: Purged, now_ms: float, purge_settle_ms: float) -> None:
         """Record a purge, and drop those that have settled."""
@@ -43,6 +44,11 @@
             return
         key = (1, event.object_id) if event.object_id else (0, event.group)
         purged_ms = now_ms - max(0.0, event.age_ms)
+        if not event.object_id:
+            self.last_group_purge_ms = max(self.last_group_purge_ms, purged_ms)
+            if event.group == UNKNOWN_GROUP:
+                self.floor_ms = max(self.floor_ms, purged_ms)
+                return
         self.purge_times[key] = max(purged_ms, self.purge_times.get(key, -math.inf))
         self.purge_times.move_to_end(key)
         settled_ms = now_ms - purge_settle_ms - PURGE_MARGIN_MS
@@ -56,7 +62,10 @@
     def last_purge_ms(self, object_id: int, group: int) -> float:
         """Return when an object of a group was last purged, or -inf if all its purges have settled."""
         times = self.purge_times
-        return max(self.floor_ms, times.get((1, object_id), -math.inf), times.get((0, group), -math.inf))
+        of_group_ms = times.get((0, group), -math.inf)
+        if group == UNKNOWN_GROUP:
+            of_group_ms = self.last_group_purge_ms
+        return max(self.floor_ms, times.get((1, object_id), -math.inf), of_group_ms)
 
     def freshness_bound(self, state: RequestState, settings: Settings, now_ms: float) -> FreshnessBound:
         """Return which copies may answer the next attempt of a request."""
--- a/lupintack/fronts/cdni/conf.py
+++ b/lupintack/fronts/cdni/conf.py
@@ -10,6 +10,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from lupintack.fronts.platform_headers import PART_PARAMETER
+from lupintack.interface import UNKNOWN_GROUP
 from lupintack.settings import files
 from lupintack.settings.errors import ConfigError
 
@@ -33,7 +34,7 @@
     """A host whose content is offered."""
 
     name: str
-    group: int
+    group: int  # of its content, unless an upstream's metadata names another; or UNKNOWN_GROUP
     paths: tuple[ContentPath, ...]
     upstream: str = ""
     downstream: str = ""
@@ -151,4 +152,5 @@
                 f"{file}: host {host.name}: unknown class {path.cls!r}, expected one of {classes}"
             )
         paths.append(ContentPath(path.prefix, classes.index(path.cls)))
-    return ContentHost(host.name.lower(), host.group, tuple(paths), host.upstream, host.downstream)
+    group = host.group if isinstance(host.group, int) else UNKNOWN_GROUP
+    return ContentHost(host.name.lower(), group, tuple(paths), host.upstream, host.downstream)
--- a/lupintack/fronts/cdni/metadata.py
+++ b/lupintack/fronts/cdni/metadata.py
@@ -15,6 +15,7 @@
 from lupintack.fronts.cdni import client, messages
 from lupintack.fronts.cdni.conf import Cdni, ContentHost, group_of_collection
 from lupintack.fronts.exchange import HttpError
+from lupintack.interface import UNKNOWN_GROUP
 
 FETCH_TIMEOUT_US = 2_000_000
 DEFAULT_MAX_AGE_US = 60_000_000  # for documents without a max-age
@@ -246,18 +247,17 @@
 def host_metadata(conf: Cdni, host: ContentHost) -> dict[str, Any]:
     """Return this CDN's HostMetadata for one host."""
     endpoint = urlsplit(conf.base).netloc
-    return {
-        "metadata": [
-            _generic_metadata(
-                "MI.SourceMetadata", {"sources": [{"endpoints": [endpoint], "protocol": "http/1.1"}]}
-            ),
-            _generic_metadata(
-                "MI.ProtocolACL", {"protocol-acl": [{"protocols": ["http/1.1"], "action": "allow"}]}
-            ),
-            _generic_metadata(GROUPING, {"ccid": str(host.group)}),
-        ],
-        "paths": [],
-    }
+    entries = [
+        _generic_metadata(
+            "MI.SourceMetadata", {"sources": [{"endpoints": [endpoint], "protocol": "http/1.1"}]}
+        ),
+        _generic_metadata(
+            "MI.ProtocolACL", {"protocol-acl": [{"protocols": ["http/1.1"], "action": "allow"}]}
+        ),
+    ]
+    if host.group != UNKNOWN_GROUP:
+        entries.append(_generic_metadata(GROUPING, {"ccid": str(host.group)}))
+    return {"metadata": entries, "paths": []}
 
 
 def _generic_metadata(kind: str, value: dict[str, Any]) -> dict[str, Any]:
--- a/lupintack/fronts/platform_headers.py
+++ b/lupintack/fronts/platform_headers.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 from lupintack.fronts.exchange import HttpError
+from lupintack.interface import UNKNOWN_GROUP
 
 HEALTH_TARGET = "/alive"
 PART_PARAMETER = "nth"
@@ -64,8 +65,9 @@
 
 
 def parse_group(headers: Mapping[str, str]) -> int:
-    """Return the content group, 0 without one."""
-    return parse_number(headers.get("x-batch", "0"), "X-Batch", MAX_GROUP)
+    """Return the content group, UNKNOWN_GROUP without one."""
+    text = headers.get("x-batch")
+    return UNKNOWN_GROUP if text is None else parse_number(text, "X-Batch", MAX_GROUP)
 
 
 def parse_idempotency_key(headers: Mapping[str, str]) -> str:
--- a/lupintack/interface.py
+++ b/lupintack/interface.py
@@ -10,6 +10,9 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+UNKNOWN_GROUP = -1
+"""The group of an object whose request names none: purges of every group concern it."""
+
 
 class Idempotency(IntEnum):
     """Whether a request may run twice: always, under its idempotency key within a window, or never."""
@@ -170,6 +173,7 @@
 class Request:
     """A client's request; it gets exactly one final answer, by its deadline.
 
+    group: of the object, or UNKNOWN_GROUP.
     local_copy_age_ms: age of the copy in the local cache, negative without one; local_link_wait_ms: wait
     until the local cache's link is free.
     first_attempt_ms, first_attempt_member: the first attempt that may have run for an earlier request with
@@ -257,7 +261,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Purged:
-    """Copies of the object (of the whole group, where object_id is 0) older than age_ms are outdated."""
+    """Copies of the object (of the whole group, where object_id is 0) older than age_ms are outdated.
+
+    A group of UNKNOWN_GROUP means every object.
+    """
 
     object_id: int
     group: int
--- a/lupintack/scale/role_purge.py
+++ b/lupintack/scale/role_purge.py
@@ -76,9 +76,9 @@
             "all_s": round(now_us * self.size / 1e6, 3),
             "missed_cpu_us": missed_us,
             "missed_all_s": round(missed_us * self.size / 1e6, 3),
-            "missed_floor_binds_all": float(missed.member_table.purge_memory.forgotten_purge > 0),
+            "missed_floor_binds_all": float(missed.member_table.purge_memory.last_purge_of_all > 0),
             "missed_at_module": float(len(missed.core.router.purges.purge_times)),
-            "floor_binds_all": float(self.reader.member_table.purge_memory.forgotten_purge > 0),
+            "floor_binds_all": float(self.reader.member_table.purge_memory.last_purge_of_all > 0),
             "module_floor_binds_all": float(self.reader.core.router.purges.floor_ms > 0),
             "copies_cpu_us": purge_cpu_us(PurgeReader(self.seed, COPIES), purge_lines(COPY_PURGES, 0.0)),
         }
--- a/lupintack/settings/cdni.py
+++ b/lupintack/settings/cdni.py
@@ -5,7 +5,7 @@
 from typing import Annotated
 
 import msgspec
-from msgspec import Meta
+from msgspec import UNSET, Meta, UnsetType
 
 Name = Annotated[str, Meta(max_length=255)]
 
@@ -21,7 +21,7 @@
     """A host whose content this CDN delivers."""
 
     name: Annotated[str, Meta(min_length=1, max_length=255)]
-    group: Annotated[int, Meta(ge=0, le=255)] = 0
+    group: Annotated[int, Meta(ge=0, le=255)] | UnsetType = UNSET
     upstream: Name = ""
     downstream: Name = ""
     path: list[Path] = []
