Keep no metadata document that was dropped, or may be older, while it was fetched

Cause: the store wrote what came in, whatever had been dropped since it was asked for. Beside it: of two fetches the one that ended last won, though it may have been asked for first; the age counted from the answer; `Age` was not read; `no-store` and `no-cache` counted as no word at all, so 60 s.

Change: a fetch in flight is marked by a drop of its document and its result used once, not kept; the document that was asked for later stays; max-age counts from the question, less Age, and is 0 for no-store and no-cache. The store has a module of its own, metadata_store.py; metadata.py interprets documents.

State: a record for each fetch in flight, one a thread at most.

--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -15,6 +15,7 @@
 from lupintack.fronts import platform_headers
 from lupintack.fronts.cdni import metadata
 from lupintack.fronts.cdni.conf import Cdni, Content
+from lupintack.fronts.cdni.metadata_store import MetadataStore
 from lupintack.fronts.exchange import Exchange, HttpError
 from lupintack.fronts.platform import MAX_BODY_BYTES, ClientSink, check_method, deadline_us
 from lupintack.interface import Idempotency
@@ -120,7 +121,7 @@
 class Delivery:
     """Submits content requests to the core, under the same rules as the platform's requests."""
 
-    def __init__(self, conf: Cdni, core: Core, store: metadata.MetadataStore) -> None:
+    def __init__(self, conf: Cdni, core: Core, store: MetadataStore) -> None:
         """`store`: the metadata of upstream CDNs."""
         self.conf = conf
         self.core = core
--- a/lupintack/fronts/cdni/front.py
+++ b/lupintack/fronts/cdni/front.py
@@ -13,6 +13,7 @@
 from lupintack.fronts.cdni import messages, metadata
 from lupintack.fronts.cdni.conf import Cdni
 from lupintack.fronts.cdni.delivery import Delivery
+from lupintack.fronts.cdni.metadata_store import MetadataStore
 from lupintack.fronts.cdni.redirection import DEFAULT_MAX_HOPS, Redirection, RiError
 from lupintack.fronts.cdni.triggers import STATUS_FILTERS, Triggers
 from lupintack.fronts.exchange import Exchange, HttpError
@@ -33,7 +34,7 @@
         self.conf = conf
         self.core = core
         self.ready = ready
-        self.store = metadata.MetadataStore()
+        self.store = MetadataStore()
         self.delivery = Delivery(conf, core, self.store)
         self.triggers = Triggers(conf, member_table, self.delivery, self.store)
         self.redirection = Redirection(conf, self.delivery, ready, core.counters)
--- a/lupintack/fronts/cdni/metadata.py
+++ b/lupintack/fronts/cdni/metadata.py
@@ -1,27 +1,18 @@
-"""Metadata (RFC 8006): fetches, caches and applies that of upstream CDNs, and generates this CDN's own."""
+"""Metadata (RFC 8006): applies that of upstream CDNs, and generates this CDN's own."""
 
 from __future__ import annotations
 
 import re
-import threading
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from fnmatch import translate
 from ipaddress import ip_address, ip_network
 from typing import Any
-from urllib.parse import urljoin, urlsplit
+from urllib.parse import urlsplit
 
-from lupintack.clock import now_us
-from lupintack.fronts.cdni import client, messages
+from lupintack.fronts.cdni import messages
 from lupintack.fronts.cdni.conf import Cdni, ContentHost, group_of_collection
-from lupintack.fronts.exchange import HttpError
 from lupintack.interface import UNKNOWN_GROUP
 
-FETCH_TIMEOUT_US = 2_000_000
-DEFAULT_MAX_AGE_US = 60_000_000  # for documents without a max-age
-MAX_AGE_LIMIT_US = 3_600_000_000
-MAX_DOCUMENTS = 256
-MAX_DEPTH = 8  # nested paths for one URL, and links in a row
 GROUPING = "MI.Grouping"
 SUPPORTED_KINDS = (GROUPING, "MI.TimeWindowACL", "MI.LocationACL", "MI.ProtocolACL", "MI.SourceMetadata")
 
@@ -39,92 +30,8 @@
         self.protocol = protocol
 
 
-@dataclass(slots=True)
-class Document:
-    """A cached document, and when it expires."""
-
-    data: dict[str, Any]
-    expires_us: int
-
-
-class MetadataStore:
-    """Caches documents fetched from upstream CDNs."""
-
-    def __init__(self) -> None:
-        """Start without documents."""
-        self.lock = threading.Lock()
-        self.documents: dict[str, Document] = {}
-
-    def get(self, url: str, ptype: str) -> dict[str, Any]:
-        """Return a document, from the cache unless it has expired; raise MetadataError if that fails."""
-        with self.lock:
-            cached = self.documents.get(url)
-        if cached is not None and now_us() < cached.expires_us:
-            return cached.data
-        try:
-            reply = client.call("GET", url, FETCH_TIMEOUT_US, headers={"Accept": messages.media_type(ptype)})
-        except client.CallError as error:
-            raise MetadataError(str(error)) from None
-        if reply.status != 200:
-            raise MetadataError(f"{url}: status {reply.status}")
-        if messages.payload_type(reply.headers.get("content-type", "")) != ptype:
-            raise MetadataError(f"{url}: not {messages.media_type(ptype)}")
-        try:
-            data = messages.parse_object(reply.body)
-        except HttpError as error:
-            raise MetadataError(f"{url}: {error}") from None
-        with self.lock:
-            while len(self.documents) >= MAX_DOCUMENTS:
-                del self.documents[next(iter(self.documents))]
-            self.documents[url] = Document(data, now_us() + _max_age_us(reply))
-        return data
-
-    def drop(self, urls: list[str]) -> None:
-        """Remove documents from the cache."""
-        with self.lock:
-            for url in urls:
-                self.documents.pop(url, None)
-
-    def resolve(self, index_url: str, url: str) -> list[dict[str, Any]]:
-        """Return the generic metadata of a URL, each type from the most specific level that has it."""
-        parts = urlsplit(url)
-        host_index = self.get(index_url, messages.HOST_INDEX)
-        for host in _read_objects(host_index, "hosts"):
-            if str(host.get("host", "")).lower() in (parts.netloc.lower(), parts.hostname or ""):
-                level, base_url = self.follow(host.get("host-metadata"), messages.HOST_METADATA, index_url)
-                break
-        else:
-            raise MetadataError(f"no metadata for host {parts.netloc}")
-        by_type: dict[str, dict[str, Any]] = {}
-        for _ in range(MAX_DEPTH):
-            for generic in _read_objects(level, "metadata"):
-                by_type[str(generic.get("generic-metadata-type"))] = generic
-            for path in _read_objects(level, "paths"):
-                if matches(path.get("path-pattern"), parts.path or "/"):
-                    level, base_url = self.follow(path.get("path-metadata"), "MI.PathMetadata", base_url)
-                    break
-            else:
-                return list(by_type.values())
-        raise MetadataError("paths nested too deep")
-
-    def follow(self, value: Any, ptype: str, base: str) -> tuple[dict[str, Any], str]:
-        """Return an embedded or linked object, and the URL of the document that contains it."""
-        for _ in range(MAX_DEPTH):
-            if not isinstance(value, dict):
-                raise MetadataError(f"{ptype}: an object is wanted")
-            if "href" not in value:
-                return value, base
-            base = urljoin(base, str(value["href"]))
-            value = self.get(base, str(value.get("type", ptype)))
-        raise MetadataError("too many links")
-
-
-def _max_age_us(reply: client.Reply) -> int:
-    match = re.search(r"max-age=(\d{1,9})", reply.headers.get("cache-control", ""))
-    return min(MAX_AGE_LIMIT_US, int(match[1]) * 1_000_000) if match else DEFAULT_MAX_AGE_US
-
-
-def _read_objects(data: dict[str, Any], key: str) -> list[dict[str, Any]]:
+def read_objects(data: dict[str, Any], key: str) -> list[dict[str, Any]]:
+    """Return a list of objects in metadata; raise MetadataError if it is another value."""
     value = data.get(key, [])
     if not isinstance(value, list) or not all(isinstance(item, dict) for item in value):
         raise MetadataError(f"{key}: a list of objects is wanted")
@@ -204,7 +111,7 @@
 
     Where no rule applies, a list with an `allow` rule denies it, and any other list allows it.
     """
-    rules = _read_objects(value, key)
+    rules = read_objects(value, key)
     try:
         for rule in rules:
             if applies(rule):
@@ -218,12 +125,12 @@
 
 
 def _in_time_window(rule: dict[str, Any], unix_s: float) -> bool:
-    windows = _read_objects(rule, "windows")
+    windows = read_objects(rule, "windows")
     return any(float(w.get("start", 0)) <= unix_s <= float(w.get("end", 0)) for w in windows)
 
 
 def _in_footprint(rule: dict[str, Any], client_ip: str) -> bool:
-    for footprint in _read_objects(rule, "footprints"):
+    for footprint in read_objects(rule, "footprints"):
         kind, values = footprint.get("footprint-type"), footprint.get("footprint-value", [])
         if kind not in ("ipv4cidr", "ipv6cidr"):
             raise DeliveryDeniedError(f"footprint {kind} is not supported")
--- a/lupintack/fronts/cdni/purges.py
+++ b/lupintack/fronts/cdni/purges.py
@@ -8,8 +8,9 @@
 
 from lupintack.clock import now_us
 from lupintack.core.member_table import MemberTable
-from lupintack.fronts.cdni import messages, metadata
+from lupintack.fronts.cdni import messages
 from lupintack.fronts.cdni.conf import Cdni, group_of_collection
+from lupintack.fronts.cdni.metadata_store import MetadataStore
 
 PURGE_TIMEOUT_US = 2_000_000  # a purge that is not in force by then has failed
 
@@ -43,7 +44,7 @@
 class Purges:
     """Passes purges to the member table."""
 
-    def __init__(self, conf: Cdni, member_table: MemberTable, store: metadata.MetadataStore) -> None:
+    def __init__(self, conf: Cdni, member_table: MemberTable, store: MetadataStore) -> None:
         """`store`: the metadata of upstream CDNs, which a purge of metadata drops."""
         self._conf = conf
         self._member_table = member_table
--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -16,6 +16,7 @@
 from lupintack.fronts.cdni.conf import Cdni, Content
 from lupintack.fronts.cdni.delivery import Delivery
 from lupintack.fronts.cdni.forwarding import Forwarder
+from lupintack.fronts.cdni.metadata_store import MetadataStore
 from lupintack.fronts.cdni.purges import Purges
 from lupintack.fronts.cdni.trigger_resource import (
     FINAL_STATUSES,
@@ -46,7 +47,7 @@
     """The status resources, and the workers that execute triggers."""
 
     def __init__(
-        self, conf: Cdni, member_table: MemberTable, delivery: Delivery, store: metadata.MetadataStore
+        self, conf: Cdni, member_table: MemberTable, delivery: Delivery, store: MetadataStore
     ) -> None:
         """`store`: the metadata of upstream CDNs, which an invalidation drops."""
         self.conf = conf
--- a/tests/test_cdni_triggers.py
+++ b/tests/test_cdni_triggers.py
@@ -15,7 +15,7 @@
 from lupintack.core.member_table import MemberTable
 from lupintack.fronts.cdni import triggers
 from lupintack.fronts.cdni.conf import Cdni, Upstream
-from lupintack.fronts.cdni.metadata import MetadataStore
+from lupintack.fronts.cdni.metadata_store import MetadataStore
 from lupintack.fronts.exchange import HttpError
 from tests.scenario import Scenario
 from tests.site import eventually
