Bind requests in flight to purges of groups that their metadata may name by now

What callers saw, by the tests: metadata moves content to another collection, which is purged at once; a request whose metadata was read before that gets a retry with a stale copy (within=18000), or is first sent with no bound, and the router's own copy of its answer is kept where no purge of the new collection finds it.

Cause: a request keeps the group that was read at its begin, and every check asks for purges of that one.

Change: a request whose group was read from metadata carries the number of the last purge before the reading. A later purge of any group concerns it: its writes are checked again, its answer isn't kept, and the decisions hear of a purge of its object, so what is sent then is bounded. Objects of requests that come later aren't concerned; notice-board purges count too.

Measured: three tests in tests/test_cdni_groups.py, all failed on the code before. test_reset_while_cdni_metadata_is_fetched_is_noticed and the recordings' stand-in of the core follow the new type and method. State: one more entry for each CDNI request in flight; a purge of a group looks at these alone, none without CDNI.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -34,7 +34,7 @@
 from lupintack.core.request_table import RequestInFlight, RequestTable
 from lupintack.core.responder import Responder
 from lupintack.core.settings_update import SettingsUpdate, apply
-from lupintack.core.table_updates import TableChange
+from lupintack.core.table_updates import TableChange, purge_of_object
 from lupintack.core.timers import TimerKind, TimerQueue
 from lupintack.core.trace import writer
 from lupintack.decisions.router import Router
@@ -124,6 +124,10 @@
         """Accept a request that a front has read."""
         self.mailbox.enqueue(request)
 
+    def last_purge_number(self) -> int:
+        """Return the number of the last purge in the member table; called before metadata is read."""
+        return self.member_table.purge_memory.last_number
+
     def free_capacity(self) -> int:
         """Return how many more requests would be accepted; fronts check it before they read one."""
         return self.settings.max_in_flight - len(self.requests.by_number) - len(self.mailbox.messages)
@@ -206,6 +210,8 @@
         if isinstance(message, ClientRequest):
             event = self.intake.accept(message)
             if event is not None:
+                if self.member_table.has_outdated_group(message):
+                    events.append(purge_of_object(message.object_id))
                 events.append(event)
         elif isinstance(message, AttemptResult):
             self.results.on_result(message, events)
@@ -238,8 +244,17 @@
         if change.endpoints:
             self.request_log.on_members_changed(state.now_us)
         events.extend(change.events)
+        if change.purge is not None and change.purge.object_id is None:
+            self._purge_by_metadata(events)
         self.results.handle_deferred(events)
 
+    def _purge_by_metadata(self, events: list[Event]) -> None:
+        """After a purge of a group, purge the objects in flight whose metadata may name that group by now."""
+        table = self.member_table
+        requests = self.requests.by_metadata.values()
+        outdated = {request.object_id for request in requests if table.has_outdated_group(request)}
+        events.extend(purge_of_object(object_id) for object_id in outdated)
+
     def _class_indexes_in_use(self) -> set[int]:
         """Return the class indexes of requests in flight or queued in the mailbox."""
         used = {entry.request.class_index for entry in self.requests.by_number.values()}
--- a/lupintack/core/member_table.py
+++ b/lupintack/core/member_table.py
@@ -187,8 +187,16 @@
 
     def is_purged_since(self, request: ClientRequest, known_purge: int) -> bool:
         """Return whether a purge later than `known_purge` concerns the request."""
-        is_purged = self.purge_memory.is_purged_since(request.object_id, request.group, known_purge)
-        return is_purged and not request.is_write
+        if request.is_write:
+            return False
+        if self.purge_memory.is_purged_since(request.object_id, request.group, known_purge):
+            return True
+        return self.purge_memory.last_group_purge > known_purge and self.has_outdated_group(request)
+
+    def has_outdated_group(self, request: ClientRequest) -> bool:
+        """Return whether any group was purged after the request's group was read from metadata."""
+        read_at = request.group_read_at_purge
+        return read_at is not None and self.purge_memory.last_group_purge > read_at
 
     def _is_usable(self, number: int) -> bool:
         endpoint = self.usable_endpoints.get(number)
--- a/lupintack/core/messages.py
+++ b/lupintack/core/messages.py
@@ -49,6 +49,9 @@
     size_kb: float = 0.0  # of the part, as the settings count; 0: unknown
     number: int = 0  # given by the core
     class_name: str = ""  # as read by the front: the index may belong to another class by now
+    # Number of the last purge before its group was read from metadata, which may have changed since: a later
+    # purge of any group concerns the request. None: its group can't change.
+    group_read_at_purge: int | None = None
     is_disconnected: bool = False  # set before the core's turn handles it, and checked at each write
 
 
--- a/lupintack/core/request_table.py
+++ b/lupintack/core/request_table.py
@@ -36,6 +36,7 @@
         """Start empty."""
         self.by_number: dict[int, RequestInFlight] = {}
         self.number_by_wire_id: dict[str, int] = {}
+        self.by_metadata: dict[int, ClientRequest] = {}  # those whose group was read from metadata
         self._finished_numbers: list[int] = []
         self._last_number = 0
 
@@ -53,6 +54,8 @@
         number = request.number = self._last_number
         entry = self.by_number[number] = RequestInFlight(request, is_idempotent)
         self.number_by_wire_id[request.wire_id] = number
+        if request.group_read_at_purge is not None:
+            self.by_metadata[number] = request
         return entry
 
     def has_unanswered(self) -> bool:
@@ -74,6 +77,7 @@
             return
         for number in self._finished_numbers:
             entry = self.by_number.pop(number, None)
+            self.by_metadata.pop(number, None)
             if entry is not None and self.number_by_wire_id.get(entry.request.wire_id) == number:
                 del self.number_by_wire_id[entry.request.wire_id]
         self._finished_numbers.clear()
--- a/lupintack/core/table_updates.py
+++ b/lupintack/core/table_updates.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from lupintack.core.source_reads import SourceReadId
-from lupintack.interface import Event, MemberState
+from lupintack.interface import Event, MemberState, Purged
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +93,14 @@
     update_count: int = 0  # the core has all updates up to this number (MemberTable.update_count)
 
 
+def purge_of_object(object_id: int, age_ms: float = 0.0) -> Purged:
+    """Return the decisions' event for a purge of an object.
+
+    There an id of 0 would mean a group. The object with that id shares the purges of object 1.
+    """
+    return Purged(object_id or 1, 0, age_ms)
+
+
 def member_id(name: str) -> int:
     """Return the number of a member's name: the same on all routers and after restarts, and never 0."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big") or 1
--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -7,7 +7,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from enum import Enum, auto
-from typing import Any
+from typing import Any, NamedTuple
 
 from lupintack.clock import now_us, unix_now_ms
 from lupintack.core.actor import Core
@@ -88,6 +88,13 @@
     exchange.answer(503, headers + platform_headers.retry_after(wait_ms))
 
 
+class ContentGroup(NamedTuple):
+    """The group of content, and the last purge before it was read from metadata (see ClientRequest)."""
+
+    number: int
+    read_at_purge: int | None = None
+
+
 class WaitSink:
     """Notifies a thread that its request has ended."""
 
@@ -129,26 +136,31 @@
         self.store = store
         self.run_once_ids = RunOnceIds()
 
-    def resolve_group(self, content: Content, url: str, client_ip: str) -> int:
+    def resolve_group(self, content: Content, url: str, client_ip: str) -> ContentGroup:
         """Return the group of content for a delivery to a client.
 
         Raises DeliveryDeniedError if the upstream's metadata forbids the delivery, MetadataError if it is not
         available.
         """
-        entries = self._metadata(content, url)
-        metadata.check_delivery(entries, client_ip, unix_now_ms() / 1000.0)
-        return self._group(content, entries)
+        return self._read_group(
+            content, url, lambda entries: metadata.check_delivery(entries, client_ip, unix_now_ms() / 1000.0)
+        )
 
-    def _metadata(self, content: Content, url: str) -> list[dict[str, Any]]:
-        """Return the upstream's metadata of content; raise MetadataError if it is not available."""
+    def _read_group(
+        self, content: Content, url: str, check: Callable[[list[dict[str, Any]]], None]
+    ) -> ContentGroup:
+        """Return the group of content; `check` raises DeliveryDeniedError for metadata that forbids its use.
+
+        Raises MetadataError if the metadata is not available.
+        """
         upstream = self.conf.upstreams.get(content.host.upstream)
         if upstream is None or not upstream.metadata:
-            return []
-        return self.store.resolve(upstream.metadata, url)
-
-    def _group(self, content: Content, entries: list[dict[str, Any]]) -> int:
+            return ContentGroup(content.host.group)
+        read_at_purge = self.core.last_purge_number()  # before the documents, which may be dropped meanwhile
+        entries = self.store.resolve(upstream.metadata, url)
+        check(entries)
         group = metadata.content_group(entries)
-        return content.host.group if group is None else group
+        return ContentGroup(content.host.group if group is None else group, read_at_purge)
 
     def serve(self, exchange: Exchange, url: str) -> None:
         """Submit a client's request for content; raise HttpError if it is not accepted."""
@@ -183,7 +195,7 @@
             return
         self.core.submit(client_request)
 
-    def permitted_group(self, exchange: Exchange, content: Content, url: str) -> int:
+    def permitted_group(self, exchange: Exchange, content: Content, url: str) -> ContentGroup:
         """Return the content's group; raise HttpError if the metadata forbids the delivery or is missing."""
         try:
             return self.resolve_group(content, url, exchange.peer_ip)
@@ -193,7 +205,7 @@
             raise HttpError(502, f"metadata: {error}") from None
 
     def build_request(
-        self, exchange: Exchange, content: Content, group: int, request_id: str, wait_ms: int
+        self, exchange: Exchange, content: Content, group: ContentGroup, request_id: str, wait_ms: int
     ) -> ClientRequest:
         """Return the request to the core for a client's HTTP request."""
         request, headers = exchange.request, exchange.request.headers
@@ -207,7 +219,8 @@
             item=content.item,
             object_id=int(content.item, 16),
             part=content.part,
-            group=group,
+            group=group.number,
+            group_read_at_purge=group.read_at_purge,
             class_name=self.class_names[content.class_index],
             deadline_us=deadline_us(request.received_us, wait_ms),
             sink=CdnSink(exchange, lambda: self.run_once_ids.remove(request_id) if runs_once else None),
@@ -224,8 +237,7 @@
         Its metadata may allow it to some clients only, or later: that does not matter before a client asks.
         Raises DeliveryDeniedError if the metadata can't be enforced, MetadataError if it is not available.
         """
-        entries = self._metadata(content, url)
-        metadata.check_supported(entries)
+        group = self._read_group(content, url, metadata.check_supported)
         service_class = self.core.settings.classes[content.class_index]
         sink = WaitSink()
         request = ClientRequest(
@@ -234,7 +246,8 @@
             item=content.item,
             object_id=int(content.item, 16),
             part=content.part,
-            group=self._group(content, entries),
+            group=group.number,
+            group_read_at_purge=group.read_at_purge,
             class_name=self.class_names[content.class_index],
             deadline_us=now_us() + int(service_class.deadline_ms * 1000),
             sink=sink,
--- a/tests/test_cdni_groups.py
+++ b/tests/test_cdni_groups.py
@@ -4,12 +4,14 @@
 
 import pytest
 
+from lupintack.peers import resp
 from tests.scenario import Scenario
 from tests.test_cdni import CONFIG, DOWNSTREAM_WITHOUT_URLS, EXPECT_METADATA_CALL, host_index
 from tests.test_cdni_triggers import send_trigger
 
 GROUP = 17  # by the upstream's metadata; the host's own is 9
 CONTENT = "http://maps.up/maps/a"
+FRESH_MS = 8000  # of the class
 
 
 def run(text: str) -> None:
@@ -85,3 +87,67 @@
         peer up send 200 MI.HostIndex '{index}'
         cache expect w within=?*
     """)
+
+
+MOVED = send_trigger("purge", "purge", metadata_urls=["{up}/hostindex"], content_ccid=[str(GROUP)])
+EARLIER_METADATA = f"""
+        peer up expect GET /hostindex
+        peer up send 200 MI.HostIndex '{host_index(value={"ccid": "16"})}'
+"""
+
+
+def test_purge_binds_a_request_whose_metadata_was_read_before_it_changed() -> None:
+    """Guards against a retry that is answered from a copy older than the purge of its new collection."""
+    scenario = Scenario(CONFIG + DOWNSTREAM_WITHOUT_URLS)
+    scenario.run(
+        f"""
+        client a send GET {{cdni}}/delivery/maps.up/maps/a
+        {EARLIER_METADATA}
+        cache expect w within=
+        {MOVED}
+        client u wait {{purge}} body='*"status": "complete"*'
+        cache send w refused
+        """,
+        close=False,
+    )
+    fields = resp.parse_fields(scenario.member_messages.get(timeout=5)[2][2].encode())
+    scenario.close()
+    assert int(fields["within"]) < FRESH_MS, "a retry may get a stale copy, but none from before the purge"
+
+
+def test_purge_while_metadata_is_read_binds_the_request() -> None:
+    """Guards against a request that is sent under the collection of a document that was dropped meanwhile."""
+    run(f"""
+        client a send GET {{cdni}}/delivery/maps.up/maps/a
+        peer up expect GET /hostindex
+        {MOVED}
+        client u wait {{purge}} body='*"status": "complete"*'
+        peer up send 200 MI.HostIndex '{host_index(value={"ccid": "16"})}'
+        cache expect w within=?*
+        cache send w ok - flood
+        client a expect 200
+        client a send GET {{cdni}}/delivery/maps.up/maps/b
+        {EXPECT_METADATA_CALL}
+        cache expect v within=?*
+    """)
+
+
+def test_copy_fetched_across_a_purge_of_the_new_collection_is_not_kept() -> None:
+    """Guards against a router's own copy under the earlier collection, where no purge finds it."""
+    scenario = Scenario(CONFIG + DOWNSTREAM_WITHOUT_URLS, 1e6)
+    ask = "client a send GET {cdni}/delivery/maps.up/maps/a"
+    scenario.run(f"""
+        {ask}
+        {EARLIER_METADATA}
+        cache expect w1
+        cache send w1 ok entity=t,issued={{now}} map
+        client a expect 200
+        {ask}
+        cache expect w2
+        {MOVED}
+        client u wait {{purge}} body='*"status": "complete"*'
+        cache send w2 ok entity=t,issued={{now}} map
+        client a expect 200
+    """)
+    cache = scenario.node.core.local_cache
+    assert cache is not None and not cache.copies
--- a/tests/test_client_disconnection.py
+++ b/tests/test_client_disconnection.py
@@ -20,7 +20,7 @@
 from lupintack.core.attempt_status import AttemptStatus
 from lupintack.fronts import http1_connection, http1_messages
 from lupintack.fronts.cdni.conf import Content
-from lupintack.fronts.cdni.delivery import Delivery
+from lupintack.fronts.cdni.delivery import ContentGroup, Delivery
 from lupintack.peers.connection import Connection
 from lupintack.peers.peer import Peer
 from lupintack.standins.deployment import SETTINGS
@@ -216,10 +216,10 @@
         """CDNI on HTTP/2 handles a stream in its own thread, which checks for a reset before it sends."""
         gate, reached = threading.Event(), threading.Event()
 
-        def delayed(self: Delivery, content: Content, url: str, client_ip: str) -> int:
+        def delayed(self: Delivery, content: Content, url: str, client_ip: str) -> ContentGroup:
             reached.set()
             gate.wait(5)
-            return content.host.group
+            return ContentGroup(content.host.group)
 
         with (
             unittest.mock.patch.object(Delivery, "resolve_group", delayed),
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -86,6 +86,10 @@
         self.counters = SimpleNamespace(increment=ignore)
         self.submitted: list[dict[str, Any]] = []
 
+    def last_purge_number(self) -> int:
+        """Return the number of the last purge."""
+        return 0
+
     def submit(self, request: ClientRequest) -> None:
         """Record a request and answer it."""
         fields = {name: plain(getattr(request, name)) for name in REQUEST_FIELDS}
