Tell the decisions of a purge of the object with id 0 as one of an object

What callers saw, by the test: after a purge of its requests were sent with no bound of age, unless they named group 0; requests of group 0 were bound instead.

Cause: the decisions' Purged means a group where its object id is 0, and the member table passed that id on.

Change: for the decisions object 0 shares the id of object 1 (decision_object_id), in requests and in purges; a purge of either binds both. The check at a write and the own copies tell them apart as before.

--- a/lupintack/core/member_table.py
+++ b/lupintack/core/member_table.py
@@ -30,6 +30,7 @@
     TableChange,
     Update,
     member_id,
+    purge_of_object,
 )
 from lupintack.core.timestamps import LogClock
 from lupintack.interface import ListKind, Member, MemberList, MemberState, Purged
@@ -370,6 +371,9 @@
         if update.unix_ms is not None and math.isfinite(update.unix_ms):
             age_us = self.clock.age_us(int(update.unix_ms * 1000), now)
         number = self.purge_memory.remember(update.object_id, update.group, now)
-        event = Purged(update.object_id or 0, update.group, age_us / 1000.0)
+        if update.object_id is None:
+            event = Purged(0, update.group, age_us / 1000.0)
+        else:
+            event = purge_of_object(update.object_id, age_us / 1000.0)
         events = () if age_us > self.purge_memory.settle_us else (event,)
         return TableChange(events, on_applied=update.on_applied, purge=update, purge_number=number)
--- a/lupintack/core/request_intake.py
+++ b/lupintack/core/request_intake.py
@@ -10,6 +10,7 @@
 from lupintack.core.local_cache import MAX_PROOF_AGE_US, NO_COPY_MS
 from lupintack.core.messages import ClientRequest
 from lupintack.core.request_table import RequestInFlight, RequestTable, is_same_request
+from lupintack.core.table_updates import decision_object_id
 from lupintack.core.timers import TimerKind, TimerQueue
 from lupintack.interface import Idempotency, Request, ServiceClass
 from lupintack.limits.size_buckets import SizeBuckets
@@ -91,7 +92,7 @@
         return Request(
             request.number,
             request.class_index,
-            request.object_id,
+            decision_object_id(request.object_id),
             module_ms(request.deadline_us),
             request.size_kb,
             request.group,
--- a/lupintack/core/table_updates.py
+++ b/lupintack/core/table_updates.py
@@ -94,11 +94,13 @@
 
 
 def purge_of_object(object_id: int, age_ms: float = 0.0) -> Purged:
-    """Return the decisions' event for a purge of an object.
+    """Return the decisions' event for a purge of an object."""
+    return Purged(decision_object_id(object_id), 0, age_ms)
 
-    There an id of 0 would mean a group. The object with that id shares the purges of object 1.
-    """
-    return Purged(object_id or 1, 0, age_ms)
+
+def decision_object_id(object_id: int) -> int:
+    """Return an object's id for the decisions, where 0 means none: object 0 shares that of object 1."""
+    return object_id or 1
 
 
 def member_id(name: str) -> int:
--- a/tests/test_object_groups.py
+++ b/tests/test_object_groups.py
@@ -131,3 +131,14 @@
     cache = LocalCache(1 << 20, 1e6)
     restore_copy(cache, [0xAA, 0, UNKNOWN_GROUP, "t", int(time.time() * 1000)], b"map")
     assert [copy.group for copy in cache.copies.values()] == [UNKNOWN_GROUP]
+
+
+def test_purge_of_the_object_with_id_0_binds_its_requests() -> None:
+    """Guards against a purge of that object which the decisions take for one of group 0."""
+    Scenario().run("""
+        discovery expect watch 1
+        discovery send {"rev":2,"flush":{"asset":"0000000000000000","ms":{now}}}
+        discovery applied 2
+        client a send GET /ops/map-tiles/0000000000000000 X-Batch:17
+        cache expect w within=?*
+    """)
