Pass the collections of the upstream's metadata on to downstream CDNs

What callers saw, by the tests: for a host that this CDN passes on, its HostMetadata named the group of the file, whatever the upstream's metadata says, and nothing below a path. A purge of a collection is forwarded as the upstream named it, so content at the downstream CDN was kept where it doesn't reach. An upstream's invalidation of its metadata was forwarded with the upstream's addresses, which the downstream CDN doesn't hold.

Cause: host_metadata knew the file alone, and a trigger was forwarded as it came.

Change: MetadataReader walks a host's levels, for one URL as before, and for all of them with their groupings alone: at most 256 levels, 8 deep, else 502. The answer may be kept as long as the first of the documents that it is from. A forwarded trigger with metadata names this CDN's documents of the hosts that the upstream delegates through it. The reader is its own module; the store has only documents.

Open beside it, another cause: access lists of the upstream's metadata are not passed on, and purges of the notice board are not forwarded to downstream CDNs.

--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -15,6 +15,7 @@
 from lupintack.fronts import platform_headers
 from lupintack.fronts.cdni import metadata
 from lupintack.fronts.cdni.conf import Cdni, Content
+from lupintack.fronts.cdni.metadata_reader import MetadataReader
 from lupintack.fronts.cdni.metadata_store import MetadataStore
 from lupintack.fronts.exchange import Exchange, HttpError
 from lupintack.fronts.platform import MAX_BODY_BYTES, ClientSink, check_method, deadline_us
@@ -157,7 +158,7 @@
         if upstream is None or not upstream.metadata:
             return ContentGroup(content.host.group)
         read_at_purge = self.core.last_purge_number()  # before the documents, which may be dropped meanwhile
-        entries = self.store.resolve(upstream.metadata, url)
+        entries = MetadataReader(self.store).resolve(upstream.metadata, url)
         check(entries)
         group = metadata.content_group(entries)
         return ContentGroup(content.host.group if group is None else group, read_at_purge)
--- a/lupintack/fronts/cdni/forwarding.py
+++ b/lupintack/fronts/cdni/forwarding.py
@@ -11,11 +11,11 @@
 from collections import deque
 from dataclasses import dataclass, field
 from queue import Empty, PriorityQueue
-from typing import Protocol
+from typing import Any, Protocol
 
 from lupintack.clock import now_us
 from lupintack.fronts.cdni import client, messages
-from lupintack.fronts.cdni.conf import Downstream
+from lupintack.fronts.cdni.conf import Cdni, Downstream
 from lupintack.fronts.cdni.trigger_resource import (
     FINAL_STATUSES,
     SUCCESSFUL_STATUSES,
@@ -63,10 +63,10 @@
 class Forwarder:
     """Sends commands to one downstream CDN. All but `enqueue` runs on one thread."""
 
-    def __init__(self, own_id: str, downstream: Downstream, parts: TriggerParts) -> None:
-        """`own_id`: this CDN's id, for the path of the commands."""
+    def __init__(self, conf: Cdni, downstream: Downstream, parts: TriggerParts) -> None:
+        """`conf`: this CDN's id, for the path of the commands, and the hosts that it delegates."""
         self.downstream = downstream
-        self._own_id = own_id
+        self._conf = conf
         self._parts = parts
         self._queue: PriorityQueue[QueuedCommand] = PriorityQueue()
         self._forwarded: deque[ForwardedTrigger] = deque()  # by the time of the next poll
@@ -102,8 +102,8 @@
         if not self._parts.begin_part(resource):
             self._parts.end_part(resource, [])
             return
-        path = [*resource.cdn_path, self._own_id]
-        body = json.dumps({"trigger": resource.spec, "cdn-path": path}).encode()
+        path = [*resource.cdn_path, self._conf.id]
+        body = json.dumps({"trigger": self._spec(resource), "cdn-path": path}).encode()
         headers = {
             "Content-Type": messages.media_type(messages.COMMAND),
             "Accept": messages.media_type(messages.STATUS),
@@ -118,6 +118,23 @@
         except Exception as error:  # noqa: BLE001 - a failed call must not end the thread
             self._fail(resource, error)
 
+    def _spec(self, resource: Resource) -> dict[str, Any]:
+        """Return the trigger specification for the downstream CDN.
+
+        It knows the upstream's metadata by documents of this CDN, which are named in place of the upstream's.
+        """
+        hosts = [
+            host.name
+            for host in self._conf.hosts.values()
+            if host.downstream == self.downstream.id and host.upstream == resource.owner
+        ]
+        if not hosts or not resource.spec.get("metadata.urls"):
+            return resource.spec
+        documents = [f"{self._conf.base}/metadata/hostindex"]
+        if not resource.is_preposition:  # prepositioned documents are read as HostIndex
+            documents += [f"{self._conf.base}/metadata/host/{name}" for name in hosts]
+        return {**resource.spec, "metadata.urls": documents}
+
     def _poll(self, forwarded: ForwardedTrigger) -> None:
         try:
             if now_us() > forwarded.deadline_us or forwarded.resource.cancelled.is_set():
--- a/lupintack/fronts/cdni/front.py
+++ b/lupintack/fronts/cdni/front.py
@@ -11,8 +11,9 @@
 from lupintack.core.actor import Core
 from lupintack.core.member_table import MemberTable
 from lupintack.fronts.cdni import messages, metadata
-from lupintack.fronts.cdni.conf import Cdni
+from lupintack.fronts.cdni.conf import Cdni, ContentHost
 from lupintack.fronts.cdni.delivery import Delivery
+from lupintack.fronts.cdni.metadata_reader import MetadataReader
 from lupintack.fronts.cdni.metadata_store import MetadataStore
 from lupintack.fronts.cdni.redirection import DEFAULT_MAX_HOPS, Redirection, RiError
 from lupintack.fronts.cdni.triggers import STATUS_FILTERS, Triggers
@@ -100,10 +101,29 @@
         if resource_path == "hostindex":
             self.send_document(exchange, messages.HOST_INDEX, metadata.host_index(self.conf))
         elif kind == "host" and host is not None and host.downstream:
-            self.send_document(exchange, messages.HOST_METADATA, metadata.host_metadata(self.conf, host))
+            self.send_host_metadata(exchange, host)
         else:
             raise HttpError(404, "no such metadata")
 
+    def send_host_metadata(self, exchange: Exchange, host: ContentHost) -> None:
+        """Answer with the metadata of a host; raise HttpError if its upstream's is not available.
+
+        A purge of a collection is forwarded as the upstream named it, so its names are passed on as well.
+        """
+        upstream = self.conf.upstreams.get(host.upstream)
+        if upstream is None or not upstream.metadata:
+            document = metadata.host_metadata(self.conf, host, {})
+            self.send_document(exchange, messages.HOST_METADATA, document)
+            return
+        reader = MetadataReader(self.store)
+        try:
+            groupings = reader.groupings(upstream.metadata, host.name)
+        except metadata.MetadataError as error:
+            raise HttpError(502, f"metadata: {error}") from None
+        document = metadata.host_metadata(self.conf, host, groupings)
+        cache_control = ("Cache-Control", f"max-age={reader.max_age_s()}")
+        self.send_document(exchange, messages.HOST_METADATA, document, cache_control)
+
     def on_delivery(self, exchange: Exchange, resource_path: str) -> None:
         """Deliver content to a client that another CDN redirected to this one."""
         self.delivery.serve(exchange, "http://" + exchange.request.target.removeprefix("/delivery/"))
@@ -123,15 +143,17 @@
                 return
         self.delivery.serve(exchange, url)
 
-    def send_document(self, exchange: Exchange, ptype: str, data: dict[str, Any]) -> None:
+    def send_document(
+        self, exchange: Exchange, ptype: str, data: dict[str, Any], *extra: tuple[str, str]
+    ) -> None:
         """Answer with a JSON object, or with 304 if the client has the current entity tag."""
         if not messages.accepts(exchange.request.headers.get("accept", ""), ptype):
             raise HttpError(406, f"the answer is {messages.media_type(ptype)}")
         tag = f'"{hashlib.blake2b(json.dumps(data).encode(), digest_size=8).hexdigest()}"'
         if exchange.request.headers.get("if-none-match", "") == tag:
-            exchange.answer(304, [("ETag", tag)])
+            exchange.answer(304, [("ETag", tag), *extra])
         else:
-            messages.send_object(exchange, 200, ptype, data, ("ETag", tag))
+            messages.send_object(exchange, 200, ptype, data, ("ETag", tag), *extra)
 
     ROUTES: dict[str, Callable[[CdniFront, Exchange, str], None]] = {
         "alive": on_alive,
--- a/lupintack/fronts/cdni/metadata.py
+++ b/lupintack/fronts/cdni/metadata.py
@@ -151,21 +151,26 @@
     }
 
 
-def host_metadata(conf: Cdni, host: ContentHost) -> dict[str, Any]:
-    """Return this CDN's HostMetadata for one host."""
+def host_metadata(conf: Cdni, host: ContentHost, groupings: dict[str, Any]) -> dict[str, Any]:
+    """Return this CDN's HostMetadata for one host.
+
+    `groupings`: the collections of its content by its upstream's metadata; without one, the host's own.
+    """
     endpoint = urlsplit(conf.base).netloc
     entries = [
-        _generic_metadata(
+        generic_metadata(
             "MI.SourceMetadata", {"sources": [{"endpoints": [endpoint], "protocol": "http/1.1"}]}
         ),
-        _generic_metadata(
+        generic_metadata(
             "MI.ProtocolACL", {"protocol-acl": [{"protocols": ["http/1.1"], "action": "allow"}]}
         ),
     ]
-    if host.group != UNKNOWN_GROUP:
-        entries.append(_generic_metadata(GROUPING, {"ccid": str(host.group)}))
-    return {"metadata": entries, "paths": []}
+    of_host = groupings.get("metadata", [])
+    if not of_host and host.group != UNKNOWN_GROUP:
+        of_host = [generic_metadata(GROUPING, {"ccid": str(host.group)})]
+    return {"metadata": [*entries, *of_host], "paths": groupings.get("paths", [])}
 
 
-def _generic_metadata(kind: str, value: dict[str, Any]) -> dict[str, Any]:
+def generic_metadata(kind: str, value: dict[str, Any]) -> dict[str, Any]:
+    """Return a GenericMetadata object."""
     return {"generic-metadata-type": kind, "generic-metadata-value": value}
--- a/lupintack/fronts/cdni/metadata_store.py
+++ b/lupintack/fronts/cdni/metadata_store.py
@@ -6,18 +6,16 @@
 import threading
 from dataclasses import dataclass
 from typing import Any
-from urllib.parse import urljoin, urlsplit
 
 from lupintack.clock import now_us
 from lupintack.fronts.cdni import client, messages
-from lupintack.fronts.cdni.metadata import MetadataError, matches, read_objects
+from lupintack.fronts.cdni.metadata import MetadataError
 from lupintack.fronts.exchange import HttpError
 
 FETCH_TIMEOUT_US = 2_000_000
 DEFAULT_MAX_AGE_US = 60_000_000  # for documents without a max-age
 MAX_AGE_LIMIT_US = 3_600_000_000
 MAX_DOCUMENTS = 256
-MAX_DEPTH = 8  # nested paths for one URL, and links in a row
 
 
 @dataclass(slots=True)
@@ -48,21 +46,29 @@
         self.fetches: list[Fetch] = []  # one a thread at most
 
     def get(self, url: str, ptype: str) -> dict[str, Any]:
-        """Return a document, from the cache unless it has expired; raise MetadataError if that fails."""
+        """Return a document's data, from the cache unless it has expired.
+
+        Raises MetadataError if it is not available.
+        """
+        return self.get_document(url, ptype).data
+
+    def get_document(self, url: str, ptype: str) -> Document:
+        """Return a document as `get` does."""
         with self.lock:
             cached = self.documents.get(url)
             if cached is not None and now_us() < cached.expires_us:
-                return cached.data
+                return cached
             fetch = Fetch(url, now_us())
             self.fetches.append(fetch)
         try:
             data, max_age_us = _fetch(url, ptype)
+            document = Document(data, fetch.began_us, fetch.began_us + max_age_us)
             with self.lock:
-                self._keep(fetch, Document(data, fetch.began_us, fetch.began_us + max_age_us))
+                self._keep(fetch, document)
         finally:
             with self.lock:
                 self.fetches.remove(fetch)
-        return data
+        return document
 
     def drop(self, urls: list[str]) -> None:
         """Remove documents from the cache, and keep none that is being fetched."""
@@ -82,39 +88,6 @@
             del self.documents[next(iter(self.documents))]
         self.documents[fetch.url] = document
 
-    def resolve(self, index_url: str, url: str) -> list[dict[str, Any]]:
-        """Return the generic metadata of a URL, each type from the most specific level that has it."""
-        parts = urlsplit(url)
-        host_index = self.get(index_url, messages.HOST_INDEX)
-        for host in read_objects(host_index, "hosts"):
-            if str(host.get("host", "")).lower() in (parts.netloc.lower(), parts.hostname or ""):
-                level, base_url = self.follow(host.get("host-metadata"), messages.HOST_METADATA, index_url)
-                break
-        else:
-            raise MetadataError(f"no metadata for host {parts.netloc}")
-        by_type: dict[str, dict[str, Any]] = {}
-        for _ in range(MAX_DEPTH):
-            for generic in read_objects(level, "metadata"):
-                by_type[str(generic.get("generic-metadata-type"))] = generic
-            for path in read_objects(level, "paths"):
-                if matches(path.get("path-pattern"), parts.path or "/"):
-                    level, base_url = self.follow(path.get("path-metadata"), "MI.PathMetadata", base_url)
-                    break
-            else:
-                return list(by_type.values())
-        raise MetadataError("paths nested too deep")
-
-    def follow(self, value: Any, ptype: str, base: str) -> tuple[dict[str, Any], str]:
-        """Return an embedded or linked object, and the URL of the document that contains it."""
-        for _ in range(MAX_DEPTH):
-            if not isinstance(value, dict):
-                raise MetadataError(f"{ptype}: an object is wanted")
-            if "href" not in value:
-                return value, base
-            base = urljoin(base, str(value["href"]))
-            value = self.get(base, str(value.get("type", ptype)))
-        raise MetadataError("too many links")
-
 
 def _fetch(url: str, ptype: str) -> tuple[dict[str, Any], int]:
     """Return a document and how long it may be kept, in us; raise MetadataError if that fails."""
--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -62,7 +62,7 @@
         self.preposition_queue: SimpleQueue[Resource] = SimpleQueue()
         self.purge_queue: SimpleQueue[Resource] = SimpleQueue()
         self.forwarders = [
-            Forwarder(conf.id, downstream, self)
+            Forwarder(conf, downstream, self)
             for downstream in conf.downstreams.values()
             if downstream.triggers
         ]
--- a/tests/test_cdni_groups.py
+++ b/tests/test_cdni_groups.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
+from lupintack.fronts.cdni.metadata_reader import MAX_LEVELS
 from lupintack.peers import resp
 from tests.scenario import Scenario
-from tests.test_cdni import CONFIG, DOWNSTREAM_WITHOUT_URLS, EXPECT_METADATA_CALL, host_index
+from tests.test_cdni import CONFIG, DOWNSTREAM, DOWNSTREAM_WITHOUT_URLS, EXPECT_METADATA_CALL, host_index
 from tests.test_cdni_triggers import send_trigger
 
 GROUP = 17  # by the upstream's metadata; the host's own is 9
@@ -151,3 +154,62 @@
     """)
     cache = scenario.node.core.local_cache
     assert cache is not None and not cache.copies
+
+
+CASCADE = """
+[[host]]
+name = "passed.on"
+group = 9
+upstream = "AS64496:0"
+downstream = "AS64499:0"
+[[host.path]]
+prefix = "/maps/"
+class = "map-tiles"
+"""
+
+
+def generic(kind: str, value: dict[str, str], **more: object) -> dict[str, object]:
+    """Return a GenericMetadata object."""
+    return {"generic-metadata-type": kind, "generic-metadata-value": value, **more}
+
+
+def cascaded_index() -> str:
+    """Return a HostIndex of a host whose content is in one collection, and in another below a path."""
+    inner = {"metadata": [generic("MI.Grouping", {"ccid": "north"})]}
+    path = {"path-pattern": {"pattern": "/maps/north/*"}, "path-metadata": inner}
+    odd = generic("MI.Odd", {"x": "1"}, **{"mandatory-to-enforce": False})
+    entries = [generic("MI.Grouping", {"ccid": "17"}), odd]
+    host = {"host": "passed.on", "host-metadata": {"metadata": entries, "paths": [path]}}
+    return json.dumps({"hosts": [host]})
+
+
+def test_downstream_cdn_gets_the_collections_that_the_upstream_names() -> None:
+    """Guards against content at a downstream CDN that a purge, forwarded by its collection, doesn't reach."""
+    Scenario(CONFIG + CASCADE + DOWNSTREAM).run(f"""
+        client d send GET {{cdni}}/metadata/host/passed.on
+        peer up expect GET /hostindex
+        peer up send 200 MI.HostIndex '{cascaded_index()}' Cache-Control:max-age=50
+        client d expect 200 Cache-Control:max-age=4? tag>ETag body='*"17"*"/maps/north/*"north"*'
+        client d send GET {{cdni}}/metadata/host/passed.on If-None-Match:{{tag}}
+        client d expect 304 Cache-Control:max-age=4?
+        client d send GET {{cdni}}/metadata/host/own
+        client d expect 200 Cache-Control: body='*"ccid": "3"*'
+        {send_trigger("purge", "purge", metadata_urls=["{up}/hostindex"], content_ccid=["17"])}
+        peer down expect POST /triggers body='*.urls": ["*/metadata/hostindex", "*/host/passed.on"]*'
+        client d send GET {{cdni}}/metadata/host/passed.on
+        peer up expect GET /hostindex
+        peer up send 500 MI.HostIndex '{{}}'
+        client d expect 502
+    """)
+
+
+def test_host_with_too_many_levels_has_no_metadata_downstream() -> None:
+    """The bound of what is read for one answer: beyond it, a downstream CDN may not deliver."""
+    path = {"path-pattern": {"pattern": "/*"}, "path-metadata": {}}
+    host = {"host": "passed.on", "host-metadata": {"paths": [path] * MAX_LEVELS}}
+    Scenario(CONFIG + CASCADE + DOWNSTREAM).run(f"""
+        client d send GET {{cdni}}/metadata/host/passed.on
+        peer up expect GET /hostindex
+        peer up send 200 MI.HostIndex '{json.dumps({"hosts": [host]})}'
+        client d expect 502 body='*too many*'
+    """)
