Read If-None-Match as HTTP defines it, and write no field that reads otherwise

Change: core/entity_tags.py reads lists, weak tags and `*` for both fronts; malformed fields and tags that no copy can have are passed over, and 32 tags kept. A member is told of the first; 304 is the answer if the copy that it names, or the router's own, is any of them. A write has no such condition on either front. The encoder raises UnencodableFieldError unless the text holds exactly its own separators and visible ASCII, so that its length in characters is that in bytes; the attempt ends as not_encodable (counted, never run) and others go on.

Check that changed: the recorded request "a foreign tag", W/"v1", is passed on as v1, as the field's comparison is weak; it was recorded as no tag. Bytes of answers are unchanged.

--- a/lupintack/core/attempt_results.py
+++ b/lupintack/core/attempt_results.py
@@ -111,7 +111,9 @@
         self._fetched_answers.clear()
 
     def _serve(self, entry: RequestInFlight, attempt: Attempt, status: AttemptStatus, answer: Answer) -> None:
-        self._responder.serve(entry, answer, status is AttemptStatus.NOT_MODIFIED)
+        # A member is told of one tag of the client's; its answer may name the copy of another.
+        not_modified = status is AttemptStatus.NOT_MODIFIED or attempt.request.cached_tags.match(answer.tag)
+        self._responder.serve(entry, answer, not_modified)
         # The answer may predate a purge received since the attempt was decided, whatever its timestamp.
         if (
             status is AttemptStatus.SERVED
--- a/lupintack/core/attempt_status.py
+++ b/lupintack/core/attempt_status.py
@@ -29,6 +29,7 @@
     CLOSED = auto()  # the member closed the connection with the attempt open
     RESET = auto()
     BAD_FRAME = auto()  # bytes that are not an answer
+    NOT_ENCODABLE = auto()  # not written: a value can't be expressed in the member's protocol
     NOT_WRITTEN = auto()  # the connection failed before its first byte
     HEALTH_CHECK_FAILED = auto()  # the connection's health check was not answered
 
@@ -44,6 +45,7 @@
     AttemptStatus.CANCELLED: Outcome.CANCELLED,
     AttemptStatus.OUTDATED: Outcome.DISCARDED,
     AttemptStatus.NOT_NEEDED: Outcome.DISCARDED,
+    AttemptStatus.NOT_ENCODABLE: Outcome.DISCARDED,
     AttemptStatus.NOT_WRITTEN: Outcome.DISCARDED,
     # Without a connection, nothing can have run.
     AttemptStatus.CONNECT_REFUSED: Outcome.CONNECT_FAILED,
--- a/lupintack/core/local_cache.py
+++ b/lupintack/core/local_cache.py
@@ -85,7 +85,7 @@
         if copy is None:
             return None
         self.copies.move_to_end((request.object_id, request.part))
-        not_modified = bool(request.cached_tag) and request.cached_tag == copy.answer.tag
+        not_modified = request.cached_tags.match(copy.answer.tag)
         size = len(copy.answer.body) / (NOT_MODIFIED_SIZE_DIVISOR if not_modified else 1)
         self.link_free_us = max(self.link_free_us, now_us) + int(size / self.link_bytes_per_s * 1e6)
         return Transfer(copy.answer, not_modified)
--- a/lupintack/core/messages.py
+++ b/lupintack/core/messages.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from lupintack.core.attempt_status import AttemptStatus
+from lupintack.core.entity_tags import NO_TAGS, CachedTags
 from lupintack.interface import CacheStatus
 
 
@@ -44,7 +45,7 @@
     is_retry: bool = False
     is_write: bool = False
     body: bytes = b""
-    cached_tag: str = ""
+    cached_tags: CachedTags = NO_TAGS  # of the client's own copies; none for a write
     idempotency_key: str = ""  # the same for all attempts of the client; "": it sent none
     size_kb: float = 0.0  # of the part, as the settings count; 0: unknown
     number: int = 0  # given by the core
@@ -54,6 +55,11 @@
     group_read_at_purge: int | None = None
     is_disconnected: bool = False  # set before the core's turn handles it, and checked at each write
 
+    @property
+    def cached_tag(self) -> str:
+        """The tag of the client's copy that members are told of, empty without one."""
+        return self.cached_tags.first
+
 
 @dataclass(slots=True)
 class ClientDisconnection:
--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -229,7 +229,7 @@
             is_write=service_class.is_write,
             body=request.body,
             idempotency_key=platform_headers.parse_idempotency_key(headers) or generated_key,
-            cached_tag="" if service_class.is_write else headers.get("if-none-match", "").strip().strip('"'),
+            cached_tags=platform_headers.parse_cached_tags(headers, service_class.is_write),
         )
 
     def preposition(self, content: Content, url: str) -> bool:
--- a/lupintack/fronts/platform.py
+++ b/lupintack/fronts/platform.py
@@ -119,7 +119,7 @@
             is_retry=platform_headers.is_retry(headers),
             is_write=service_class.is_write,
             body=request.body,
-            cached_tag=platform_headers.parse_cached_tag(headers),
+            cached_tags=platform_headers.parse_cached_tags(headers, service_class.is_write),
             idempotency_key=key,
             size_kb=platform_headers.parse_size_kb(headers),
             class_name=target["class_name"],
--- a/lupintack/fronts/platform_headers.py
+++ b/lupintack/fronts/platform_headers.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Mapping
 
+from lupintack.core.entity_tags import NO_TAGS, CachedTags, parse_if_none_match
 from lupintack.fronts.exchange import HttpError
 from lupintack.interface import UNKNOWN_GROUP
 
@@ -21,7 +22,6 @@
     rf"(?:\?{PART_PARAMETER}=(?P<part>\d{{1,9}}))?"
 )
 _REQUEST_ID = re.compile(r"[0-9a-f]{16}")
-_ENTITY_TAG = re.compile(r'"([0-9A-Za-z_.-]{1,64})"')
 _IDEMPOTENCY_KEY = re.compile(r"[0-9A-Za-z_.-]{1,64}")  # characters that a field of an attempt may contain
 _SIZE_KB = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
@@ -91,10 +91,9 @@
     return float(text or 0.0)
 
 
-def parse_cached_tag(headers: Mapping[str, str]) -> str:
-    """Return the entity tag of the client's own copy, empty for one that the router can't have sent."""
-    match = _ENTITY_TAG.fullmatch(headers.get("if-none-match", ""))
-    return match[1] if match is not None else ""
+def parse_cached_tags(headers: Mapping[str, str], is_write: bool) -> CachedTags:
+    """Return the tags of the client's own copies; none for a write, as no copy of it is ever kept."""
+    return NO_TAGS if is_write else parse_if_none_match(headers.get("if-none-match", ""))
 
 
 def is_retry(headers: Mapping[str, str]) -> bool:
--- a/lupintack/peers/peer.py
+++ b/lupintack/peers/peer.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -13,12 +14,15 @@
 from lupintack.clock import now_us
 from lupintack.core.attempt_status import AttemptStatus
 from lupintack.core.messages import Attempt, AttemptResult
+from lupintack.logs import LineLimit, fields
 from lupintack.peers import platform_wire
 from lupintack.peers.config import PeerConfig
 from lupintack.peers.connection import Connected, Connection, Disconnected
 from lupintack.peers.connection_pool import ConnectionPool
 from lupintack.peers.messages import CancelAttempt, Drain, SlotReleased, Submit, Tick, YieldConnection
 
+LOG = logging.getLogger("peers")
+LOG_LIMIT = LineLimit(2)  # lines a second
 ATTEMPTS_BEFORE_NEW_CONNECTION = 4  # open on each connection before another connection is opened
 
 Message = Submit | CancelAttempt | Connected | Disconnected | SlotReleased | Tick | Drain | YieldConnection
@@ -168,9 +172,16 @@
         if now >= attempt.request.deadline_us:
             self.report_result(AttemptResult(attempt, AttemptStatus.NOT_NEEDED))
             return
+        try:
+            command = platform_wire.encode_attempt(attempt, now)
+        except platform_wire.UnencodableFieldError as error:
+            if LOG_LIMIT.allow(now) >= 0:
+                LOG.error("attempt not encodable", extra=fields(peer=self.name, reason=error))
+            self.report_result(AttemptResult(attempt, AttemptStatus.NOT_ENCODABLE))
+            return
         wire_id = attempt.request.wire_id
         connection.last_used_us = now
         connection.open_attempts[wire_id] = attempt
-        is_written = connection.send(platform_wire.encode_attempt(attempt, now))
+        is_written = connection.send(command)
         if not is_written and connection.open_attempts.pop(wire_id, None) is attempt:
             self.report_result(AttemptResult(attempt, AttemptStatus.NOT_WRITTEN))
--- a/lupintack/peers/platform_wire.py
+++ b/lupintack/peers/platform_wire.py
@@ -11,6 +11,7 @@
 
 from lupintack.clock import now_us
 from lupintack.core.attempt_status import AttemptStatus
+from lupintack.core.entity_tags import TAG
 from lupintack.core.messages import Answer, Attempt, ClientRequest
 from lupintack.core.timestamps import CopyClock
 from lupintack.interface import CacheStatus
@@ -28,6 +29,7 @@
 STATUSES_WITH_COPY = frozenset({AttemptStatus.SERVED, AttemptStatus.NOT_MODIFIED})
 CACHE_STATUSES = {letter: CacheStatus(number) for number, letter in enumerate("hfojsrblnx", 1)}
 FIELD_NAMES = frozenset({"entity", "issued", "tell", "delay", "meter"})
+REQUIRED_FIELDS = 4  # of an attempt
 ANSWER_STRINGS = 4
 HEALTH_CHECK_ANSWER_STRINGS = (2, 4)
 HEALTH_CHECK_WORDS = (b"yes", b"no")
@@ -35,7 +37,6 @@
 
 WIRE_ID = re.compile(rb"[0-9a-f]{16}")
 HEALTH_CHECK_TAG = re.compile(rb"\d{1,20}")
-ENTITY_TAG = re.compile(r"[0-9A-Za-z_.-]{1,64}")
 ISSUED_MS = re.compile(r"[0-9]{1,15}")
 
 
@@ -49,6 +50,10 @@
         self.value = value
 
 
+class UnencodableFieldError(ValueError):
+    """A value that can't be written into the fields of a command."""
+
+
 class Flags(NamedTuple):
     """Options of an attempt at its member."""
 
@@ -72,27 +77,48 @@
 
 
 def encode_attempt(attempt: Attempt, now_us: int) -> bytes:
-    """Return the command of an attempt; its limit is the time left until the client's deadline."""
+    """Return the command of an attempt; its limit is the time left until the client's deadline.
+
+    Raises UnencodableFieldError for a value that a member would read as something else.
+    """
     request = attempt.request
     limit_ms = max(1, (request.deadline_us - now_us) // 1000)
     fields = f"cls={attempt.class_name},item={request.item},chunk={request.part},limit={limit_ms}"
+    count = REQUIRED_FIELDS
     if attempt.source_name:
         fields += f",miss={attempt.source_name}"
+        count += 1
     if attempt.retention_priority:
         fields += f",prio={attempt.retention_priority}"
+        count += 1
     if attempt.max_age_ms > 0:
         # Rounded down, but not to 0, which would mean the whole freshness lifetime.
         fields += f",within={max(1, math.floor(attempt.max_age_ms))}"
+        count += 1
     flags = ENCODED_FLAGS[attempt.coalesce, attempt.only_if_cached, attempt.revalidate]
     if flags:
         fields += f",f={flags}"
+        count += 1
     if request.idempotency_key:
         fields += f",nonce={request.idempotency_key}"
-    if request.cached_tag:
+        count += 1
+    if request.cached_tags.tags:
         fields += f",mine={request.cached_tag}"
-    head = f"*4\r\n$4\r\nwant\r\n$16\r\n{request.wire_id}\r\n${len(fields)}\r\n{fields}\r\n"
-    head += f"${len(request.body)}\r\n"
-    return b"%b%b\r\n" % (head.encode(), request.body)
+        count += 1
+    check_fields(fields, count)
+    wire_id, body = request.wire_id.encode(), request.body
+    head = b"*4\r\n$4\r\nwant\r\n$%d\r\n%b\r\n" % (len(wire_id), wire_id)
+    return b"%b$%d\r\n%b\r\n$%d\r\n%b\r\n" % (head, len(fields), fields.encode(), len(body), body)
+
+
+def check_fields(text: str, count: int) -> None:
+    """Raise UnencodableFieldError unless a text is `count` fields of one name and one value in visible ASCII.
+
+    With more separators than these have, a value holds one.
+    """
+    has_own_separators_alone = text.count(",") == count - 1 and text.count("=") == count
+    if not (has_own_separators_alone and text.isascii() and text.isprintable() and " " not in text):
+        raise UnencodableFieldError(f"can't be written as fields: {text!r}"[:MAX_ERROR_TEXT_CHARACTERS])
 
 
 def encode_cancel(wire_id: str) -> bytes:
@@ -138,7 +164,7 @@
 def parse_copy(fields: dict[str, str]) -> tuple[str, int]:
     """Return the entity tag and the Unix time in ms of a copy; empty and 0 if the answer has none."""
     tag, issued = fields.get("entity", ""), fields.get("issued", "0")
-    if tag and not ENTITY_TAG.fullmatch(tag):
+    if tag and not TAG.fullmatch(tag):
         raise InvalidFieldError("entity", tag, "an entity tag")
     if not ISSUED_MS.fullmatch(issued):
         raise InvalidFieldError("issued", issued, "a Unix time in ms")
@@ -147,7 +173,7 @@
 
 def confirms_cached(request: ClientRequest, tag: str, body: bytearray) -> bool:
     """Return whether a not-modified answer has the tag of the client's copy, and no body."""
-    return bool(request.cached_tag) and tag == request.cached_tag and not body
+    return bool(tag) and tag == request.cached_tag and not body
 
 
 def parse_cache_status(fields: dict[str, str]) -> CacheStatus:
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -19,6 +19,7 @@
 from lupintack.budgets.hierarchy import Level
 from lupintack.budgets.messages import Epoch
 from lupintack.config import Names
+from lupintack.core.entity_tags import NO_TAGS, parse_if_none_match
 from lupintack.core.messages import Answer, Attempt, ClientRequest
 from lupintack.core.timestamps import CopyClock
 from lupintack.discovery.client import DiscoveryClient
@@ -221,7 +222,7 @@
         deadline_us=case["deadline_us"],
         sink=mock.Mock(is_disconnected=lambda: False),
         body=as_bytes(case["body"]),
-        cached_tag=case["cached_tag"],
+        cached_tags=parse_if_none_match(f'"{case["cached_tag"]}"') if case["cached_tag"] else NO_TAGS,
         idempotency_key=case["idempotency_key"],
     )
     return Attempt(
