Write no header field of an answer that another party's value would end

What callers saw, by the tests: a downstream CDN's `sc-(location)` went into the head of the answer to a client as it came, so "http://d/x\r\nSet-Cookie: ..." was read as another field and another answer; a number, a list or a character over 0xff in its place became a text that nobody meant ("?"). The `cs-uri` of an upstream CDN became a Location with white space.

Change: a redirection counts only with an absolute http(s) URL of visible ASCII, else the content is delivered here; `cs-uri` must be visible ASCII, `cs-version` HTTP/1 or HTTP/1.x. Both HTTP fronts check an answer's fields before it is encoded (checked_response): a value with a line end, NUL, white space at its ends or a character over 0xff makes it a 500 without fields or body, counted as answer.invalid_field and logged at most twice a second.

--- a/lupintack/fronts/cdni/messages.py
+++ b/lupintack/fronts/cdni/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 
 from lupintack.fronts.exchange import Exchange, HttpError
@@ -13,6 +14,19 @@
 MAX_LIST_ITEMS = 256
 MAX_TEXT_CHARACTERS = 2048
 MAX_PATH_ITEMS = 32
+_URL = re.compile(r"https?://[!-~]+", re.IGNORECASE)
+_VISIBLE = re.compile(r"[!-~]*")
+
+
+def is_http_url(value: object) -> bool:
+    """Return whether a value of another party may be sent on as an absolute URL."""
+    is_text = isinstance(value, str) and len(value) <= MAX_TEXT_CHARACTERS
+    return is_text and _URL.fullmatch(str(value)) is not None
+
+
+def is_visible(text: str) -> bool:
+    """Return whether a text is visible ASCII without white space, so that it may be a part of a URL."""
+    return _VISIBLE.fullmatch(text) is not None
 
 
 def media_type(ptype: str) -> str:
--- a/lupintack/fronts/cdni/redirection.py
+++ b/lupintack/fronts/cdni/redirection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from ipaddress import ip_address
@@ -22,6 +23,9 @@
 METADATA_UNAVAILABLE, LOOP_DETECTED, MAX_HOPS_EXCEEDED = 501, 502, 503
 OUT_OF_CAPACITY, PROTOCOL_NOT_SUPPORTED, REDIRECTION_NOT_SUPPORTED = 504, 505, 506
 
+REDIRECTION_STATUSES = (301, 302, 303, 307, 308)
+HTTP1_VERSION = re.compile(r"HTTP/1(\.\d)?")
+
 
 class RiError(Exception):
     """An error of the redirection interface."""
@@ -88,6 +92,9 @@
             raise HttpError(400, "http: an object is wanted")
         method, uri = messages.read_text(http, "cs-method"), messages.read_text(http, "cs-uri")
         version, address = messages.read_text(http, "cs-version"), messages.read_text(http, "c-ip")
+        if not messages.is_visible(uri):
+            # It becomes a part of a Location, which white space would end.
+            raise HttpError(400, "cs-uri: visible ASCII characters are wanted")
         try:
             ip_address(address)
         except ValueError:
@@ -98,7 +105,7 @@
         """Return the requested content; raise RiError if this CDN does not deliver it now."""
         if not request.cdn_path or request.cdn_path[-1] not in self.conf.upstreams:
             raise RiError(500, "the sender is no upstream CDN of this one")
-        if urlsplit(request.uri).scheme != "http" or not request.version.startswith("HTTP/1"):
+        if urlsplit(request.uri).scheme != "http" or not HTTP1_VERSION.fullmatch(request.version):
             raise RiError(PROTOCOL_NOT_SUPPORTED, "delivery protocol not supported")
         if not self.ready():
             raise RiError(OUT_OF_CAPACITY, "out of capacity")
@@ -163,11 +170,9 @@
             redirection = data.get("http", {})
             if reply.status != 200 or "error" in data or not isinstance(redirection, dict):
                 raise client.CallError(f"error {data.get('error')}")
-            if (
-                redirection.get("sc-status") not in (301, 302, 303, 307, 308)
-                or "sc-(location)" not in redirection
-            ):
-                raise client.CallError("no redirection in it")
+            location = redirection.get("sc-(location)")
+            if redirection.get("sc-status") not in REDIRECTION_STATUSES or not messages.is_http_url(location):
+                raise client.CallError("no usable redirection in it")
         except (client.CallError, HttpError):
             self.counters.increment("cdni.redirect.passed_over")
             return None
--- a/lupintack/fronts/exchange.py
+++ b/lupintack/fronts/exchange.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+import logging
+import re
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
+
+from lupintack.clock import now_us
+from lupintack.logs import LineLimit, fields
+
+LOG = logging.getLogger("fronts")
+LOG_LIMIT = LineLimit(2)  # lines a second
 
 REASONS = {
     200: "OK", 201: "Created", 204: "No Content", 301: "Moved Permanently", 302: "Found",
@@ -18,6 +26,9 @@
 }  # fmt: skip
 
 
+FIELD_VALUE = re.compile(r"(?:[!-~\x80-\xff](?:[\t -~\x80-\xff]*[!-~\x80-\xff])?)?")
+
+
 class HttpError(ValueError):
     """A request that is answered with an error status."""
 
@@ -39,6 +50,34 @@
     received_us: int = 0
 
 
+class Response(NamedTuple):
+    """An answer, before it is encoded for its protocol."""
+
+    status: int
+    headers: list[tuple[str, object]]
+    body: bytes | bytearray | memoryview
+
+
+def checked_response(
+    status: int,
+    headers: Iterable[tuple[str, object]],
+    body: bytes | bytearray | memoryview,
+    count: Callable[[str], None],
+) -> Response:
+    """Return an answer whose fields are read as they are meant, an error where a value has a line end.
+
+    Characters over 0xff can't be written either.
+    """
+    response = Response(status, list(headers), body)
+    for name, value in response.headers:
+        if not isinstance(value, int) and FIELD_VALUE.fullmatch(str(value)) is None:
+            count("answer.invalid_field")
+            if LOG_LIMIT.allow(now_us()) >= 0:
+                LOG.error("answer has an invalid field", extra=fields(status=status, field=name))
+            return Response(500, [], b"")
+    return response
+
+
 def do_nothing() -> None:
     """Ignore that the client has disconnected."""
 
--- a/lupintack/fronts/http1_connection.py
+++ b/lupintack/fronts/http1_connection.py
@@ -18,7 +18,7 @@
 from lupintack.core import client_liveness
 from lupintack.dated_reads import DatedReads
 from lupintack.fronts import http1_closing
-from lupintack.fronts.exchange import ConnectionOwner, HttpError, HttpRequest, do_nothing
+from lupintack.fronts.exchange import ConnectionOwner, HttpError, HttpRequest, checked_response, do_nothing
 from lupintack.fronts.http1_messages import encode_head, parse_head
 
 LOG = logging.getLogger("http1")
@@ -60,6 +60,7 @@
         close: bool = False,
     ) -> bool:
         """Write the answer; return False if the client has disconnected or was answered before."""
+        status, headers, body = checked_response(status, headers, body, self.conn.server.count)
         close = close or self.request.close or self.conn.server.closing or self.conn.is_last
         close_headers = [("Connection", "close")] if close else []
         length = None if status in (204, 304) else len(body)
--- a/lupintack/fronts/http2_connection.py
+++ b/lupintack/fronts/http2_connection.py
@@ -18,7 +18,7 @@
 from lupintack.clock import now_us
 from lupintack.core import client_liveness
 from lupintack.fronts import http2_fields, platform_headers
-from lupintack.fronts.exchange import ConnectionOwner, HttpError, HttpRequest, do_nothing
+from lupintack.fronts.exchange import ConnectionOwner, HttpError, HttpRequest, checked_response, do_nothing
 from lupintack.fronts.http1_detection import refuse_http1, speaks_http1
 from lupintack.http2.config import WireConfig
 from lupintack.http2.role import Header, Role
@@ -90,7 +90,8 @@
         # Holds the lock from the removal of the open exchange until the answer is queued: between the two, a
         # drain would see no open exchange and nothing to write, and end the connection.
         with self.conn.wire.lock:
-            return self.conn.reply(self, status, list(headers), body)
+            response = checked_response(status, headers, body, self.conn.server.count)
+            return self.conn.reply(self, *response)
 
     def is_disconnected(self) -> bool:
         """Return whether the client has disconnected; the kernel reports it before the end is read."""
