Make no call to another CDN whose head an outsider's value would change

What callers saw, by the tests: the type of a link in an upstream's metadata became the Accept field of the call to the link's host, line ends included, and so did white space in a URL; tabs and line ends in it were dropped without a word, user names went into Host, and a character over 0xff was an error of the encoder.

Change: a URL must be visible ASCII without a user, and each field's value one that reads as it is; else the call is not made (CallError: a delivery answers 502, a trigger fails).

--- a/lupintack/fronts/cdni/client.py
+++ b/lupintack/fronts/cdni/client.py
@@ -7,7 +7,8 @@
 from urllib.parse import urljoin, urlsplit
 
 from lupintack.clock import now_us
-from lupintack.fronts.exchange import HttpError
+from lupintack.fronts.cdni import messages
+from lupintack.fronts.exchange import FIELD_VALUE, HttpError
 from lupintack.fronts.http1_messages import parse_fields
 
 MAX_BODY_BYTES = 1 << 20
@@ -40,22 +41,37 @@
     """Make one call; raise CallError if the connection fails, the call times out or the answer is invalid."""
     deadline_us = now_us() + timeout_us
     try:
+        head = _encode_head(method, url, headers or {}, len(body))
         parts = urlsplit(url)
-        host, port = parts.hostname or "", parts.port or 80
-        if parts.scheme != "http" or not host:
-            raise CallError(f"not an http URL: {url[:100]}")
-        target = (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
-        lines = [f"{method} {target} HTTP/1.1", f"Host: {parts.netloc}", "Connection: close"]
-        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
-        if body or method in ("POST", "PUT"):
-            lines.append(f"Content-Length: {len(body)}")
-        with socket.create_connection((host, port), timeout=timeout_us / 1e6) as sock:
-            sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body)
+        address = parts.hostname or "", parts.port or 80
+        with socket.create_connection(address, timeout=timeout_us / 1e6) as sock:
+            sock.sendall(head + body)
             return _read_reply(sock, deadline_us)
     except (OSError, ValueError) as error:
         raise CallError(f"{method} {url[:100]}: {error}") from None
 
 
+def _encode_head(method: str, url: str, headers: dict[str, str], body_bytes: int) -> bytes:
+    """Return the head of a call; raise CallError for a URL or a field that would be read as another one.
+
+    Both may be another party's: a URL may be a link in its documents, and a field name the link's type.
+    """
+    parts = urlsplit(url)
+    if not messages.is_visible(url):  # `urlsplit` drops line ends and tabs
+        raise CallError(f"not a URL of visible ASCII characters: {url[:100]!r}")
+    if parts.scheme != "http" or not parts.hostname or "@" in parts.netloc:
+        raise CallError(f"not an http URL: {url[:100]}")
+    target = (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
+    fields = {"Host": parts.netloc, "Connection": "close", **headers}
+    if body_bytes or method in ("POST", "PUT"):
+        fields["Content-Length"] = str(body_bytes)
+    for name, value in fields.items():
+        if FIELD_VALUE.fullmatch(value) is None:
+            raise CallError(f"{name}: not a value of a field: {value[:100]!r}")
+    lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in fields.items())]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
 class _Receiver:
     """Reads one reply from a connection, until a deadline."""
 
--- a/tests/test_header_values.py
+++ b/tests/test_header_values.py
@@ -10,9 +10,11 @@
 
 import pytest
 
+from lupintack.fronts.cdni import client
 from lupintack.fronts.exchange import checked_response
+from lupintack.standins.net import address_of, listen
 from tests.app import App
-from tests.scenario import Scenario
+from tests.scenario import MessageReader, Scenario
 from tests.site import site
 from tests.test_cdni import CONFIG, DOWNSTREAM, RI_TYPE, redirection_request
 
@@ -90,3 +92,41 @@
             while data := sock.recv(65536):
                 answer += data
     assert answer.startswith(b"HTTP/1.1 500 ") and b"Set-Cookie" not in answer and b"body" not in answer
+
+
+ACCEPT = {"Accept": "application/cdni; ptype=MI.HostIndex"}
+
+
+@pytest.mark.parametrize(
+    ("url", "headers"),
+    [
+        ("http://{up}/a b", ACCEPT),
+        ("http://{up}/a\r\nX-Evil: 1", ACCEPT),
+        ("http://{up}/a\tb", ACCEPT),
+        ("http://{up}/\x85", ACCEPT),
+        ("http://{up}/\u20ac", ACCEPT),
+        ("http://user@{up}/", ACCEPT),
+        ("http://{up}/", {"Accept": "x\r\nX-Evil: 1"}),
+        ("http://{up}/", {"Accept": "\u20ac"}),
+    ],
+)
+def test_call_to_another_cdn_that_would_read_otherwise_is_not_made(url: str, headers: dict[str, str]) -> None:
+    """Guards against links and types in a CDN's documents that write fields of a call to another one."""
+    received: list[str] = []
+    with listen(lambda sock: received.append(MessageReader(sock).read_message()[0])) as up:
+        with pytest.raises(client.CallError):
+            client.call("GET", url.replace("{up}", address_of(up)), 200_000, headers=headers)
+        assert not received
+
+
+def test_type_of_a_link_in_metadata_is_no_field_of_the_call() -> None:
+    """Guards against the same, from the document to the wire: the delivery fails, nothing is called."""
+    link = {"href": "{up}/host", "type": "MI.HostMetadata\r\nX-Evil: 1"}
+    index = json.dumps({"hosts": [{"host": "maps.up", "host-metadata": link}]})
+    Scenario(CONFIG + DOWNSTREAM).run(f"""
+        client a send GET {{cdni}}/delivery/maps.up/maps/a
+        peer up expect GET /hostindex
+        peer up send 200 MI.HostIndex '{index}'
+        client a expect 502 body=*Accept*
+        cache expect nothing 30
+    """)
