Compare a list, weak tags and `*` for the CDNI documents as well

Cause: the documents for downstream CDNs compared If-None-Match as one text, so a list, a weak tag or `*` got the whole document; the deliveries read it as HTTP defines it since.

Change: send_document uses the same parser.

Measured: test_own_metadata_is_served_to_downstream_cdns asks in these ways too, and failed on the code before.

--- a/lupintack/fronts/cdni/front.py
+++ b/lupintack/fronts/cdni/front.py
@@ -9,6 +9,7 @@
 from urllib.parse import urlsplit
 
 from lupintack.core.actor import Core
+from lupintack.core.entity_tags import parse_if_none_match
 from lupintack.core.member_table import MemberTable
 from lupintack.fronts.cdni import messages, metadata
 from lupintack.fronts.cdni.conf import Cdni, ContentHost
@@ -149,11 +150,12 @@
         """Answer with a JSON object, or with 304 if the client has the current entity tag."""
         if not messages.accepts(exchange.request.headers.get("accept", ""), ptype):
             raise HttpError(406, f"the answer is {messages.media_type(ptype)}")
-        tag = f'"{hashlib.blake2b(json.dumps(data).encode(), digest_size=8).hexdigest()}"'
-        if exchange.request.headers.get("if-none-match", "") == tag:
-            exchange.answer(304, [("ETag", tag), *extra])
+        tag = hashlib.blake2b(json.dumps(data).encode(), digest_size=8).hexdigest()
+        field = ("ETag", f'"{tag}"')
+        if parse_if_none_match(exchange.request.headers.get("if-none-match", "")).match(tag):
+            exchange.answer(304, [field, *extra])
         else:
-            messages.send_object(exchange, 200, ptype, data, ("ETag", tag), *extra)
+            messages.send_object(exchange, 200, ptype, data, field, *extra)
 
     ROUTES: dict[str, Callable[[CdniFront, Exchange, str], None]] = {
         "alive": on_alive,
--- a/tests/test_cdni.py
+++ b/tests/test_cdni.py
@@ -146,6 +146,12 @@
             client d expect 200 'Content-Type:*MI.HostMetadata' body='*MI.SourceMetadata*"ccid": "3"*'
             client d send GET {cdni}/metadata/hostindex If-None-Match:{tag}
             client d expect 304
+            client d send GET {cdni}/metadata/hostindex If-None-Match:"old",W/{tag}
+            client d expect 304 ETag:{tag}
+            client d send GET {cdni}/metadata/hostindex If-None-Match:*
+            client d expect 304
+            client d send GET {cdni}/metadata/hostindex If-None-Match:"old"
+            client d expect 200
             client d send GET {cdni}/metadata/host/maps.up
             client d expect 404
         """)
