Refuse a client library's arguments that a request can't hold

What callers saw, by the tests: a tag that an app passes on from elsewhere ended the header line over HTTP/2, where nothing checks it; a part or group out of range became a 400, after retries were counted.

Change: `begin` raises ValueError for `have` unless it is a tag as the router answers them, and for part and group out of range.

--- a/lupintack/client/api.py
+++ b/lupintack/client/api.py
@@ -22,10 +22,13 @@
 from lupintack.client.http2 import Http2Connection
 from lupintack.client.results import Failed, Holds, Refused, Result, Served, Unknown
 from lupintack.clock import now_us
+from lupintack.core.entity_tags import TAG
 from lupintack.limits.retries import ClientAttemptResult, RetryBudget, RetryTerms
 
 UNSAFE = frozenset(("alert-ack",))
 MAX_WAIT_MS = 60_000
+MAX_PART = 65_535
+MAX_GROUP = 255
 
 
 @dataclass(slots=True, eq=False)
@@ -128,6 +131,10 @@
             raise ValueError(f"item: expected 16 hex digits, not {item!r}")
         if not cls.isascii() or not cls.replace("-", "").isalnum():
             raise ValueError(f"cls: expected a name, not {cls!r}")
+        if have and not TAG.fullmatch(have):
+            raise ValueError(f"have: expected a tag without quotes, as it was answered, not {have!r}")
+        if not 0 <= part <= MAX_PART or (group is not None and not 0 <= group <= MAX_GROUP):
+            raise ValueError(f"part, group: expected 0 to {MAX_PART} and {MAX_GROUP}, not {part}, {group}")
         now = now_us()
         call = Call(cls, item, part, group, body or b"", have, now, now + wait_ms * 1000, Future())
         with self.condition:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+import unittest.mock
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -13,7 +14,9 @@
 from h2.errors import ErrorCodes
 
 from lupintack.client import Client, Failed, Holds, Refused, RetryTerms, Served, Unknown
+from lupintack.core.messages import ClientRequest
 from lupintack.http2.session import HIGHEST_STREAM_ID, Session
+from lupintack.interface import UNKNOWN_GROUP
 from lupintack.standins.fleet import Terms, content
 from lupintack.standins.net import close, listen
 from tests.site import eventually, site
@@ -43,6 +46,36 @@
             client.get("map-tiles", ITEM, wait_ms=0)
 
 
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        {"have": "t1\r\nReq-Token: other"},
+        {"have": 't1", "t2'},
+        {"have": "caf\xe9"},
+        {"part": -1},
+        {"part": 65_536},
+        {"group": 256},
+        {"group": -1},
+    ],
+)
+def test_arguments_that_no_request_can_hold_are_refused(arguments: dict[str, Any]) -> None:
+    """Guards against a tag from elsewhere that becomes fields of a request, or part and group of another."""
+    with site() as running_site, Client(running_site.http1, http2=False) as client:
+        with pytest.raises(ValueError, match=next(iter(arguments))):
+            client.get("map-tiles", ITEM, **arguments)
+        assert running_site.count("received.map-tiles") == 0
+
+
+def test_group_is_sent_only_if_the_caller_names_one() -> None:
+    with site() as running_site, Client(running_site.http1, http2=False) as client:
+        requests: list[ClientRequest] = []
+        with unittest.mock.patch.object(running_site.node.core, "submit", requests.append):
+            for arguments in ({}, {"group": 0}, {"group": 17}):
+                client.begin("map-tiles", ITEM, **arguments)  # type: ignore[arg-type]
+            eventually(lambda: len(requests) == 3)
+        assert sorted(request.group for request in requests) == [UNKNOWN_GROUP, 0, 17]
+
+
 @pytest.mark.parametrize("http2", [True, False])
 def test_expired_deadline_ends_one_call_and_not_its_connection(http2: bool) -> None:
     """The response arrives after its stream was cancelled; it must not end the connection either."""
