Share purges by CDNI among the processes of a router, before their sender has an answer

Hypotheses, and one play on the code before with the trace on: (1) the purge didn't bind the old process: no, `purge aa 0 0` is in its trace; (2) the new one was told and let it settle: no, its trace has no purge at all; (3) the handoff brought an older copy: no, `handoff received ... copies=0`. What a process takes by CDNI it alone knew.

Change: process/shared_log.py, a ring of records in the router's folder. A writer holds the file's lock, reads what is new, adds its record and writes the head last; readers compare the head, which is mapped into their memory, with their position. Purges are in it before the 201 (core/record_log.py is what the front sees of it), with when they were told; metadata that is dropped too. At each write the check that asks discovery for unread bytes asks for unread records: nothing is sent, and no own copy served, until the table has them. A process reads all that has not expired (`purge-settles` and 14 s) after its handoff and before its first request, and reads on until its end; a purge of one that was killed binds its successor.

Where that fails: a purge that can't be shared is in force in its process and refused with 503 (cdni.purges_not_shared), also where the log has no room for records that have not expired (1 MB). A process that can't read, meets damage, a notice of another version or a process of an older version takes everything for purged, ten times a second, while another process may be alive (cdni.gap.*). Off without CDNI, without a second address or without $TMPDIR; then nothing of it is loaded.

--- a/lupintack/core/ban_keeper.py
+++ b/lupintack/core/ban_keeper.py
@@ -29,6 +29,7 @@
     base: str
     name: str
     listen: str
+    shares_records: bool = False  # of this process, as the others see it
 
 
 class UnsavedChange(NamedTuple):
@@ -119,7 +120,7 @@
         self.last_attempt_us = now_us()
         try:
             if self.folder is None:
-                self.folder = Folder(location.base, location.name, location.listen)
+                self.folder = Folder(*location)
                 self.folder.write_phase(phase)
             texts = self.folder.read_bans()
         except OSError as error:
--- a/lupintack/core/member_table.py
+++ b/lupintack/core/member_table.py
@@ -63,7 +63,9 @@
         self.notify: Callable[[TableChange], None] = lambda change: None
         self.source_reads = SourceReads()  # reads whose updates are not in the table yet
         self.is_awaited = False  # the core defers attempts until a source has been read
-        self.has_unread: Callable[[], bool] = lambda: False  # called by any thread; must not block
+        # Called by any thread; must not block: bytes of discovery, and records of other processes
+        self.has_unread: Callable[[], bool] = lambda: False
+        self.has_unread_records: Callable[[], bool] = lambda: False
 
     # Called by sources of updates and by the node
 
@@ -127,9 +129,10 @@
         group: int,
         unix_ms: float | None,
         on_applied: Callable[[], None] | None = None,
+        told_us: int | None = None,
     ) -> None:
-        """Queue a purge of copies older than `unix_ms`, or than this call where that is None."""
-        self.mailbox.put(PurgeUpdate(object_id, group, unix_ms, on_applied))
+        """Queue a purge of copies older than `unix_ms`, or else than `told_us`, or else than this call."""
+        self.mailbox.put(PurgeUpdate(object_id, group, unix_ms, on_applied, told_us))
 
     def set_bans(self, bans: Bans) -> None:
         """Replace the operators' bans; they apply to writes immediately, before the mailbox is processed."""
@@ -163,7 +166,7 @@
         Checks the stages in the order in which bytes pass through them: unread, read, and then, by the
         caller, the table. In another order both checks could miss bytes that are read in between.
         """
-        return self.has_unread() or self.source_reads.is_behind(now_us())
+        return self.has_unread() or self.has_unread_records() or self.source_reads.is_behind(now_us())
 
     def is_outdated(self, attempt: Attempt) -> bool:
         """Return whether an update since the decision forbids the attempt.
@@ -370,6 +373,8 @@
         age_us = 0
         if update.unix_ms is not None and math.isfinite(update.unix_ms):
             age_us = self.clock.age_us(int(update.unix_ms * 1000), now)
+        elif update.told_us is not None:
+            age_us = max(0, now - update.told_us)
         number = self.purge_memory.remember(update.object_id, update.group, now)
         if update.object_id is None:
             event = Purged(0, update.group, age_us / 1000.0)
--- a/lupintack/core/table_updates.py
+++ b/lupintack/core/table_updates.py
@@ -46,14 +46,16 @@
 class PurgeUpdate:
     """A purge of an object, or of a group where `object_id` is None.
 
-    `unix_ms` is by the clock of the purge's issuer; None: the purge is as old as this update. `on_applied` is
-    called once the purge is in force.
+    `unix_ms` is by the clock of the purge's issuer; None: the purge is as old as `told_us`, when a process of
+    this router was told of it, or as this update without that. `on_applied` is called once the purge is in
+    force.
     """
 
     object_id: int | None
     group: int
     unix_ms: float | None
     on_applied: Callable[[], None] | None = None
+    told_us: int | None = None
 
 
 class BansUpdate:
--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -4,9 +4,7 @@
 
 import secrets
 import threading
-from collections import OrderedDict
 from collections.abc import Callable
-from enum import Enum, auto
 from typing import Any, NamedTuple
 
 from lupintack.clock import now_us, unix_now_ms
@@ -17,55 +15,11 @@
 from lupintack.fronts.cdni.conf import Cdni, Content
 from lupintack.fronts.cdni.metadata_reader import MetadataReader
 from lupintack.fronts.cdni.metadata_store import MetadataStore
+from lupintack.fronts.cdni.run_once_ids import IdStatus, RunOnceIds
 from lupintack.fronts.exchange import Exchange, HttpError
 from lupintack.fronts.platform import MAX_BODY_BYTES, ClientSink, check_method, deadline_us
 from lupintack.interface import Idempotency
 
-MAX_REMEMBERED_IDS = 12_288
-SECOND_COPY_DELAY_US = 60_000_000  # by which a request may reach this CDN again after its client's wait
-ID_LIFETIME_US = platform_headers.MAX_WAIT_MS * 1000 + SECOND_COPY_DELAY_US
-
-
-class IdStatus(Enum):
-    """What was found when the id of a request that must not run twice was added."""
-
-    ADDED = auto()
-    PRESENT = auto()  # it may have run
-    NO_ROOM = auto()  # it can't be remembered, so it must not run
-
-
-class RunOnceIds:
-    """Ids of recent requests that must not run twice.
-
-    A request such as an alert-ack may reach this CDN twice, for instance over two paths through its peers.
-    The second one is refused without an attempt. The id of a request that was rejected, and so never ran, is
-    removed, and the request may be repeated. Any other id stays for its whole lifetime: while there are too
-    many of them, no further request is accepted.
-    """
-
-    def __init__(self) -> None:
-        """Start without ids."""
-        self.lock = threading.Lock()
-        self.ids: OrderedDict[str, int] = OrderedDict()
-
-    def add(self, wire_id: str) -> IdStatus:
-        """Add the id of a request, which may run only if the id was added."""
-        now = now_us()
-        with self.lock:
-            while self.ids and next(iter(self.ids.values())) < now - ID_LIFETIME_US:
-                self.ids.popitem(last=False)
-            if wire_id in self.ids:
-                return IdStatus.PRESENT
-            if len(self.ids) >= MAX_REMEMBERED_IDS:
-                return IdStatus.NO_ROOM
-            self.ids[wire_id] = now
-            return IdStatus.ADDED
-
-    def remove(self, wire_id: str) -> None:
-        """Remove the id of a request that never ran."""
-        with self.lock:
-            self.ids.pop(wire_id, None)
-
 
 class CdnSink(ClientSink):
     """Answers a client as the platform's front does, with the standard Retry-After field on rejections."""
@@ -129,13 +83,15 @@
 class Delivery:
     """Submits content requests to the core, under the same rules as the platform's requests."""
 
-    def __init__(self, conf: Cdni, core: Core, store: MetadataStore) -> None:
+    def __init__(
+        self, conf: Cdni, core: Core, store: MetadataStore, run_once_ids: RunOnceIds | None = None
+    ) -> None:
         """`store`: the metadata of upstream CDNs."""
         self.conf = conf
         self.core = core
         self.class_names = tuple(cls.name for cls in core.settings.classes)  # when the CDNI file was read
         self.store = store
-        self.run_once_ids = RunOnceIds()
+        self.run_once_ids = run_once_ids or RunOnceIds()
 
     def resolve_group(self, content: Content, url: str, client_ip: str) -> ContentGroup:
         """Return the group of content for a delivery to a client.
@@ -182,8 +138,9 @@
         status = self.run_once_ids.add(request_id) if runs_once else IdStatus.ADDED
         if status is IdStatus.PRESENT:
             raise HttpError(409, "this request was taken before and may have run")
-        if status is IdStatus.NO_ROOM:
-            self.core.counters.increment("cdni.ids_refused")
+        if status is not IdStatus.ADDED:
+            name = "cdni.ids_refused" if status is IdStatus.NO_ROOM else "cdni.ids_not_shared"
+            self.core.counters.increment(name)
             reject(exchange, int(self.core.settings.max_retry_after_ms))
             return
         client_request = self.build_request(exchange, content, group, request_id, wait_ms)
--- a/lupintack/fronts/cdni/front.py
+++ b/lupintack/fronts/cdni/front.py
@@ -16,7 +16,10 @@
 from lupintack.fronts.cdni.delivery import Delivery
 from lupintack.fronts.cdni.metadata_reader import MetadataReader
 from lupintack.fronts.cdni.metadata_store import MetadataStore
+from lupintack.fronts.cdni.purges import Purges
 from lupintack.fronts.cdni.redirection import DEFAULT_MAX_HOPS, Redirection, RiError
+from lupintack.fronts.cdni.run_once_ids import RunOnceIds
+from lupintack.fronts.cdni.shared_state import CdniLogs
 from lupintack.fronts.cdni.triggers import STATUS_FILTERS, Triggers
 from lupintack.fronts.exchange import Exchange, HttpError
 
@@ -31,14 +34,21 @@
         member_table: MemberTable,
         ready: Callable[[], bool],
         spawn: Callable[[Callable[[], None], str], None],
+        logs: CdniLogs | None = None,
+        first_trigger: int = 0,
     ) -> None:
-        """Start the trigger workers; `ready`: whether this router accepts clients, for health checks."""
+        """Start the trigger workers; `ready`: whether this router accepts clients, for health checks.
+
+        `logs`: shared with the router's other processes, if there may be any; `first_trigger`: triggers have
+        the numbers after it.
+        """
         self.conf = conf
         self.core = core
         self.ready = ready
         self.store = MetadataStore()
-        self.delivery = Delivery(conf, core, self.store)
-        self.triggers = Triggers(conf, member_table, self.delivery, self.store)
+        self.delivery = Delivery(conf, core, self.store, RunOnceIds())
+        purges = Purges(conf, member_table, self.store, logs.purges if logs is not None else None)
+        self.triggers = Triggers(conf, purges, self.delivery, self.store, first_trigger)
         self.redirection = Redirection(conf, self.delivery, ready, core.counters)
         for loop, name in self.triggers.loops():
             spawn(loop, name)
--- a/lupintack/fronts/cdni/metadata_store.py
+++ b/lupintack/fronts/cdni/metadata_store.py
@@ -78,6 +78,13 @@
             for fetch in self.fetches:
                 fetch.is_outdated |= fetch.url in urls
 
+    def drop_all(self) -> None:
+        """Remove all documents from the cache, and keep none that is being fetched."""
+        with self.lock:
+            self.documents.clear()
+            for fetch in self.fetches:
+                fetch.is_outdated = True
+
     def _keep(self, fetch: Fetch, document: Document) -> None:
         """Cache a document, unless it may be older than what is known; called with the lock held."""
         cached = self.documents.get(fetch.url)
--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -11,13 +11,13 @@
 from typing import Any
 
 from lupintack.clock import now_us
-from lupintack.core.member_table import MemberTable
+from lupintack.core.record_log import RecordLogError
 from lupintack.fronts.cdni import messages, metadata
 from lupintack.fronts.cdni.conf import Cdni, Content
 from lupintack.fronts.cdni.delivery import Delivery
 from lupintack.fronts.cdni.forwarding import Forwarder
 from lupintack.fronts.cdni.metadata_store import MetadataStore
-from lupintack.fronts.cdni.purges import Purges
+from lupintack.fronts.cdni.purges import AppliedPurge, Purges
 from lupintack.fronts.cdni.trigger_resource import (
     FINAL_STATUSES,
     PATTERN_SELECTORS,
@@ -47,16 +47,16 @@
     """The status resources, and the workers that execute triggers."""
 
     def __init__(
-        self, conf: Cdni, member_table: MemberTable, delivery: Delivery, store: MetadataStore
+        self, conf: Cdni, purges: Purges, delivery: Delivery, store: MetadataStore, first_number: int = 0
     ) -> None:
-        """`store`: the metadata of upstream CDNs, which an invalidation drops."""
+        """`store`: the metadata of upstream CDNs, which a preposition drops; see CdniFront for the number."""
         self.conf = conf
-        self.purges = Purges(conf, member_table, store)
+        self.purges = purges
         self.delivery = delivery
         self.store = store
         self.lock = threading.Lock()
         self.resources: OrderedDict[int, Resource] = OrderedDict()
-        self.last_number = 0
+        self.last_number = first_number
         self.open_count = 0  # triggers with parts that have not ended
         self.open_preposition_count = 0  # of these, the prepositions
         self.preposition_queue: SimpleQueue[Resource] = SimpleQueue()
@@ -111,12 +111,24 @@
         if is_preposition:
             self.preposition_queue.put(resource)
         else:
-            resource.applied_purge = self.purges.apply(spec, resource.owner)
+            resource.applied_purge = self._apply_purge(resource)
             self.purge_queue.put(resource)
         for forwarder in forwarders:
             forwarder.enqueue(resource)
         return resource
 
+    def _apply_purge(self, resource: Resource) -> AppliedPurge:
+        """Apply a purge; raise HttpError, and forget the trigger, if the other processes can't be told."""
+        try:
+            return self.purges.apply(resource.spec, resource.owner)
+        except RecordLogError:
+            self.delivery.core.counters.increment("cdni.purges_not_shared")
+            with self.lock:
+                self.resources.pop(resource.number, None)
+                self.open_count -= 1
+            text = "in force in this process, but the router's other ones can't be told: try again"
+            raise HttpError(503, text) from None
+
     def _remove_finished(self, now: int) -> None:
         """Remove finished resources that are stale, or whose room is needed; called with the lock held."""
         for number, resource in list(self.resources.items()):
@@ -263,8 +275,9 @@
         for url in messages.read_texts(resource.spec, "metadata.urls"):
             try:
                 self.store.drop([url])
+                self.purges.share_dropped_metadata()
                 self.store.get(url, messages.HOST_INDEX)
-            except metadata.MetadataError as error:
+            except (metadata.MetadataError, RecordLogError) as error:
                 errors.append(messages.error_description("emeta", str(error), "metadata.urls", [url]))
         if resource.spec.get("content.ccid"):
             errors.append(
--- a/lupintack/lifecycle/folder.py
+++ b/lupintack/lifecycle/folder.py
@@ -46,6 +46,11 @@
             time.sleep(LOCK_RETRY_INTERVAL_S)
 
 
+def unlock_file(fd: int) -> None:
+    """Release the lock of `lock_file`."""
+    fcntl.flock(fd, fcntl.LOCK_UN)
+
+
 def folder_path(base: str, name: str, listen: str) -> Path:
     """Return the path of a router's folder, whether it exists or not."""
     key = hashlib.blake2b(f"{name}\0{listen}".encode(), digest_size=8).hexdigest()
@@ -114,8 +119,12 @@
     close() removes this process from the folder. Thread-safe.
     """
 
-    def __init__(self, base: str, name: str, listen: str) -> None:
-        """Open or create the folder, and lock this process's own file; raise FolderError on failure."""
+    def __init__(self, base: str, name: str, listen: str, shares_records: bool = False) -> None:
+        """Open or create the folder, and lock this process's own file; raise FolderError on failure.
+
+        `shares_records`: told to the peers, see UpgradePeer.
+        """
+        self.shares_records = shares_records
         self.path = folder_path(base, name, listen)
         self.pid = os.getpid()
         self.started_ns = time.monotonic_ns()
@@ -176,7 +185,10 @@
 
         A single write, so a reader gets either the old text or the new one.
         """
-        text = json.dumps({"born_ns": self.started_ns, "phase": phase}).encode().ljust(PEER_FILE_BYTES)
+        published: dict[str, object] = {"born_ns": self.started_ns, "phase": phase}
+        if self.shares_records:
+            published["records"] = True
+        text = json.dumps(published).encode().ljust(PEER_FILE_BYTES)
         try:
             return os.pwrite(self.own_fd, text, 0) == len(text)
         except OSError as error:
@@ -217,7 +229,8 @@
                 fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
             except BlockingIOError:
                 data = json.loads(os.read(fd, PEER_FILE_BYTES))
-                return UpgradePeer(int(name.partition(".")[2]), int(data["born_ns"]), str(data["phase"]))
+                pid, shares_records = int(name.partition(".")[2]), data.get("records") is True
+                return UpgradePeer(pid, int(data["born_ns"]), str(data["phase"]), shares_records)
             # A file that was just created may not be locked yet, so the removal checks again under the lock.
             fcntl.flock(fd, fcntl.LOCK_UN)
         finally:
--- a/lupintack/lifecycle/upgrade_peer.py
+++ b/lupintack/lifecycle/upgrade_peer.py
@@ -39,6 +39,7 @@
     pid: int
     started_ns: int
     phase: str
+    shares_records: bool = False  # through the shared logs, as every process with CDNI does
 
     @property
     def age(self) -> ProcessAge:
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -36,6 +36,7 @@
     from lupintack.fronts.cdni.conf import Cdni
     from lupintack.fronts.cdni.front import CdniFront
     from lupintack.fronts.http2 import Http2Server
+    from lupintack.process.sharing import ProcessSharing
     from lupintack.settings.operator import Http2 as Http2Settings
     from lupintack.settings.operator import Operator
 
@@ -56,9 +57,11 @@
     threading.Thread(target=target, name=name, daemon=True).start()
 
 
-def folder_location(conf: config.Config) -> FolderLocation | None:
+def folder_location(conf: config.Config, shares_records: bool) -> FolderLocation | None:
     """Return the location of the folder that the processes of a router share, None if none is configured."""
-    return FolderLocation(conf.tmp, conf.name, f"{conf.listen[0]}:{conf.listen[1]}") if conf.tmp else None
+    if not conf.tmp:
+        return None
+    return FolderLocation(conf.tmp, conf.name, f"{conf.listen[0]}:{conf.listen[1]}", shares_records)
 
 
 class Node:
@@ -104,6 +107,7 @@
             conf.limits.memory_mb,
             plan.process_descriptors,
         )
+        self.sharing: ProcessSharing | None = None
         self.fleet = self._build_fleet()
         self.admin = self._build_admin(plan.admin)
         cdni_front = self._build_cdni(cdni, plan.cdni)
@@ -169,19 +173,15 @@
         """Bind the CDNI front and add its server, if CDNI is enabled."""
         if cdni is None:
             return None
-        from lupintack.fronts.cdni.front import CdniFront
+        from lupintack.process.cdni_setup import RouterProcesses, build_cdni
 
-        front = CdniFront(cdni, self.core, self.member_table, self.is_ready, spawn)
-        server = Http1Server(
-            cdni.listen,
-            front.handle,
-            spawn,
-            self._count,
-            max_connections,
-            MAX_CDNI_BODY_BYTES,
-            self._shares_ports,
+        service, has_upgrades = self.admin_service, self.conf.admin is not None and bool(self.conf.tmp)
+        processes = RouterProcesses(lambda: service.folder, lambda: service.upgrade.peers)
+        front, self.sharing = build_cdni(
+            cdni, self.core, self.member_table, self.is_ready, spawn, processes if has_upgrades else None
         )
-        self.servers.append(server)
+        limits = max_connections, MAX_CDNI_BODY_BYTES, self._shares_ports
+        self.servers.append(Http1Server(cdni.listen, front.handle, spawn, self._count, *limits))
         return front
 
     def _build_http2(
@@ -255,7 +255,7 @@
     def begin(self) -> None:
         """Start everything but the fronts: the initial list, discovery, members, and the admin address."""
         if self.conf.admin is not None:
-            self.admin_service.join(folder_location(self.conf))
+            self.admin_service.join(folder_location(self.conf, self.sharing is not None))
         initial_changes: list[TableChange] = []
         self.member_table.notify = initial_changes.append
         while not self.member_table.mailbox.empty():
@@ -298,6 +298,8 @@
         if not self.handoff_is_over():
             fault = self.admin_service.upgrade.handoff.fault or "none"
             LOG.info("no handoff received", extra=logs.fields(fault=fault))
+        if self.sharing is not None:
+            self.sharing.start(spawn, lambda: self.core.is_stopped)  # once the handoff's copies are there
         # The first server answers `/alive`: clients may connect to any port once it reports ready.
         for server in reversed(self.servers):
             server.open()
@@ -335,6 +337,8 @@
         longest_s = max((cls.deadline_ms for cls in self.core.settings.classes), default=0.0) / 1000.0
         answer_s = min(longest_s, MAX_ANSWER_S)
         plan = self.admin_service.begin_shutdown(int(answer_s * 1e6))
+        if self.sharing is not None:
+            self.sharing.expect_unseen()
         end_s = terminated_s + ACCEPT_AFTER_SIGTERM_S + answer_s - KILL_MARGIN_S
         for server in self.servers:
             if plan.closes_after_answers:
--- /dev/null
+++ b/lupintack/process/cdni_setup.py
@@ -0,0 +1,52 @@
+"""Builds the CDNI front of a process, and what it shares with the router's other processes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from lupintack.core.actor import Core
+from lupintack.core.member_table import MemberTable
+from lupintack.fronts.cdni.conf import Cdni
+from lupintack.fronts.cdni.front import CdniFront
+from lupintack.fronts.cdni.shared_state import CdniLogs, CdniSharedState
+from lupintack.lifecycle.folder import Folder
+from lupintack.lifecycle.upgrade_peer import UpgradePeer
+from lupintack.process.shared_log import SharedLog
+from lupintack.process.sharing import ProcessSharing
+
+PURGE_LOG, ID_LOG = "purges.log", "ids.log"
+PURGE_LOG_BYTES = 1 << 20  # 100 triggers that name 512 objects or collections each
+ID_LOG_BYTES = 1 << 20  # 28,000 ids
+
+
+class RouterProcesses(NamedTuple):
+    """The other processes of this router: their folder, None while it can't be used, and those alive."""
+
+    folder: Callable[[], Folder | None]
+    peers: Callable[[], Sequence[UpgradePeer]]
+
+
+class CdniParts(NamedTuple):
+    """The front; `sharing` is None where this router never has a second process."""
+
+    front: CdniFront
+    sharing: ProcessSharing | None
+
+
+def build_cdni(
+    conf: Cdni,
+    core: Core,
+    member_table: MemberTable,
+    ready: Callable[[], bool],
+    spawn: Callable[[Callable[[], None], str], None],
+    processes: RouterProcesses | None,
+) -> CdniParts:
+    """Build the front; `processes`: None where this router never has a second process."""
+    if processes is None:
+        return CdniParts(CdniFront(conf, core, member_table, ready, spawn), None)
+    purge_log, id_log = SharedLog(PURGE_LOG, PURGE_LOG_BYTES), SharedLog(ID_LOG, ID_LOG_BYTES)
+    member_table.has_unread_records = purge_log.has_unread
+    front = CdniFront(conf, core, member_table, ready, spawn, CdniLogs(purge_log, id_log))
+    state = CdniSharedState(front.triggers.purges, front.delivery.run_once_ids, core.counters)
+    return CdniParts(front, ProcessSharing((purge_log, id_log), *processes, state))
--- a/lupintack/standins/processes.py
+++ b/lupintack/standins/processes.py
@@ -40,6 +40,7 @@
     ) -> None:
         self.tmp = tmp
         self.arguments = arguments
+        self.environment: dict[str, str] = {}  # of the processes that are started from now on
         self.fleet = fleet or Fleet()
         self.listen = ("127.0.0.1", free_ports(1)[0])
         self.configuration_file = tmp / "config.json"
@@ -56,6 +57,7 @@
             "EDGE_ADMIN_ADDR": f"127.0.0.1:{admin_address[1]}",
         }
         env |= {"TMPDIR": str(self.tmp), "EDGE_LISTEN": f"127.0.0.1:{self.listen[1]}", "EDGE_NAME": "n0"}
+        env |= self.environment
         with (self.tmp / f"log{len(self.running)}").open("w") as log:
             process = subprocess.Popen(
                 [sys.executable, *self.arguments], env=env, cwd=ROOT, stdout=log, stderr=log
--- a/tests/test_cdni_triggers.py
+++ b/tests/test_cdni_triggers.py
@@ -16,6 +16,7 @@
 from lupintack.fronts.cdni import triggers
 from lupintack.fronts.cdni.conf import Cdni, Upstream
 from lupintack.fronts.cdni.metadata_store import MetadataStore
+from lupintack.fronts.cdni.purges import Purges
 from lupintack.fronts.exchange import HttpError
 from tests.scenario import Scenario
 from tests.site import eventually
@@ -216,7 +217,7 @@
     conf = Cdni(("127.0.0.1", 0), "AS64500:0", "http://cdni", upstreams={upstream.id: upstream})
     core = unittest.mock.Mock(counters=Counters())
     table, store = MemberTable(6000.0), MetadataStore()
-    workers = triggers.Triggers(conf, table, unittest.mock.Mock(core=core), store)
+    workers = triggers.Triggers(conf, Purges(conf, table, store), unittest.mock.Mock(core=core), store)
     spec = {"type": "preposition", "content.urls": CONTENT}
     with unittest.mock.patch.object(triggers, "MAX_RESOURCES", 3):
         for _ in range(3):
--- a/tests/test_run_once_ids.py
+++ b/tests/test_run_once_ids.py
@@ -5,7 +5,7 @@
 import unittest.mock
 
 from lupintack.fronts import platform_headers
-from lupintack.fronts.cdni import delivery
+from lupintack.fronts.cdni import run_once_ids
 from tests.scenario import Scenario
 from tests.test_cdni import CONFIG, DOWNSTREAM
 
@@ -14,7 +14,7 @@
 
 def test_new_ids_are_refused_where_too_many_are_remembered() -> None:
     """Guards against an alert-ack that runs twice: a further id drove out the oldest one."""
-    with unittest.mock.patch.object(delivery, "MAX_REMEMBERED_IDS", 1):
+    with unittest.mock.patch.object(run_once_ids, "MAX_REMEMBERED_IDS", 1):
         scenario = Scenario(CONFIG + DOWNSTREAM)
         scenario.run(f"""
             client a send PUT {{cdni}}{ACK} Req-Id:9b1f03aa5c7e2d41 body=seen
@@ -33,13 +33,13 @@
 
 def test_id_is_remembered_after_the_longest_wait_of_its_client() -> None:
     """Guards against an alert-ack that runs twice: its id was forgotten while its client still waited."""
-    ids, now_us = delivery.RunOnceIds(), 1_000_000_000
-    with unittest.mock.patch.object(delivery, "now_us", side_effect=lambda: now_us):
-        assert ids.add("a") is delivery.IdStatus.ADDED
+    ids, now_us = run_once_ids.RunOnceIds(), 1_000_000_000
+    with unittest.mock.patch.object(run_once_ids, "now_us", side_effect=lambda: now_us):
+        assert ids.add("a") is run_once_ids.IdStatus.ADDED
         now_us += platform_headers.MAX_WAIT_MS * 1000 + 59_000_000
-        assert ids.add("b") is delivery.IdStatus.ADDED
-        assert ids.add("a") is delivery.IdStatus.PRESENT
+        assert ids.add("b") is run_once_ids.IdStatus.ADDED
+        assert ids.add("a") is run_once_ids.IdStatus.PRESENT
         now_us += 2_000_000
-        assert ids.add("a") is delivery.IdStatus.ADDED
+        assert ids.add("a") is run_once_ids.IdStatus.ADDED
         ids.remove("a")
-        assert ids.add("a") is delivery.IdStatus.ADDED
+        assert ids.add("a") is run_once_ids.IdStatus.ADDED
