Number CDNI triggers so that two processes of a router give different numbers

What callers saw, by the test: the new process of an upgrade counted triggers from 1 again, so a poll of the old process's trigger 1 was answered with the status of another one; a purge that had failed could read as complete.

Cause: the number was a count of the process.

Change: where a router may have two processes, numbers begin at the milliseconds of the machine's clock; a process would have to take 1,000 triggers a second since its start to reach those of the next one. A status that the other process has is 404, as one that was never known; elsewhere numbers are as before.

--- a/lupintack/process/cdni_setup.py
+++ b/lupintack/process/cdni_setup.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from lupintack.clock import now_us
 from lupintack.core.actor import Core
 from lupintack.core.member_table import MemberTable
 from lupintack.fronts.cdni.conf import Cdni
@@ -47,6 +48,9 @@
         return CdniParts(CdniFront(conf, core, member_table, ready, spawn), None)
     purge_log, id_log = SharedLog(PURGE_LOG, PURGE_LOG_BYTES), SharedLog(ID_LOG, ID_LOG_BYTES)
     member_table.has_unread_records = purge_log.has_unread
-    front = CdniFront(conf, core, member_table, ready, spawn, CdniLogs(purge_log, id_log))
+    # Numbers of triggers by the machine's clock, so that two processes give different ones.
+    front = CdniFront(
+        conf, core, member_table, ready, spawn, CdniLogs(purge_log, id_log), first_trigger=now_us() // 1000
+    )
     state = CdniSharedState(front.triggers.purges, front.delivery.run_once_ids, core.counters)
     return CdniParts(front, ProcessSharing((purge_log, id_log), *processes, state))
--- a/tests/test_cdni_upgrade.py
+++ b/tests/test_cdni_upgrade.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Iterator
 from pathlib import Path
+from urllib.parse import urlsplit
 
 import pytest
 
@@ -196,3 +197,17 @@
     assert processes.purge(cdni)[0] == 503, "it can't tell the old one"
     old.send_signal(signal.SIGTERM)
     assert old.wait(10) == 0
+
+
+def test_triggers_of_two_processes_have_different_numbers(processes: CdniProcesses) -> None:
+    """Guards against a status that is another trigger's: the new process began to count anew."""
+    old, _ = processes.start()
+    _, location = processes.purge(Client(processes.cdni_port), value="1")
+    processes.start()
+    cdni = Client(processes.cdni_port)
+    for _ in range(3):
+        _, other = processes.purge(cdni, value="2")
+        assert other != location
+    assert cdni.send("GET", urlsplit(location).path)[0] == 404
+    old.send_signal(signal.SIGTERM)
+    assert old.wait(10) == 0
