Share the ids of CDNI requests that must not run twice among a router's processes

Cause: the ids were the process's own.

Change: RunOnceIds claims an id in the shared log `ids.log`: under the file's lock it reads what others have added, then adds its own, so of two claims one wins. A request that was rejected frees its id here at once, and for the others within a look of 20 ms; a removal that is told late doesn't free an id that was taken again. Where an id can't be shared, the request is refused with 503 (cdni.ids_not_shared): the log can't be used or has no room (1 MB, some 28,000 ids of three minutes); after damage, and beside a process of an older version, for the three minutes in which an id may matter.

--- a/lupintack/fronts/cdni/front.py
+++ b/lupintack/fronts/cdni/front.py
@@ -46,7 +46,7 @@
         self.core = core
         self.ready = ready
         self.store = MetadataStore()
-        self.delivery = Delivery(conf, core, self.store, RunOnceIds())
+        self.delivery = Delivery(conf, core, self.store, RunOnceIds(logs.ids if logs is not None else None))
         purges = Purges(conf, member_table, self.store, logs.purges if logs is not None else None)
         self.triggers = Triggers(conf, purges, self.delivery, self.store, first_trigger)
         self.redirection = Redirection(conf, self.delivery, ready, core.counters)
