Share idempotency keys among the processes of a router, before an attempt is sent

Change: a third log, keys.log. Before a keyed attempt is sent, the core's turn reads what other processes have added and adds the attempt, under the file's lock, so that the windows of all attempts under a key bound each of them, whichever process sent them; an attempt without effect is withdrawn for all. A process reads the keys that still matter before its first request. A class that gets keys by SIGHUP begins to share before it is in force.

Where that fails: beside another process an attempt that can't be shared is not sent (idempotency_keys.not_shared, held_back). A process alone goes on without the log and says so in its own file, also for those that start later; if it can't, it holds back. A process that may lack keys (log unreadable, damaged, of another version, a peer that doesn't share them) refuses requests that are marked as retries and whose key it doesn't know, with 503, until no such key matters (idempotency_keys.unknown, idempotency_keys.gap.*). Nothing is loaded without a class with keys, a second address or $TMPDIR.

Beside it: test_cdni_upgrade waited for /api/ready and then connected, but the port is routed a moment later; it now waits for that (the old process got the call once).

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -27,6 +27,8 @@
     ClientDisconnection,
     ClientRequest,
     FailOpenRequests,
+    ReadSharedKeys,
+    SharedKeysGap,
     Shutdown,
 )
 from lupintack.core.request_intake import RequestIntake
@@ -87,7 +89,7 @@
         self.request_log = RequestLog()
         self.responder = Responder(self.state, self.requests, self.request_log)
         self.idempotency_cache = IdempotencyCache(self.counters)
-        deduplication = Deduplication(self.state, self.idempotency_cache)
+        self.deduplication = deduplication = Deduplication(self.state, self.idempotency_cache)
         self.intake = RequestIntake(self.state, self.requests, self.timers, deduplication)
         self.results = AttemptResults(self.state, self.requests, self.responder, deduplication)
         self.attempts = AttemptDispatcher(
@@ -208,11 +210,7 @@
     def _handle(self, message: Message, events: list[Event]) -> None:
         """Handle one message other than a change of the member table."""
         if isinstance(message, ClientRequest):
-            event = self.intake.accept(message)
-            if event is not None:
-                if self.member_table.has_outdated_group(message):
-                    events.append(purge_of_object(message.object_id))
-                events.append(event)
+            self._accept(message, events)
         elif isinstance(message, AttemptResult):
             self.results.on_result(message, events)
         elif isinstance(message, ClientDisconnection):
@@ -221,11 +219,21 @@
             apply(self.state, message, self._class_indexes_in_use)
         elif isinstance(message, HandoffRequest):
             message.on_state(capture_state(self.state))
+        elif isinstance(message, (ReadSharedKeys, SharedKeysGap)):
+            self.deduplication.on_shared_keys(message)
         elif isinstance(message, FailOpenRequests):
             self._fail_open_requests(events)
         elif isinstance(message, Shutdown):
             self.shutdown = message
 
+    def _accept(self, request: ClientRequest, events: list[Event]) -> None:
+        event = self.intake.accept(request)
+        if event is None:
+            return
+        if self.member_table.has_outdated_group(request):
+            events.append(purge_of_object(request.object_id))
+        events.append(event)
+
     def _on_client_disconnection(self, message: ClientDisconnection, events: list[Event]) -> None:
         entry = self.requests.get(message.request.number)
         if entry is not None and not entry.is_answered:
--- a/lupintack/core/mailbox.py
+++ b/lupintack/core/mailbox.py
@@ -17,6 +17,8 @@
     ClientDisconnection,
     ClientRequest,
     FailOpenRequests,
+    ReadSharedKeys,
+    SharedKeysGap,
     Shutdown,
 )
 from lupintack.core.settings_update import SettingsUpdate
@@ -35,6 +37,8 @@
     | TableChange
     | SettingsUpdate
     | HandoffRequest
+    | ReadSharedKeys
+    | SharedKeysGap
     | Shutdown
     | FailOpenRequests
 )
--- a/lupintack/core/messages.py
+++ b/lupintack/core/messages.py
@@ -127,6 +127,17 @@
     on_all_answered: Callable[[], None]
 
 
+class ReadSharedKeys:
+    """Other processes of this router have shared keys, or are to be told of some."""
+
+
+@dataclass(slots=True)
+class SharedKeysGap:
+    """Keys of other processes may be unknown here; `at_us`: until when they were accepted."""
+
+    at_us: int
+
+
 class FailOpenRequests:
     """The process exits now: every unanswered request is failed."""
 
--- a/lupintack/core/record_log.py
+++ b/lupintack/core/record_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Protocol
 
 OnRecord = Callable[[bytes], None]
@@ -16,6 +17,14 @@
     """Records could not be read, and are lost to this process; it reads on from those that follow."""
 
 
+class Gap(Enum):
+    """Why records of another process may be unknown here."""
+
+    UNREADABLE = "unreadable"  # this process has not opened the logs, which the others may use
+    DAMAGED = "damaged"
+    UNSHARED = "unshared"  # a living process shares nothing
+
+
 class RecordLog(Protocol):
     """Records in one order for all processes, each of which reads on from its own position. Thread-safe."""
 
--- a/lupintack/fronts/cdni/shared_state.py
+++ b/lupintack/fronts/cdni/shared_state.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import NamedTuple
 
 from lupintack.core.counters import Counters
-from lupintack.core.record_log import RecordLog
+from lupintack.core.record_log import Gap, RecordLog
 from lupintack.fronts.cdni.purges import Purges
 from lupintack.fronts.cdni.run_once_ids import RunOnceIds
 
@@ -18,14 +17,6 @@
     ids: RecordLog
 
 
-class Gap(Enum):
-    """Why records of another process may be unknown here."""
-
-    UNREADABLE = "unreadable"  # this process has not opened the logs, which the others may use
-    DAMAGED = "damaged"
-    UNSHARED = "unshared"  # a living process shares nothing
-
-
 class CdniSharedState:
     """Applies the records of other processes, and acts safely where some may be missing."""
 
--- a/lupintack/lifecycle/folder.py
+++ b/lupintack/lifecycle/folder.py
@@ -13,6 +13,7 @@
 import json
 import logging
 import os
+import threading
 import time
 from collections.abc import Iterable, Iterator
 from pathlib import Path
@@ -34,7 +35,7 @@
     """Raised for a folder that can't be used; the text gives the reason."""
 
 
-def lock_file(fd: int, timeout_s: float) -> None:
+def lock_file(fd: int, timeout_s: float, retry_interval_s: float = LOCK_RETRY_INTERVAL_S) -> None:
     """Take an exclusive lock; raise FolderError if another process holds one until the timeout."""
     until = time.monotonic() + timeout_s
     while True:
@@ -43,7 +44,7 @@
         except BlockingIOError:
             if time.monotonic() >= until:
                 raise FolderError("another process keeps the lock") from None
-            time.sleep(LOCK_RETRY_INTERVAL_S)
+            time.sleep(retry_interval_s)
 
 
 def unlock_file(fd: int) -> None:
@@ -119,12 +120,15 @@
     close() removes this process from the folder. Thread-safe.
     """
 
-    def __init__(self, base: str, name: str, listen: str, shares_records: bool = False) -> None:
+    def __init__(self, base: str, name: str, listen: str, shares_purges: bool = False) -> None:
         """Open or create the folder, and lock this process's own file; raise FolderError on failure.
 
-        `shares_records`: told to the peers, see UpgradePeer.
+        `shares_purges`: told to the peers, see UpgradePeer.
         """
-        self.shares_records = shares_records
+        self.shares_purges = shares_purges
+        self.shares_keys = True
+        self.phase = "starting"
+        self.publish_lock = threading.Lock()
         self.path = folder_path(base, name, listen)
         self.pid = os.getpid()
         self.started_ns = time.monotonic_ns()
@@ -148,7 +152,7 @@
             if self.own_fd >= 0:
                 os.close(self.own_fd)
             raise FolderError(f"{self.path} can't be used: {error.strerror or error}") from None
-        self.write_phase("starting")
+        self.write_phase(self.phase)
 
     @property
     def age(self) -> ProcessAge:
@@ -185,10 +189,20 @@
 
         A single write, so a reader gets either the old text or the new one.
         """
-        published: dict[str, object] = {"born_ns": self.started_ns, "phase": phase}
-        if self.shares_records:
-            published["records"] = True
-        text = json.dumps(published).encode().ljust(PEER_FILE_BYTES)
+        with self.publish_lock:
+            self.phase = phase
+            return self._publish()
+
+    def write_shares_keys(self, shares_keys: bool) -> bool:
+        """Publish whether this process's keys are all in the shared log; return False if that fails now."""
+        with self.publish_lock:
+            self.shares_keys = shares_keys
+            return self._publish()
+
+    def _publish(self) -> bool:
+        state = {"born_ns": self.started_ns, "phase": self.phase}
+        state |= {"purges": self.shares_purges, "keys": self.shares_keys}
+        text = json.dumps(state, separators=(",", ":")).encode().ljust(PEER_FILE_BYTES)
         try:
             return os.pwrite(self.own_fd, text, 0) == len(text)
         except OSError as error:
@@ -229,8 +243,9 @@
                 fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
             except BlockingIOError:
                 data = json.loads(os.read(fd, PEER_FILE_BYTES))
-                pid, shares_records = int(name.partition(".")[2]), data.get("records") is True
-                return UpgradePeer(pid, int(data["born_ns"]), str(data["phase"]), shares_records)
+                shared = data.get("purges") is True, data.get("keys") is True
+                pid = int(name.partition(".")[2])
+                return UpgradePeer(pid, int(data["born_ns"]), str(data["phase"]), *shared)
             # A file that was just created may not be locked yet, so the removal checks again under the lock.
             fcntl.flock(fd, fcntl.LOCK_UN)
         finally:
--- a/lupintack/lifecycle/upgrade_peer.py
+++ b/lupintack/lifecycle/upgrade_peer.py
@@ -39,7 +39,8 @@
     pid: int
     started_ns: int
     phase: str
-    shares_records: bool = False  # through the shared logs, as every process with CDNI does
+    shares_purges: bool = False  # by CDNI, through the shared logs, as every process with CDNI does
+    shares_keys: bool = False  # all its idempotency keys, through the shared log
 
     @property
     def age(self) -> ProcessAge:
--- a/lupintack/limits/idempotency_cache.py
+++ b/lupintack/limits/idempotency_cache.py
@@ -48,6 +48,7 @@
     """The possible runs under a key in the order in which they were sent, and until when they are kept."""
 
     expires_us: int
+    is_bounded: bool = True  # counts against the bound
     runs: list[PossibleRun] = field(default_factory=list)
 
 
@@ -70,18 +71,23 @@
         self.counters = counters
         self.max_keys = max_keys
         self.records: dict[IdempotencyKey, KeyRecord] = {}
+        self.bounded_count = 0  # of the records that count against the bound
         self._expiries: list[KeyExpiry] = []  # a heap with one entry for each record
 
-    def reserve(self, key: IdempotencyKey, now_us: int, expires_us: int) -> bool:
-        """Keep a key until `expires_us` at least; return False if the cache is full and lacks it."""
+    def reserve(self, key: IdempotencyKey, now_us: int, expires_us: int, is_bounded: bool = True) -> bool:
+        """Keep a key until `expires_us` at least; return False if the cache is full and lacks it.
+
+        `is_bounded`: False for keys that another process has accepted, whose number the shared log bounds.
+        """
         record = self.records.get(key)
         if record is not None:
             record.expires_us = max(record.expires_us, expires_us)
             return True
         self._drop_expired(now_us)
-        if len(self.records) >= self.max_keys:
+        if is_bounded and self.bounded_count >= self.max_keys:
             return False
-        self.records[key] = KeyRecord(expires_us)
+        self.records[key] = KeyRecord(expires_us, is_bounded)
+        self.bounded_count += is_bounded
         heapq.heappush(self._expiries, KeyExpiry(expires_us, key))
         return True
 
@@ -109,11 +115,14 @@
         runs.append(run)
         return True
 
-    def remove_run(self, key: IdempotencyKey, request: int, attempt: int) -> None:
-        """Remove an attempt that is proved to have had no effect."""
+    def remove_run(self, key: IdempotencyKey, request: int, attempt: int) -> bool:
+        """Remove an attempt that is proved to have had no effect; return whether it was recorded."""
         record = self.records.get(key)
-        if record is not None:
-            record.runs = [run for run in record.runs if (run.request, run.attempt) != (request, attempt)]
+        if record is None:
+            return False
+        count = len(record.runs)
+        record.runs = [run for run in record.runs if (run.request, run.attempt) != (request, attempt)]
+        return len(record.runs) < count
 
     def _drop_expired(self, now_us: int) -> None:
         """Drop some of the keys that have expired."""
@@ -121,10 +130,12 @@
             if not self._expiries or self._expiries[0].at_us >= now_us:
                 return
             key = self._expiries[0].key
-            expires_us = self.records[key].expires_us
+            record = self.records[key]
+            expires_us = record.expires_us
             if expires_us >= now_us:
                 heapq.heapreplace(self._expiries, KeyExpiry(expires_us, key))
                 continue
             heapq.heappop(self._expiries)
             del self.records[key]
+            self.bounded_count -= record.is_bounded
             self.counters["idempotency_keys.expired"] += 1
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -28,6 +28,8 @@
 from lupintack.peers.peer import Peer
 from lupintack.process.descriptor_plan import DescriptorPlan, plan_descriptors
 from lupintack.process.front_server import FrontServer
+from lupintack.process.router_processes import RouterProcesses
+from lupintack.process.upgrade_sharing import UpgradeSharing
 from lupintack.reload import reload_files
 from lupintack.settings import files
 
@@ -36,7 +38,6 @@
     from lupintack.fronts.cdni.conf import Cdni
     from lupintack.fronts.cdni.front import CdniFront
     from lupintack.fronts.http2 import Http2Server
-    from lupintack.process.sharing import ProcessSharing
     from lupintack.settings.operator import Http2 as Http2Settings
     from lupintack.settings.operator import Operator
 
@@ -57,11 +58,11 @@
     threading.Thread(target=target, name=name, daemon=True).start()
 
 
-def folder_location(conf: config.Config, shares_records: bool) -> FolderLocation | None:
+def folder_location(conf: config.Config, shares_purges: bool) -> FolderLocation | None:
     """Return the location of the folder that the processes of a router share, None if none is configured."""
     if not conf.tmp:
         return None
-    return FolderLocation(conf.tmp, conf.name, f"{conf.listen[0]}:{conf.listen[1]}", shares_records)
+    return FolderLocation(conf.tmp, conf.name, f"{conf.listen[0]}:{conf.listen[1]}", shares_purges)
 
 
 class Node:
@@ -107,7 +108,7 @@
             conf.limits.memory_mb,
             plan.process_descriptors,
         )
-        self.sharing: ProcessSharing | None = None
+        self.sharing = UpgradeSharing(self.core, self._router_processes(), spawn)
         self.fleet = self._build_fleet()
         self.admin = self._build_admin(plan.admin)
         cdni_front = self._build_cdni(cdni, plan.cdni)
@@ -169,16 +170,21 @@
             self.conf.admin, handle, spawn, self._count, max_connections, MAX_CALL_BYTES, bodyless=True
         )
 
+    def _router_processes(self) -> RouterProcesses | None:
+        """Return how this router's other processes are known, None if it never has another one."""
+        if self.conf.admin is None or not self.conf.tmp:
+            return None
+        service = self.admin_service
+        return RouterProcesses(lambda: service.folder, lambda: service.upgrade.peers)
+
     def _build_cdni(self, cdni: Cdni | None, max_connections: int) -> CdniFront | None:
         """Bind the CDNI front and add its server, if CDNI is enabled."""
         if cdni is None:
             return None
-        from lupintack.process.cdni_setup import RouterProcesses, build_cdni
+        from lupintack.process.cdni_setup import build_cdni
 
-        service, has_upgrades = self.admin_service, self.conf.admin is not None and bool(self.conf.tmp)
-        processes = RouterProcesses(lambda: service.folder, lambda: service.upgrade.peers)
-        front, self.sharing = build_cdni(
-            cdni, self.core, self.member_table, self.is_ready, spawn, processes if has_upgrades else None
+        front, self.sharing.cdni = build_cdni(
+            cdni, self.core, self.member_table, self.is_ready, spawn, self.sharing.processes
         )
         limits = max_connections, MAX_CDNI_BODY_BYTES, self._shares_ports
         self.servers.append(Http1Server(cdni.listen, front.handle, spawn, self._count, *limits))
@@ -255,7 +261,7 @@
     def begin(self) -> None:
         """Start everything but the fronts: the initial list, discovery, members, and the admin address."""
         if self.conf.admin is not None:
-            self.admin_service.join(folder_location(self.conf, self.sharing is not None))
+            self.admin_service.join(folder_location(self.conf, self.sharing.cdni is not None))
         initial_changes: list[TableChange] = []
         self.member_table.notify = initial_changes.append
         while not self.member_table.mailbox.empty():
@@ -298,8 +304,7 @@
         if not self.handoff_is_over():
             fault = self.admin_service.upgrade.handoff.fault or "none"
             LOG.info("no handoff received", extra=logs.fields(fault=fault))
-        if self.sharing is not None:
-            self.sharing.start(spawn, lambda: self.core.is_stopped)  # once the handoff's copies are there
+        self.sharing.start(self.core.settings)
         # The first server answers `/alive`: clients may connect to any port once it reports ready.
         for server in reversed(self.servers):
             server.open()
@@ -337,8 +342,7 @@
         longest_s = max((cls.deadline_ms for cls in self.core.settings.classes), default=0.0) / 1000.0
         answer_s = min(longest_s, MAX_ANSWER_S)
         plan = self.admin_service.begin_shutdown(int(answer_s * 1e6))
-        if self.sharing is not None:
-            self.sharing.expect_unseen()
+        self.sharing.expect_unseen()
         end_s = terminated_s + ACCEPT_AFTER_SIGTERM_S + answer_s - KILL_MARGIN_S
         for server in self.servers:
             if plan.closes_after_answers:
--- a/lupintack/process/cdni_setup.py
+++ b/lupintack/process/cdni_setup.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import NamedTuple
 
 from lupintack.clock import now_us
@@ -11,8 +11,7 @@
 from lupintack.fronts.cdni.conf import Cdni
 from lupintack.fronts.cdni.front import CdniFront
 from lupintack.fronts.cdni.shared_state import CdniLogs, CdniSharedState
-from lupintack.lifecycle.folder import Folder
-from lupintack.lifecycle.upgrade_peer import UpgradePeer
+from lupintack.process.router_processes import RouterProcesses
 from lupintack.process.shared_log import SharedLog
 from lupintack.process.sharing import ProcessSharing
 
@@ -21,13 +20,6 @@
 ID_LOG_BYTES = 1 << 20  # 28,000 ids
 
 
-class RouterProcesses(NamedTuple):
-    """The other processes of this router: their folder, None while it can't be used, and those alive."""
-
-    folder: Callable[[], Folder | None]
-    peers: Callable[[], Sequence[UpgradePeer]]
-
-
 class CdniParts(NamedTuple):
     """The front; `sharing` is None where this router never has a second process."""
 
@@ -53,4 +45,5 @@
         conf, core, member_table, ready, spawn, CdniLogs(purge_log, id_log), first_trigger=now_us() // 1000
     )
     state = CdniSharedState(front.triggers.purges, front.delivery.run_once_ids, core.counters)
-    return CdniParts(front, ProcessSharing((purge_log, id_log), *processes, state))
+    sharing = ProcessSharing((purge_log, id_log), processes, state, lambda peer: peer.shares_purges)
+    return CdniParts(front, sharing)
--- a/lupintack/process/shared_log.py
+++ b/lupintack/process/shared_log.py
@@ -12,8 +12,7 @@
 import struct
 import threading
 import zlib
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -33,6 +32,7 @@
 DATA_OFFSET = 4096  # the header has a page of its own
 RECORD = struct.Struct("=IIq")  # length and checksum of the payload, and when it expires
 LOCK_TIMEOUT_S = 0.2  # a writer may be stopped while it holds the lock
+LOCK_RETRY_INTERVAL_S = 0.0005  # a writer holds it for some microseconds
 START = -1  # position of a process that has read nothing
 
 
@@ -54,9 +54,10 @@
 class SharedLog:
     """One log, opened by one process; see `core.record_log`. Records expire on the monotonic clock."""
 
-    def __init__(self, name: str, capacity_bytes: int) -> None:
+    def __init__(self, name: str, capacity_bytes: int, lock_timeout_s: float = LOCK_TIMEOUT_S) -> None:
         """`name`: of the file in the router's folder. Nothing is shared before `open`."""
         self.name = name
+        self.lock_timeout_s = lock_timeout_s
         self.capacity_bytes = capacity_bytes
         self._lock = threading.Lock()  # guards all but `_position`, which any thread reads
         self._fd = -1
@@ -73,8 +74,11 @@
         with self._lock:
             try:
                 self._fd = os.open(folder / self.name, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-                with self._locked_file():
+                lock_file(self._fd, self.lock_timeout_s, LOCK_RETRY_INTERVAL_S)
+                try:
                     self._initialize()
+                finally:
+                    unlock_file(self._fd)
                 self._header = mmap.mmap(self._fd, DATA_OFFSET, prot=mmap.PROT_READ)
             except (OSError, ValueError) as error:
                 self._close()
@@ -103,16 +107,28 @@
 
     def poll(self, on_record: OnRecord) -> None:
         """Read the new records; raise RecordLogError if that is not possible now."""
-        with self._lock, self._reporting_errors():
-            self._read(on_record)
+        with self._lock:
+            self._require_open()
+            try:
+                self._read(on_record)
+            except OSError as error:
+                raise self._typed(error) from None
 
     def update(self, on_record: OnRecord, create: Callable[[], bytes | None], lifetime_us: int) -> None:
         """Read the new records, then add one; see `core.record_log`."""
-        with self._lock, self._reporting_errors(), self._locked_file():
-            self._read(on_record)
-            payload = create()
-            if payload is not None:
-                self._append(payload, now_us() + lifetime_us)
+        with self._lock:
+            self._require_open()
+            try:
+                lock_file(self._fd, self.lock_timeout_s, LOCK_RETRY_INTERVAL_S)
+                try:
+                    self._read(on_record)
+                    payload = create()
+                    if payload is not None:
+                        self._append(payload, now_us() + lifetime_us)
+                finally:
+                    unlock_file(self._fd)
+            except OSError as error:
+                raise self._typed(error) from None
 
     def _close(self) -> None:
         # The mapping ends with its last use: `has_unread` may be reading it on another thread.
@@ -121,24 +137,13 @@
         if fd >= 0:
             os.close(fd)
 
-    @contextmanager
-    def _reporting_errors(self) -> Iterator[None]:
+    def _require_open(self) -> None:
         if self._header is None:
             raise RecordLogError(f"{self.name} is not open")
-        try:
-            yield
-        except RecordLogError:
-            raise
-        except OSError as error:
-            raise RecordLogError(f"{self.name}: {error}") from None
-
-    @contextmanager
-    def _locked_file(self) -> Iterator[None]:
-        lock_file(self._fd, LOCK_TIMEOUT_S)
-        try:
-            yield
-        finally:
-            unlock_file(self._fd)
+
+    def _typed(self, error: OSError) -> RecordLogError:
+        """Return an error of the file as one of the log."""
+        return error if isinstance(error, RecordLogError) else RecordLogError(f"{self.name}: {error}")
 
     def _initialize(self) -> None:
         """Write the header, unless the file has one of this boot: the clock begins anew with each."""
--- a/lupintack/process/sharing.py
+++ b/lupintack/process/sharing.py
@@ -8,11 +8,10 @@
 from typing import Protocol
 
 from lupintack.clock import now_us
-from lupintack.core.record_log import DamagedLogError, RecordLogError
-from lupintack.fronts.cdni.shared_state import Gap
-from lupintack.lifecycle.folder import Folder
+from lupintack.core.record_log import DamagedLogError, Gap, RecordLogError
 from lupintack.lifecycle.upgrade_peer import UpgradePeer
 from lupintack.logs import LineLimit, fields
+from lupintack.process.router_processes import RouterProcesses
 from lupintack.process.shared_log import SharedLog
 
 LOG = logging.getLogger("process")
@@ -39,15 +38,15 @@
     def __init__(
         self,
         logs: Sequence[SharedLog],
-        folder: Callable[[], Folder | None],
-        peers: Callable[[], Sequence[UpgradePeer]],
+        processes: RouterProcesses,
         state: SharedState,
+        is_shared_by: Callable[[UpgradePeer], bool],
     ) -> None:
-        """`folder`: of the router, None while it can't be used; `peers`: the other living processes."""
+        """`is_shared_by`: whether a process adds to these logs all that the others need."""
         self._logs = logs
-        self._folder = folder
-        self._peers = peers
+        self._folder, self._peers = processes
         self._state = state
+        self._is_shared_by = is_shared_by
         self._lines = LineLimit(MAX_LINES_PER_S)
         self._opened_us = 0  # when it was last tried
         self._gap_us = 0  # when one was last reported
@@ -109,7 +108,7 @@
 
     def _find_gap(self) -> Gap | None:
         peers = self._peers()
-        if any(not peer.shares_records for peer in peers):
+        if not all(map(self._is_shared_by, peers)):
             return Gap.UNSHARED
         if all(log.is_open for log in self._logs):
             return None
--- a/lupintack/reload.py
+++ b/lupintack/reload.py
@@ -16,6 +16,7 @@
 from lupintack.discovery.validity import validity_us
 from lupintack.fronts.platform import Platform
 from lupintack.limits.streams import StreamTerms
+from lupintack.process.upgrade_sharing import UpgradeSharing
 from lupintack.settings import changes
 
 if TYPE_CHECKING:  # importing it costs memory, so it is imported only if a feature is on
@@ -60,6 +61,10 @@
     def http2(self) -> Sequence[StreamLimitedFront]:
         """The HTTP/2 fronts."""
 
+    @property
+    def sharing(self) -> UpgradeSharing:
+        """What is shared with the router's other processes."""
+
 
 def reload_files(node: ReloadableNode, environ: Mapping[str, str]) -> bool:
     """Reload both files; return whether they were applied. An invalid file leaves everything unchanged."""
@@ -123,6 +128,7 @@
     has_discovery = conf.discovery_address is not None
     node.member_table.set_purge_settle_ms(settings.purge_settle_ms)
     node.member_table.set_validity(validity_us(settings) if has_discovery else FOREVER_US)
+    node.sharing.share_keys(settings)
     node.core.enqueue(SettingsUpdate(settings=settings, on_applied=node.platform.apply_settings))
     node.discovery.change_address(conf.discovery_address)
     log_configuration(old, conf, settings.max_attempts)
--- a/tests/test_cdni_upgrade.py
+++ b/tests/test_cdni_upgrade.py
@@ -48,6 +48,11 @@
         return int(first.split()[1]), answer, text
 
 
+def folder_of(processes: Processes) -> Path:
+    """Return the folder that the processes of the router share."""
+    return folder_path(str(processes.tmp), "n0", f"127.0.0.1:{processes.listen[1]}")
+
+
 class CdniProcesses(Processes):
     """Processes of a router with a CDNI front."""
 
@@ -78,9 +83,14 @@
         """)
         self.environment = {"LUPINTACK_CDNI": str(file)}
 
+    def start_new(self) -> None:
+        """Start a new process beside the running one, and wait until new connections go to it."""
+        self.start()
+        self.wait_for_log(len(self.running) - 1, "routed=true")
+
     @property
     def folder(self) -> Path:
-        return folder_path(str(self.tmp), "n0", f"127.0.0.1:{self.listen[1]}")
+        return folder_of(self)
 
     def purge(
         self, client: Client, selector: str = "content.ccid", value: str = str(GROUP)
@@ -140,7 +150,7 @@
     told_s, told_ms = time.monotonic(), time.time() * 1000
     assert processes.purge(cdni, selector, value)[0] == 201
     assert "event=ready" not in processes.log(1)
-    processes.wait_for_log(1, "event=ready")
+    processes.wait_for_log(1, "routed=true")
     old.send_signal(signal.SIGTERM)
     assert_purge_binds(processes, Client(processes.listen[1]), told_s, told_ms)
     assert old.wait(10) == 0
@@ -153,7 +163,7 @@
     for _ in range(3):
         old_client.send("GET", VIDEO, X_Batch=str(GROUP))
     old_cdni.send("GET", "/alive")
-    processes.start()
+    processes.start_new()
     new_client, new_cdni = Client(processes.listen[1]), Client(processes.cdni_port)
     for _ in range(3):
         new_client.send("GET", VIDEO, X_Batch=str(GROUP))
@@ -190,7 +200,7 @@
     assert processes.purge(Client(processes.cdni_port))[0] == 201
     (processes.folder / PURGE_LOG).unlink()
     (processes.folder / PURGE_LOG).mkdir()  # which can't be opened as a log
-    processes.start()
+    processes.start_new()
     cdni = Client(processes.cdni_port)
     assert "shared log unusable" in processes.log(1)
     assert_purge_binds(processes, Client(processes.listen[1]), told_s, told_ms)
@@ -203,7 +213,7 @@
     """Guards against a status that is another trigger's: the new process began to count anew."""
     old, _ = processes.start()
     _, location = processes.purge(Client(processes.cdni_port), value="1")
-    processes.start()
+    processes.start_new()
     cdni = Client(processes.cdni_port)
     for _ in range(3):
         _, other = processes.purge(cdni, value="2")
--- a/tests/test_cdni_upgrade_ids.py
+++ b/tests/test_cdni_upgrade_ids.py
@@ -18,7 +18,7 @@
     old_cdni = [Client(processes.cdni_port) for _ in range(3)]  # an answer of 409 closes a connection
     ids = [secrets.token_hex(8) for _ in range(3)]
     assert old_cdni[0].send("PUT", ACK, "seen", Req_Id=ids[0])[0] == 200
-    processes.start()
+    processes.start_new()
     new_cdni = [Client(processes.cdni_port) for _ in range(3)]
     assert new_cdni[0].send("PUT", ACK, "seen", Req_Id=ids[0])[0] == 409
     assert new_cdni[1].send("PUT", ACK, "seen", Req_Id=ids[1])[0] == 200
@@ -36,7 +36,7 @@
     old_cdni = Client(processes.cdni_port)
     wire_id = secrets.token_hex(8)
     assert old_cdni.send("PUT", ACK, "seen", Req_Id=wire_id)[0] == 503
-    processes.start()
+    processes.start_new()
     processes.fleet.terms.fault = lambda name, cls: ""
     assert Client(processes.cdni_port).send("PUT", ACK, "seen", Req_Id=wire_id)[0] == 200
     assert processes.fleet.ran == {"00000000000000ac": 1}
--- a/tests/test_process_sharing.py
+++ b/tests/test_process_sharing.py
@@ -16,17 +16,18 @@
 from lupintack.core.local_cache import LocalCache
 from lupintack.core.member_table import MemberTable
 from lupintack.core.messages import ClientRequest
-from lupintack.core.record_log import DamagedLogError, RecordLogError
+from lupintack.core.record_log import DamagedLogError, Gap, RecordLogError
 from lupintack.core.table_updates import PurgeUpdate, TableChange
 from lupintack.fronts.cdni.conf import Cdni
 from lupintack.fronts.cdni.metadata_store import MetadataStore
 from lupintack.fronts.cdni.purge_notice import NoticeError, PurgeNotice, decode_notice
 from lupintack.fronts.cdni.purges import Purges
 from lupintack.fronts.cdni.run_once_ids import IdStatus, RunOnceIds
-from lupintack.fronts.cdni.shared_state import CdniSharedState, Gap
+from lupintack.fronts.cdni.shared_state import CdniSharedState
 from lupintack.interface import UNKNOWN_GROUP, Purged
 from lupintack.lifecycle.upgrade_peer import UpgradePeer
 from lupintack.process import sharing
+from lupintack.process.router_processes import RouterProcesses
 from lupintack.process.shared_log import SharedLog
 from lupintack.process.sharing import ProcessSharing
 
@@ -193,6 +194,10 @@
 # Where records may be missing
 
 
+def is_shared_by(peer: UpgradePeer) -> bool:
+    return peer.shares_purges
+
+
 class Harness:
     """A process's sharing with files, a clock and the other processes that the test sets."""
 
@@ -204,7 +209,8 @@
         self.gaps: Counter[Gap] = Counter()
         self.error: RecordLogError | None = None
         self.logs = (SharedLog("purges.log", 1000), SharedLog("ids.log", 1000))
-        self.sharing = ProcessSharing(self.logs, lambda: self.folder, lambda: self.peers, self)
+        processes = RouterProcesses(lambda: self.folder, lambda: self.peers)
+        self.sharing = ProcessSharing(self.logs, processes, self, is_shared_by)
 
     def poll(self) -> None:
         if self.error is not None:
@@ -233,7 +239,7 @@
 
 
 def test_process_with_open_logs_misses_nothing(harness: Harness) -> None:
-    harness.peers = [UpgradePeer(1, 1, "ready", shares_records=True)]
+    harness.peers = [UpgradePeer(1, 1, "ready", shares_purges=True)]
     harness.sharing.expect_unseen()
     assert harness.run(SECOND_US) == {} and all(log.is_open for log in harness.logs)
 
@@ -253,7 +259,7 @@
 
 def test_process_that_sees_another_and_has_no_log_may_miss_records_as_long(harness: Harness) -> None:
     (harness.folder.path / "ids.log").mkdir()
-    harness.peers = [UpgradePeer(1, 1, "ready", shares_records=True)]
+    harness.peers = [UpgradePeer(1, 1, "ready", shares_purges=True)]
     assert harness.run(10 * SECOND_US) == {"unreadable": 10 * REPORTS_PER_S}
     harness.peers = []
     assert harness.run(SECOND_US) == {}
@@ -261,7 +267,7 @@
 
 def test_records_of_a_process_that_shares_none_may_be_missing(harness: Harness) -> None:
     """Guards against an older version beside this one: it takes purges and ids, and tells nobody."""
-    harness.peers = [UpgradePeer(1, 1, "ready", shares_records=False)]
+    harness.peers = [UpgradePeer(1, 1, "ready", shares_purges=False)]
     assert harness.run(SECOND_US) == {"unshared": REPORTS_PER_S}
     harness.peers = []
     assert harness.run(SECOND_US) == {}
