Count the names of other routers in bytes, not characters

What the new test saw: a message of 1,097 bytes was taken for at most 614, as the bounds of datagrams, of gossip and of an answer (which must not be longer than its question) count the characters of names that other routers send; a name of 64 characters could also make a lease request longer than the datagram that the plan of budgets has checked.

Change: membership/text.encoded_bytes in the three bounds and the limit of a name, site or address, which is 64 bytes now (MAX_NAME_BYTES): for names of ASCII nothing changes.

Measured: test_sizes_and_limits_of_names_count_bytes failed on the code before; the check of test_encoded_messages_are_decoded, which held for ASCII alone, holds for all texts.

--- a/lupintack/budgets/codec.py
+++ b/lupintack/budgets/codec.py
@@ -27,11 +27,12 @@
 from lupintack.membership.messages import (
     CODE_BYTES,
     HEADER_BYTES,
-    MAX_NAME_LENGTH,
+    MAX_NAME_BYTES,
     DropReason,
     MessageCodec,
     MessageError,
 )
+from lupintack.membership.text import encoded_bytes
 
 MAGIC = b"B"
 ONE_LEVEL, TWO_LEVELS = 1, 2  # protocol versions
@@ -181,7 +182,7 @@
 def check_field(field: Any) -> None:
     """Raise MessageError for a string that is too long or a number out of bounds."""
     if isinstance(field, str):
-        if len(field) > MAX_NAME_LENGTH:
+        if encoded_bytes(field) > MAX_NAME_BYTES:
             raise MessageError(DropReason.UNREADABLE)
     elif isinstance(field, int) and not 0 <= field <= MAX_AMOUNT:
         raise MessageError(DropReason.UNREADABLE)
@@ -198,7 +199,7 @@
 
     A lease request is the largest message, as it has three rows. `region`: the region name in version 2.
     """
-    name, number, row = "x" * MAX_NAME_LENGTH, (1 << 64) - 1, tuple(amounts)
+    name, number, row = "x" * MAX_NAME_BYTES, (1 << 64) - 1, tuple(amounts)
     epoch = Epoch(number, name, number)
     request = LeaseRequest(name, number, number, epoch, row, row, False, row)
     encoder = msgspec.msgpack.Encoder()
--- a/lupintack/membership/gossip.py
+++ b/lupintack/membership/gossip.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from lupintack.membership.config import MembershipConfig
+from lupintack.membership.text import encoded_bytes
 from lupintack.membership.view import Record, State
 
 RECORD_OVERHEAD_BYTES = 26  # upper bound of an encoded record without its strings
@@ -34,7 +35,7 @@
 
 def max_record_bytes(record: Record) -> int:
     """Return an upper bound of the encoded size of a record."""
-    return RECORD_OVERHEAD_BYTES + len(record.name) + len(record.site) + len(record.address)
+    return RECORD_OVERHEAD_BYTES + sum(map(encoded_bytes, (record.name, record.site, record.address)))
 
 
 class GossipQueue:
--- a/lupintack/membership/messages.py
+++ b/lupintack/membership/messages.py
@@ -14,11 +14,12 @@
 
 import msgspec
 
+from lupintack.membership.text import encoded_bytes
 from lupintack.membership.view import START_LIMIT, Record, State
 
 MAGIC, VERSION, CODE_BYTES = b"L", 1, 12
 HEADER_BYTES = 2 + CODE_BYTES
-MAX_NAME_LENGTH = 64  # maximum characters of a name, site or address
+MAX_NAME_BYTES = 64  # of a name, site or address
 MAX_FULL_STATE_RECORDS = 4096
 MAX_SILENT_MS = 1 << 40
 FIXED_BYTES = HEADER_BYTES + 93  # upper bound of an encoded message without its strings, records and reports
@@ -110,8 +111,8 @@
 
 def max_message_bytes(message: Message) -> int:
     """Return an upper bound of a message's encoded size, without its records and without encoding it."""
-    texts = len(message.sender) + len(message.site) + len(message.address) + len(message.target)
-    reports = sum(REPORT_OVERHEAD_BYTES + len(report.subject) for report in message.reports)
+    texts = sum(map(encoded_bytes, (message.sender, message.site, message.address, message.target)))
+    reports = sum(REPORT_OVERHEAD_BYTES + encoded_bytes(report.subject) for report in message.reports)
     return FIXED_BYTES + texts + len(message.padding) + reports
 
 
@@ -177,7 +178,7 @@
         for record in message.records:
             parse_record(record)
         for report in message.reports:
-            if not 0 <= report.silent_ms < MAX_SILENT_MS or len(report.subject) > MAX_NAME_LENGTH:
+            if not 0 <= report.silent_ms < MAX_SILENT_MS or encoded_bytes(report.subject) > MAX_NAME_BYTES:
                 raise MessageError(DropReason.UNREADABLE, f"report {report}")
         return message
 
@@ -185,7 +186,7 @@
 def parse_record(wire: WireRecord) -> Record:
     """Return a received record; raises MessageError if a value is out of range."""
     name, start, incarnation, state, site, address = wire
-    if not name or max(len(name), len(site), len(address)) > MAX_NAME_LENGTH:
+    if not name or max(map(encoded_bytes, (name, site, address))) > MAX_NAME_BYTES:
         raise MessageError(DropReason.UNREADABLE, "invalid length of a name, site or address")
     if not 0 <= start < START_LIMIT or not 0 <= incarnation < START_LIMIT:
         raise MessageError(DropReason.UNREADABLE, f"start {start}, incarnation {incarnation}")
--- a/tests/test_membership_messages.py
+++ b/tests/test_membership_messages.py
@@ -10,6 +10,7 @@
 
 from lupintack.membership.gossip import max_record_bytes
 from lupintack.membership.messages import (
+    MAX_NAME_BYTES,
     VERSION,
     DropReason,
     FullState,
@@ -42,6 +43,20 @@
 )  # fmt: skip
 
 
+def test_sizes_and_limits_of_names_count_bytes() -> None:
+    """Guards against datagrams over their limit, and answers longer than the question: a name isn't ASCII."""
+    name = "\u20ac" * (MAX_NAME_BYTES // 3)
+    record = (name, 1, 1, int(State.ALIVE), name, name)
+    report = SuspicionReport(name, 1, 1, False, 1)
+    message = Message(0, name, 1, 1, int(State.ALIVE), name, name, 1, target=name)
+    message.records, message.reports = [record] * 3, [report] * 3
+    raw = MessageCodec("fleet", "secret").encode(message)
+    assert len(raw) <= max_message_bytes(message) + 3 * max_record_bytes(parse_record(record))
+    parse_record((name, 1, 1, int(State.ALIVE), "", ""))
+    with pytest.raises(MessageError):
+        parse_record((name + "\u20ac", 1, 1, int(State.ALIVE), "", ""))
+
+
 @given(MESSAGES, st.binary(max_size=60), st.data())
 @settings(max_examples=200)
 def test_encoded_messages_are_decoded_and_invalid_datagrams_are_rejected(
@@ -50,14 +65,8 @@
     codec = MessageCodec("fleet", "secret")
     raw = codec.encode(message)
     assert codec.decode(raw) == message
-    text_lengths = {len(m.encode()) for m in (message.sender, message.site, message.address, message.target)}
-    if (
-        all(text.isascii() for text in (message.sender, message.site, message.address, message.target))
-        and text_lengths
-    ):
-        gossip_bytes = sum(max_record_bytes(parse_record(record)) for record in message.records)
-        are_subjects_ascii = all(report.subject.isascii() for report in message.reports)
-        assert len(raw) <= max_message_bytes(message) + gossip_bytes or not are_subjects_ascii
+    gossip_bytes = sum(max_record_bytes(parse_record(record)) for record in message.records)
+    assert len(raw) <= max_message_bytes(message) + gossip_bytes
     position = data.draw(st.integers(0, len(raw) - 1))
     corrupted = raw[:position] + bytes([raw[position] ^ data.draw(st.integers(1, 255))]) + raw[position + 1 :]
     for invalid in (
