Tell peers that CDNI purges are shared also where CDNI is off, as nothing is taken there

Cause: a process without CDNI published that it shares no purges, so a new one with CDNI would have taken everything for purged beside it, and refused alert-acks for three minutes.

The flag through the folder's location is gone.

--- a/lupintack/core/ban_keeper.py
+++ b/lupintack/core/ban_keeper.py
@@ -29,7 +29,6 @@
     base: str
     name: str
     listen: str
-    shares_purges: bool = False  # of this process, as the others see it
 
 
 class UnsavedChange(NamedTuple):
--- a/lupintack/lifecycle/folder.py
+++ b/lupintack/lifecycle/folder.py
@@ -120,12 +120,8 @@
     close() removes this process from the folder. Thread-safe.
     """
 
-    def __init__(self, base: str, name: str, listen: str, shares_purges: bool = False) -> None:
-        """Open or create the folder, and lock this process's own file; raise FolderError on failure.
-
-        `shares_purges`: told to the peers, see UpgradePeer.
-        """
-        self.shares_purges = shares_purges
+    def __init__(self, base: str, name: str, listen: str) -> None:
+        """Open or create the folder, and lock this process's own file; raise FolderError on failure."""
         self.shares_keys = True
         self.phase = "starting"
         self.publish_lock = threading.Lock()
@@ -200,8 +196,7 @@
             return self._publish()
 
     def _publish(self) -> bool:
-        state = {"born_ns": self.started_ns, "phase": self.phase}
-        state |= {"purges": self.shares_purges, "keys": self.shares_keys}
+        state = {"born_ns": self.started_ns, "phase": self.phase, "purges": True, "keys": self.shares_keys}
         text = json.dumps(state, separators=(",", ":")).encode().ljust(PEER_FILE_BYTES)
         try:
             return os.pwrite(self.own_fd, text, 0) == len(text)
--- a/lupintack/lifecycle/upgrade_peer.py
+++ b/lupintack/lifecycle/upgrade_peer.py
@@ -39,8 +39,8 @@
     pid: int
     started_ns: int
     phase: str
-    shares_purges: bool = False  # by CDNI, through the shared logs, as every process with CDNI does
-    shares_keys: bool = False  # all its idempotency keys, through the shared log
+    shares_purges: bool = False  # all that it takes by CDNI is in the shared logs; False in older versions
+    shares_keys: bool = False  # all its idempotency keys are in the shared log
 
     @property
     def age(self) -> ProcessAge:
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -58,11 +58,9 @@
     threading.Thread(target=target, name=name, daemon=True).start()
 
 
-def folder_location(conf: config.Config, shares_purges: bool) -> FolderLocation | None:
+def folder_location(conf: config.Config) -> FolderLocation | None:
     """Return the location of the folder that the processes of a router share, None if none is configured."""
-    if not conf.tmp:
-        return None
-    return FolderLocation(conf.tmp, conf.name, f"{conf.listen[0]}:{conf.listen[1]}", shares_purges)
+    return FolderLocation(conf.tmp, conf.name, f"{conf.listen[0]}:{conf.listen[1]}") if conf.tmp else None
 
 
 class Node:
@@ -261,7 +259,7 @@
     def begin(self) -> None:
         """Start everything but the fronts: the initial list, discovery, members, and the admin address."""
         if self.conf.admin is not None:
-            self.admin_service.join(folder_location(self.conf, self.sharing.cdni is not None))
+            self.admin_service.join(folder_location(self.conf))
         initial_changes: list[TableChange] = []
         self.member_table.notify = initial_changes.append
         while not self.member_table.mailbox.empty():
--- a/tests/test_shared_keys.py
+++ b/tests/test_shared_keys.py
@@ -275,7 +275,7 @@
 
 
 def test_peers_read_what_a_process_shares(tmp_path: Path) -> None:
-    folder = Folder(str(tmp_path), "n0", "127.0.0.1:1", shares_purges=True)
+    folder = Folder(str(tmp_path), "n0", "127.0.0.1:1")
     folder.write_phase("evacuating")
     assert folder.write_shares_keys(False)
     text = folder.own_path.read_text()
