Wait in a test until SIGSTOP has stopped every thread of the router

Change: Edge.pause looks at the state of each thread before the test sends its request. What the test asks of a request that comes in the pause is as before.

--- a/lupintack/standins/edge.py
+++ b/lupintack/standins/edge.py
@@ -25,7 +25,7 @@
 from lupintack.standins import deployment
 from lupintack.standins.fleet import Call, Fleet
 from lupintack.standins.net import free_ports
-from lupintack.standins.processes import RUN, call
+from lupintack.standins.processes import RUN, are_threads_stopped, call
 from lupintack.standins.proxy import Proxy
 
 HEAD_END = b"\r\n\r\n"
@@ -34,6 +34,7 @@
 PLAN_RELOAD_S = 0.06  # until a running process has read a new plan
 START_TIMEOUT_S = 30.0
 CLIENT_TIMEOUT_S = 8.0
+STOP_TIMEOUT_S = 5.0  # for SIGSTOP to take effect
 
 
 class End(Enum):
@@ -155,6 +156,15 @@
         assert self.process is not None
         self.process.send_signal(number)
 
+    def pause(self) -> None:
+        """Send SIGSTOP and wait until every thread has stopped; they run on for some milliseconds."""
+        assert self.process is not None
+        self.process.send_signal(signal.SIGSTOP)
+        until_s = time.monotonic() + STOP_TIMEOUT_S
+        while not are_threads_stopped(self.process.pid):
+            assert time.monotonic() < until_s, "the process has not stopped"
+            time.sleep(0.001)
+
     def kill(self) -> None:
         """Send SIGKILL and wait for the end of the process."""
         assert self.process is not None
--- a/lupintack/standins/processes.py
+++ b/lupintack/standins/processes.py
@@ -32,6 +32,15 @@
     return int(head.split()[1]), body.strip()
 
 
+def are_threads_stopped(pid: int) -> bool:
+    """Return whether every thread of a process is stopped, by a signal that was sent before."""
+    for task in Path(f"/proc/{pid}/task").iterdir():
+        state = (task / "stat").read_text().rpartition(")")[2].split()[0]
+        if state != "T":
+            return False
+    return True
+
+
 class Processes:
     """A stand-in fleet, a port, and the router processes started on it."""
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -439,7 +439,7 @@
     assert sock is not None
     edge.send_request(sock)
     edge.calls.clear()
-    edge.signal(signal.SIGSTOP)
+    edge.pause()  # a request that comes while a thread still runs is served
     thread = threading.Thread(target=edge.send_request, args=(sock, cls), kwargs={"wait_ms": 500})
     thread.start()
     time.sleep(1.0)
