Read purges of another process however late, where the reader has followed the log

What callers saw (a trial with real processes): the new process of an upgrade is stopped for 24 s while the old one takes a purge and ends; after that its own copy from before the purge was served, four times of four, with no call for the object. After a stop of 2 s the copy is gone.

Cause: a record of a purge expires after purge-settles and 14 s, by which copies of caches have settled; that is meant for processes that start later. A process that had followed the log passed over it as well, and its own copies never settle.

Change: the log of purges passes over only what had expired before the process began; if the log has dropped a record since, the process takes everything for purged, as after damage. After damage, reading goes on from a second look at the head. The logs of keys and ids are as before: these matter to nobody after their time.

Measured: test_process_stopped_for_longer_than_a_purge_is_told_hears_of_it, two cases, both failed on the code before.

--- a/lupintack/process/cdni_setup.py
+++ b/lupintack/process/cdni_setup.py
@@ -27,6 +27,11 @@
     sharing: ProcessSharing | None
 
 
+def new_purge_log() -> SharedLog:
+    """Return the log of purges, which drop copies however late they are read."""
+    return SharedLog(PURGE_LOG, PURGE_LOG_BYTES, reads_expired=True)
+
+
 def build_cdni(
     conf: Cdni,
     core: Core,
@@ -38,7 +43,7 @@
     """Build the front; `processes`: None where this router never has a second process."""
     if processes is None:
         return CdniParts(CdniFront(conf, core, member_table, ready, spawn), None)
-    purge_log, id_log = SharedLog(PURGE_LOG, PURGE_LOG_BYTES), SharedLog(ID_LOG, ID_LOG_BYTES)
+    purge_log, id_log = new_purge_log(), SharedLog(ID_LOG, ID_LOG_BYTES)
     member_table.has_unread_records = purge_log.has_unread
     # Numbers of triggers by the machine's clock, so that two processes give different ones.
     front = CdniFront(
--- a/lupintack/process/shared_log.py
+++ b/lupintack/process/shared_log.py
@@ -14,7 +14,7 @@
 import zlib
 from collections.abc import Callable
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, NoReturn
 
 from lupintack.clock import now_us
 from lupintack.core.record_log import DamagedLogError, OnRecord, RecordLogError
@@ -54,11 +54,23 @@
 class SharedLog:
     """One log, opened by one process; see `core.record_log`. Records expire on the monotonic clock."""
 
-    def __init__(self, name: str, capacity_bytes: int, lock_timeout_s: float = LOCK_TIMEOUT_S) -> None:
-        """`name`: of the file in the router's folder. Nothing is shared before `open`."""
+    def __init__(
+        self,
+        name: str,
+        capacity_bytes: int,
+        lock_timeout_s: float = LOCK_TIMEOUT_S,
+        reads_expired: bool = False,
+    ) -> None:
+        """`name`: of the file in the router's folder. Nothing is shared before `open`.
+
+        `reads_expired`: a record expires only for processes that start later. One that has followed the log
+        since before that reads it however late, or hears of damage if the log doesn't have it any more.
+        """
         self.name = name
         self.lock_timeout_s = lock_timeout_s
         self.capacity_bytes = capacity_bytes
+        self.reads_expired = reads_expired
+        self._created_us = now_us()
         self._lock = threading.Lock()  # guards all but `_position`, which any thread reads
         self._fd = -1
         self._header: mmap.mmap | None = None
@@ -164,25 +176,39 @@
     # Reading
 
     def _read(self, on_record: OnRecord) -> None:
-        """Pass on the new records; those that are no longer kept have expired, and are passed over."""
+        """Pass on the new records but those that have expired; see `reads_expired` for these."""
         head, tail = self._positions()
-        position = max(self._position, tail)
+        position = self._skip_dropped(self._position, tail)
         while position < head:
             record = self._read_record(position, head)
             if record is None:
                 # A writer has freed this place meanwhile, or the file is damaged.
-                tail = self._positions().tail
-                if tail <= position:
-                    self._position = head
-                    LOG.error("shared log damaged", extra=fields(log=self.name, position=position, head=head))
-                    raise DamagedLogError(f"{self.name} is damaged")
-                position = tail
+                newest = self._positions()
+                if newest.tail <= position:
+                    self._lose_records(position, newest.head)
+                position = self._skip_dropped(position, newest.tail)
                 continue
-            if record.expires_us > now_us():
+            if self._matters(record):
                 on_record(record.payload)
             position = record.next_position
         self._position = max(position, head)
 
+    def _matters(self, record: Record) -> bool:
+        return record.expires_us > (self._created_us if self.reads_expired else now_us())
+
+    def _skip_dropped(self, position: int, tail: int) -> int:
+        """Return where to read on if records up to `tail` were dropped, which all had expired."""
+        if self.reads_expired and START < position < tail:
+            self._lose_records(position, tail)
+        return max(position, tail)
+
+    def _lose_records(self, position: int, next_position: int) -> NoReturn:
+        """Read on from `next_position` with the next call; raise DamagedLogError now."""
+        self._position = next_position
+        details = fields(log=self.name, position=position, next=next_position)
+        LOG.error("shared log damaged", extra=details)
+        raise DamagedLogError(f"{self.name} lacks records")
+
     def _read_record(self, position: int, head: int) -> Record | None:
         """Return the record at a position, None if there is none that is valid."""
         length, checksum, expires_us = RECORD.unpack(self._read_bytes(position, RECORD.size))
--- a/tests/test_process_sharing.py
+++ b/tests/test_process_sharing.py
@@ -26,7 +26,7 @@
 from lupintack.fronts.cdni.shared_state import CdniSharedState
 from lupintack.interface import UNKNOWN_GROUP, Purged
 from lupintack.lifecycle.upgrade_peer import UpgradePeer
-from lupintack.process import sharing
+from lupintack.process import cdni_setup, shared_log, sharing
 from lupintack.process.router_processes import RouterProcesses
 from lupintack.process.shared_log import SharedLog
 from lupintack.process.sharing import ProcessSharing
@@ -138,6 +138,40 @@
     assert all(3000.0 <= event.age_ms < 4000.0 for event in events)
 
 
+@pytest.mark.parametrize("count", [1, 3])
+def test_process_stopped_for_longer_than_a_purge_is_told_hears_of_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, count: int
+) -> None:
+    """Guards against own copies from before a purge: a process was stopped until the record had expired.
+
+    With three purges the log has no room for the first one any more: then everything counts as purged.
+    """
+    clock = [now_us()]
+    monkeypatch.setattr(shared_log, "now_us", lambda: clock[0])
+    monkeypatch.setattr(cdni_setup, "PURGE_LOG_BYTES", 100)  # two records
+    tables, purges = [MemberTable(6000.0), MemberTable(6000.0)], []
+    for table in tables:
+        log = cdni_setup.new_purge_log()
+        log.open(tmp_path)
+        purges.append(Purges(CONF, table, MetadataStore(), log))
+        purges[-1].poll()
+    for number in range(count):
+        purges[0].apply({"type": "purge", "content.ccid": [str(17 + number)]}, "AS1:0")
+        clock[0] += 60_000_000
+    harness_state = CdniSharedState(purges[1], RunOnceIds(), Counters())
+    try:
+        harness_state.poll()
+    except DamagedLogError:
+        harness_state.on_gap(Gap.DAMAGED)
+        harness_state.poll()
+    groups = []
+    while not tables[1].mailbox.empty():
+        update = tables[1].mailbox.get()
+        if isinstance(update, PurgeUpdate):
+            groups.append(update.group)
+    assert groups == ([17] if count == 1 else [UNKNOWN_GROUP, 18, 19])
+
+
 def test_metadata_that_one_process_drops_is_dropped_by_the_other(pair: tuple[Process, Process]) -> None:
     """Guards against content under its earlier collection at the process that was not told."""
     one, other = pair
