Send downstream CDNs the purges that were taken before the process ends

What callers saw, by the test: three purges by CDNI are answered with 201 while a downstream CDN is slow, and SIGTERM comes. The process ended 0.7 s later with one of three forwarded; the new process of an upgrade doesn't know the others, and nobody can ask for their status.

Cause: the end of a process waited for its clients alone; forwarders are daemon threads.

Change: Forwarder counts the purges and invalidations that it has not sent; the process waits for them at its end, as long as its clients may be waited for, so it still ends before SIGKILL. What is missing then is logged (purges not forwarded) and counted (cdni.purges_not_forwarded). Forwarder.is_idle, which nothing used, is gone.

Measured: test_purges_are_forwarded_before_their_process_ends, with real processes, two cases, both failed with node.py as before and the rest of the change; test_cdni_upgrade, test_cdni_triggers and test_shape: 17 passed. The end of a process is longer only while purges are to be sent. Open: what becomes of forwarded triggers is not handed over.

--- a/lupintack/fronts/cdni/forwarding.py
+++ b/lupintack/fronts/cdni/forwarding.py
@@ -8,6 +8,7 @@
 
 import json
 import logging
+import threading
 from collections import deque
 from dataclasses import dataclass, field
 from queue import Empty, PriorityQueue
@@ -70,14 +71,22 @@
         self._parts = parts
         self._queue: PriorityQueue[QueuedCommand] = PriorityQueue()
         self._forwarded: deque[ForwardedTrigger] = deque()  # by the time of the next poll
+        self._unsent_purges = 0
+        self._purges_sent = threading.Condition()  # guards the number
 
     def enqueue(self, resource: Resource) -> None:
         """Queue a trigger; may be called by any thread."""
+        if not resource.is_preposition:
+            with self._purges_sent:
+                self._unsent_purges += 1
         self._queue.put(QueuedCommand(resource.is_preposition, resource.number, resource))
 
-    def is_idle(self) -> bool:
-        """Return whether nothing is queued, and nothing is to be followed."""
-        return self._queue.empty() and not self._forwarded
+    def await_purges_sent(self, deadline_us: int) -> int:
+        """Wait until no purge or invalidation is to be sent; return how many still are at the deadline."""
+        with self._purges_sent:
+            timeout_s = max(0.0, (deadline_us - now_us()) / 1e6)
+            self._purges_sent.wait_for(lambda: not self._unsent_purges, timeout_s)
+            return self._unsent_purges
 
     def run(self) -> None:
         """Send and follow triggers; the main loop of the thread."""
@@ -87,7 +96,7 @@
     def step(self) -> None:
         """Send one command, or wait for one until the next poll is due; then poll at most one trigger."""
         try:
-            self._send(self._queue.get(timeout=self._wait_s()).resource)
+            self._send_and_count(self._queue.get(timeout=self._wait_s()).resource)
         except Empty:
             pass
         if self._forwarded and self._forwarded[0].next_poll_us <= now_us():
@@ -98,6 +107,13 @@
             return None
         return max(0.0, (self._forwarded[0].next_poll_us - now_us()) / 1e6)
 
+    def _send_and_count(self, resource: Resource) -> None:
+        self._send(resource)
+        if not resource.is_preposition:
+            with self._purges_sent:
+                self._unsent_purges -= 1
+                self._purges_sent.notify_all()
+
     def _send(self, resource: Resource) -> None:
         if not self._parts.begin_part(resource):
             self._parts.end_part(resource, [])
--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -194,6 +194,18 @@
             data["cdn-id"] = self.conf.id
         return data
 
+    def await_purges_sent(self, deadline_us: int) -> None:
+        """Wait, before the process ends, until downstream CDNs have been sent all purges, or the deadline.
+
+        Their senders can't ask this process any more for what became of them.
+        """
+        for forwarder in self.forwarders:
+            count = forwarder.await_purges_sent(deadline_us)
+            if count:
+                self.delivery.core.counters["cdni.purges_not_forwarded"] += count
+                details = {"downstream": forwarder.downstream.id, "purges": count}
+                LOG.error("purges not forwarded", extra=fields(**details))
+
     # Execution
 
     def loops(self) -> list[tuple[Callable[[], None], str]]:
--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -109,10 +109,10 @@
         self.sharing = UpgradeSharing(self.core, self._router_processes(), spawn)
         self.fleet = self._build_fleet()
         self.admin = self._build_admin(plan.admin)
-        cdni_front = self._build_cdni(cdni, plan.cdni)
+        self.cdni_front = self._build_cdni(cdni, plan.cdni)
         self.http2: list[Http2Server] = []
         if http2 is not None:
-            self.http2 = self._build_http2(http2, cdni_front, plan.http2)
+            self.http2 = self._build_http2(http2, self.cdni_front, plan.http2)
         self.servers += self.http2
 
     def is_ready(self) -> bool:
@@ -360,6 +360,8 @@
             self.core.enqueue(FailOpenRequests())  # so that they are answered before SIGKILL
         while any(server.busy() for server in self.servers) and time.monotonic() < end_s:
             time.sleep(BUSY_CHECK_INTERVAL_S)
+        if self.cdni_front is not None:
+            self.cdni_front.triggers.await_purges_sent(int(end_s * 1e6))
         self.admin_service.close()
         if self.fleet is not None:
             self.fleet.close()
--- a/tests/test_cdni_upgrade.py
+++ b/tests/test_cdni_upgrade.py
@@ -20,11 +20,13 @@
 from lupintack.standins.processes import Processes
 from tests.scenario import MessageReader
 from tests.site import eventually
+from tests.test_cdni_triggers import DownstreamCdn
 
 HOST, UPSTREAM, GROUP = "maps.up", "AS64496:0", 17
 ITEM = "00000000000000aa"
 VIDEO = f"/ops/river-video/{ITEM}"
 ACK = f"/content/{HOST}/ack/00000000000000ac"
+KILL_AFTER_S = 3.7  # SIGKILL follows SIGTERM by this at the earliest: 3 s for answers, and 0.7 s
 NOTICE_S = 0.35  # from when a purge is told: `notice-time`, and 50 ms on sockets
 
 
@@ -62,8 +64,8 @@
         self.fleet.terms.stamped = True
         self.calls: list[Call] = []
         self.fleet.on_call = self.calls.append
-        file = tmp / "cdni.toml"
-        file.write_text(f"""
+        self.cdni_file = tmp / "cdni.toml"
+        self.cdni_file.write_text(f"""
             enabled = true
             listen = "127.0.0.1:{self.cdni_port}"
             id = "AS64500:0"
@@ -81,7 +83,12 @@
             [[upstream]]
             id = "{UPSTREAM}"
         """)
-        self.environment = {"LUPINTACK_CDNI": str(file)}
+        self.environment = {"LUPINTACK_CDNI": str(self.cdni_file)}
+
+    def add_downstream(self, triggers_url: str) -> None:
+        """Let processes that are started from now on forward triggers to a downstream CDN."""
+        with self.cdni_file.open("a") as file:
+            file.write(f"[[downstream]]\nid = 'AS64499:0'\ntriggers = '{triggers_url}'\n")
 
     def start_new(self) -> None:
         """Start a new process beside the running one, and wait until new connections go to it."""
@@ -115,6 +122,13 @@
     router_processes.close()
 
 
+@pytest.fixture
+def downstream() -> Iterator[DownstreamCdn]:
+    cdn = DownstreamCdn()
+    yield cdn
+    cdn.close()
+
+
 def issued_ms(body: str) -> int:
     """Return when a copy was issued, by its bytes."""
     return int(body.split()[0].removeprefix("issued="))
@@ -221,3 +235,28 @@
     assert cdni.send("GET", urlsplit(location).path)[0] == 404
     old.send_signal(signal.SIGTERM)
     assert old.wait(10) == 0
+
+
+@pytest.mark.parametrize("silent_s", [1.2, 60.0])
+def test_purges_are_forwarded_before_their_process_ends(
+    processes: CdniProcesses, downstream: DownstreamCdn, silent_s: float
+) -> None:
+    """Guards against purges that a downstream CDN never gets: their process ended while it was slow.
+
+    One that stays silent holds the end up for as long as clients may, and what it lacks is reported.
+    """
+    downstream.is_silent.set()
+    processes.add_downstream(downstream.url)
+    old, _ = processes.start()
+    cdni = Client(processes.cdni_port)
+    for number in range(3):
+        assert processes.purge(cdni, value=str(number))[0] == 201
+    terminated_s = time.monotonic()
+    old.send_signal(signal.SIGTERM)
+    time.sleep(min(silent_s, 1.2))
+    if silent_s < 60.0:
+        downstream.is_silent.clear()
+    assert old.wait(10) == 0
+    assert time.monotonic() - terminated_s < KILL_AFTER_S
+    is_reported = "purges not forwarded" in processes.log(0)
+    assert (len(downstream.taken) < 3) == is_reported == (silent_s == 60.0)
