--- a/lupintack/fronts/cdni/forwarding.py
+++ b/lupintack/fronts/cdni/forwarding.py
@@ -81,6 +81,10 @@
                 self._unsent_purges += 1
         self._queue.put(QueuedCommand(resource.is_preposition, resource.number, resource))
 
+    def is_idle(self) -> bool:
+        """Return whether nothing is queued, and nothing is to be followed."""
+        return self._queue.empty() and not self._forwarded
+
     def await_purges_sent(self, deadline_us: int) -> int:
         """Wait until no purge or invalidation is to be sent; return how many still are at the deadline."""
         with self._purges_sent:
