--- a/lupintack/fleet/budgets.py
+++ b/lupintack/fleet/budgets.py
@@ -28,14 +28,16 @@
     build_levels,
 )
 from lupintack.fleet.vote_files import NameLock, VoteFiles
-from lupintack.logs import fields
+from lupintack.logs import LineLimit, fields
 from lupintack.membership.messages import MessageCodec, MessageError
 from lupintack.settings.budget_plan import budget as budget
 
 LOG = logging.getLogger("budgets")
+LOG_LIMIT = LineLimit(1)  # lines a second
 MAX_LOGGED_LEASES = 64  # recent leases on the status page
 MAX_WAIT_S = 0.25
 MAX_ADDRESSES = 4096
+SLOW_STORE_DIVISOR = 10  # of the promise: a round stores at the candidate and at a voter, one after the other
 MAX_DEMAND_INTERVAL_US = 500_000  # between two calls of `request_demand`
 
 
@@ -182,7 +184,10 @@
         """Store the promises; return the messages to send, without votes of levels whose write failed."""
         unstored = set()
         for level_promise in actions.promises:
-            if not self.vote_files.write(level_promise.level, level_promise.promise):
+            started_us = now_us()
+            is_stored = self.vote_files.write(level_promise.level, level_promise.promise)
+            self._count_slow_store(now_us() - started_us)
+            if not is_stored:
                 unstored.add(level_promise.level)
                 if level_promise.level in self.vote_files.paths:
                     self.counts["unkept"] += 1
@@ -192,6 +197,14 @@
             if send.level not in unstored or not isinstance(send.message, VoteRequest | VoteReply)
         ]
 
+    def _count_slow_store(self, took_us: int) -> None:
+        """Count a store that took so much of a promise that a round of votes may not end within it."""
+        if took_us < self.terms.promise_us // SLOW_STORE_DIVISOR:
+            return
+        self.counts["stored_slowly"] += 1
+        if LOG_LIMIT.allow(now_us()) >= 0:
+            LOG.warning("promise stored slowly", extra=fields(took_ms=took_us // 1000))
+
     def set_demand(self, demand: tuple[int, ...], in_use: tuple[int, ...]) -> None:
         """Set the demand and use that the next lease requests report; thread-safe, does not block."""
         self.in_use, self.demand = in_use, demand
--- a/tests/test_division.py
+++ b/tests/test_division.py
@@ -14,6 +14,7 @@
 from click.testing import CliRunner
 
 from lupintack.budgets.codec import BudgetCodec
+from lupintack.budgets.hierarchy import Level, LevelActions, LevelPromise
 from lupintack.budgets.messages import (
     Epoch,
     LeaseGrant,
@@ -25,8 +26,9 @@
     VoteRequest,
 )
 from lupintack.budgets.terms import Terms
+from lupintack.budgets.voter import Promise
 from lupintack.cli.main import main
-from lupintack.fleet import vote_files
+from lupintack.fleet import budgets, vote_files
 from lupintack.fleet.budgets import BudgetService, budget
 from lupintack.membership.messages import MessageCodec
 from lupintack.standins.routers import Routers
@@ -170,6 +172,26 @@
     )  # fmt: skip
 
 
+@pytest.mark.parametrize("took_ms", [0, 400])
+def test_promises_that_are_stored_slowly_are_counted(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, took_ms: int
+) -> None:
+    """Guards against a fleet without an allocator that shows no reason: a slow disk makes each round late."""
+    service = make_service(tmp_path, [])
+    write = service.vote_files.write
+
+    def write_slowly(level: Level, promise: Promise) -> bool:
+        clock[0] += took_ms * 1000
+        return write(level, promise)
+
+    clock = [1_000_000]
+    monkeypatch.setattr(service.vote_files, "write", write_slowly)
+    monkeypatch.setattr(budgets, "now_us", lambda: clock[0])
+    actions = LevelActions([LevelPromise(Level.FLEET, Promise(Epoch(1, "a", 1), 1, 1))])
+    assert service.store_promises(actions) == [] and service.counts["stored_slowly"] == (took_ms > 0)
+    service.close()
+
+
 def test_units_covered_by_reservation_are_not_reported_in_use(tmp_path: Path) -> None:
     """When they were reported, with three voters at their limits 3 of 9 units were never granted again."""
     with unittest.mock.patch.object(vote_files, "LOCK_RETRY_US", 0):
