--- a/lupintack/fronts/cdni/forwarding.py
+++ b/lupintack/fronts/cdni/forwarding.py
@@ -88,8 +88,8 @@
     def await_purges_sent(self, deadline_us: int) -> int:
         """Wait until no purge or invalidation is to be sent; return how many still are at the deadline."""
         with self._purges_sent:
-            timeout_s = max(0.0, (deadline_us - now_us()) / 1e6)
-            self._purges_sent.wait_for(lambda: not self._unsent_purges, timeout_s)
+            while self._unsent_purges and now_us() < deadline_us:
+                self._purges_sent.wait((deadline_us - now_us()) / 1e6)
             return self._unsent_purges
 
     def run(self) -> None:
