Bind content that metadata moves out of a purged collection, and its own copies

What callers saw, by the tests: collection 16 is purged, then the metadata moves its content to 17. Deliveries and prepositions go out with no bound of age (within empty), may be answered from copies older than the purge, and an own copy of that is kept; the same where a process first looks at the metadata after the purge. An own copy under 17 is used again after a move to 16 and back.

Change: MetadataStore compares each document with the last one at its URL by a digest; the first one counts as changed. While a change and a purge of any group are both younger than purge-settles and 4 s, the group of a request counts as unknown. An own copy whose group is from metadata has the number of changes at its reading, is used until the next one, and is not handed over in an upgrade, as the new process can't tell.

State: a digest of 16 bytes for each of at most 256 documents, a number for a copy.

--- a/lupintack/core/handoff.py
+++ b/lupintack/core/handoff.py
@@ -73,8 +73,12 @@
 
 
 def capture_state(state: CoreState) -> HandoffState:
-    """Return the router's learned state and the local copies; called in the core's turn."""
-    copies = list(state.local_cache.copies.items()) if state.local_cache is not None else []
+    """Return the router's learned state and the local copies; called in the core's turn.
+
+    Copies whose group is from metadata stay here: another process can't tell whether that has changed.
+    """
+    items = state.local_cache.copies.items() if state.local_cache is not None else ()
+    copies = [(key, copy) for key, copy in items if copy.metadata_version is None]
     return HandoffState(learned_record(state.router), copies)
 
 
--- a/lupintack/core/local_cache.py
+++ b/lupintack/core/local_cache.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -31,10 +32,13 @@
     """A cached part of an object.
 
     It was dropped at every purge of its group, of any group if that is UNKNOWN_GROUP, and of no other.
+    `metadata_version`: until the next change of metadata, which may move it to a group that was purged
+    before; None: its group can't change.
     """
 
     answer: Answer
     group: int
+    metadata_version: int | None = None
 
     def may_serve(self, request: ClientRequest) -> bool:
         """Return whether every purge that concerns a request would have dropped the copy."""
@@ -67,6 +71,7 @@
         self.last_group_purge_unix_ms = 0.0  # newest purge of any group
         self.last_purge_of_all_unix_ms = 0.0  # newest purge of every object
         self.clock = clock or CopyClock(UNIX_OFFSET_US)
+        self.metadata_version: Callable[[], int] = lambda: 0  # of metadata that names groups, as it is now
 
     def age_ms(self, request: ClientRequest) -> float:
         """Return the age of the copy for a request, NO_COPY_MS if there is none."""
@@ -93,13 +98,22 @@
     def _find(self, request: ClientRequest) -> CachedCopy | None:
         """Return the copy that may serve a request, None if there is none."""
         copy = self.copies.get((request.object_id, request.part))
-        return copy if copy is not None and copy.may_serve(request) else None
+        if copy is None or not copy.may_serve(request):
+            return None
+        return copy if self._is_current(copy.metadata_version) else None
 
-    def store(self, request: ClientRequest, answer: Answer) -> None:
-        """Cache an answer that has just been served."""
-        self.put((request.object_id, request.part), request.group, answer)
+    def _is_current(self, metadata_version: int | None) -> bool:
+        return metadata_version is None or metadata_version == self.metadata_version()
 
-    def put(self, key: tuple[int, int], group: int, answer: Answer) -> None:
+    def store(self, request: ClientRequest, answer: Answer) -> None:
+        """Cache an answer that has just been served, unless metadata may name another group by now."""
+        if self._is_current(request.metadata_version):
+            key = request.object_id, request.part
+            self.put(key, request.group, answer, request.metadata_version)
+
+    def put(
+        self, key: tuple[int, int], group: int, answer: Answer, metadata_version: int | None = None
+    ) -> None:
         """Cache a copy unless it predates a purge; evict the least recently used ones to make room."""
         size = len(answer.body) + COPY_OVERHEAD_BYTES
         purged_unix_ms = self._last_purge_unix_ms(key[0], group)
@@ -108,7 +122,7 @@
         if not self.clock.observe(answer.issued_ms * 1000, now_us()):
             return  # its age would be unknown
         self.remove(key)
-        self.copies[key] = CachedCopy(answer, group)
+        self.copies[key] = CachedCopy(answer, group, metadata_version)
         self.used_bytes += size
         while self.used_bytes > self.max_bytes:
             self.remove(next(iter(self.copies)))
--- a/lupintack/core/messages.py
+++ b/lupintack/core/messages.py
@@ -10,6 +10,8 @@
 from lupintack.core.entity_tags import NO_TAGS, CachedTags
 from lupintack.interface import CacheStatus
 
+OUTDATED_METADATA = -1  # in place of a number of changes: the metadata had changed when it was read
+
 
 class ResponseSink(Protocol):
     """Receives a request's single final answer for its front. Calls must not block."""
@@ -53,6 +55,9 @@
     # Number of the last purge before its group was read from metadata, which may have changed since: a later
     # purge of any group concerns the request. None: its group can't change.
     group_read_at_purge: int | None = None
+    # How often metadata had changed when the group was read from it, or OUTDATED_METADATA: a copy of the
+    # answer is used until the next change. None: its group can't change.
+    metadata_version: int | None = None
     is_disconnected: bool = False  # set before the core's turn handles it, and checked at each write
 
     @property
--- a/lupintack/core/purge_memory.py
+++ b/lupintack/core/purge_memory.py
@@ -7,6 +7,7 @@
 
 from lupintack.interface import UNKNOWN_GROUP
 
+LONG_AGO_US = -(1 << 62)
 MAX_REMEMBERED_PURGES = 8192  # beyond that the oldest one is treated as concerning every object
 SETTLE_MARGIN_US = 4_000_000
 
@@ -34,6 +35,7 @@
         self.purges: OrderedDict[PurgeKey, RememberedPurge] = OrderedDict()
         self.last_purge_of_all = 0  # number of the last purge of every object, or dropped before it settled
         self.last_group_purge = 0  # number of the last purge of any group
+        self.last_group_purge_us = LONG_AGO_US  # when the table applied it
         self.last_number = 0
 
     def set_settle_ms(self, settle_ms: float) -> None:
@@ -50,7 +52,7 @@
         self.last_number += 1
         self.purges[key] = RememberedPurge(now_us, self.last_number)
         if object_id is None:
-            self.last_group_purge = self.last_number
+            self.last_group_purge, self.last_group_purge_us = self.last_number, now_us
             if group == UNKNOWN_GROUP:
                 self.last_purge_of_all = self.last_number
         self._drop_old(now_us)
@@ -69,6 +71,10 @@
             latest = max(latest, of_group.number)
         return latest > known_number
 
+    def has_unsettled_group_purge(self, now_us: int) -> bool:
+        """Return whether copies from before a purge of some group may still be in caches."""
+        return self.last_group_purge_us > now_us - self.settle_us
+
     def _drop_old(self, now_us: int) -> None:
         """Drop purges that have settled, and the oldest ones beyond the bound."""
         while self.purges:
--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -18,7 +18,7 @@
 from lupintack.fronts.cdni.run_once_ids import IdStatus, RunOnceIds
 from lupintack.fronts.exchange import Exchange, HttpError
 from lupintack.fronts.platform import MAX_BODY_BYTES, ClientSink, check_method, deadline_us
-from lupintack.interface import Idempotency
+from lupintack.interface import UNKNOWN_GROUP, Idempotency
 
 
 class CdnSink(ClientSink):
@@ -44,10 +44,14 @@
 
 
 class ContentGroup(NamedTuple):
-    """The group of content, and the last purge before it was read from metadata (see ClientRequest)."""
+    """The group of content; where it was read from metadata, also at which purge and which version of that.
+
+    See ClientRequest.
+    """
 
     number: int
     read_at_purge: int | None = None
+    metadata_version: int | None = None
 
 
 class WaitSink:
@@ -114,10 +118,15 @@
         if upstream is None or not upstream.metadata:
             return ContentGroup(content.host.group)
         read_at_purge = self.core.last_purge_number()  # before the documents, which may be dropped meanwhile
-        entries = MetadataReader(self.store).resolve(upstream.metadata, url)
+        reader = MetadataReader(self.store)
+        entries = reader.resolve(upstream.metadata, url)
         check(entries)
         group = metadata.content_group(entries)
-        return ContentGroup(content.host.group if group is None else group, read_at_purge)
+        if group is None:
+            group = content.host.group
+        if self.core.may_have_left_purged_group(self.store.changed_us):
+            group = UNKNOWN_GROUP
+        return ContentGroup(group, read_at_purge, self.store.version_of(reader.digests))
 
     def serve(self, exchange: Exchange, url: str) -> None:
         """Submit a client's request for content; raise HttpError if it is not accepted."""
@@ -179,6 +188,7 @@
             part=content.part,
             group=group.number,
             group_read_at_purge=group.read_at_purge,
+            metadata_version=group.metadata_version,
             class_name=self.class_names[content.class_index],
             deadline_us=deadline_us(request.received_us, wait_ms),
             sink=CdnSink(exchange, lambda: self.run_once_ids.remove(request_id) if runs_once else None),
@@ -206,6 +216,7 @@
             part=content.part,
             group=group.number,
             group_read_at_purge=group.read_at_purge,
+            metadata_version=group.metadata_version,
             class_name=self.class_names[content.class_index],
             deadline_us=now_us() + int(service_class.deadline_ms * 1000),
             sink=sink,
--- a/lupintack/fronts/cdni/metadata_reader.py
+++ b/lupintack/fronts/cdni/metadata_reader.py
@@ -24,13 +24,17 @@
 
 
 class MetadataReader:
-    """Reads from the documents of a store; `expires_us` is when the first of those used expires."""
+    """Reads from the documents of a store.
+
+    `expires_us` is when the first of those used expires, and `digests` has the digest of each by its URL.
+    """
 
     def __init__(self, store: MetadataStore) -> None:
         """Start without documents."""
         self._store = store
         self._level_count = 0
         self.expires_us = NEVER_US
+        self.digests: dict[str, bytes] = {}
 
     def max_age_s(self) -> int:
         """Return for how many whole seconds what was read may be kept."""
@@ -92,6 +96,7 @@
     def _get(self, url: str, ptype: str) -> dict[str, Any]:
         document = self._store.get_document(url, ptype)
         self.expires_us = min(self.expires_us, document.expires_us)
+        self.digests.setdefault(url, document.digest)
         return document.data
 
 
--- a/lupintack/fronts/cdni/metadata_store.py
+++ b/lupintack/fronts/cdni/metadata_store.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import hashlib
+import json
 import re
 import threading
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from lupintack.clock import now_us
+from lupintack.core.messages import OUTDATED_METADATA
 from lupintack.fronts.cdni import client, messages
 from lupintack.fronts.cdni.metadata import MetadataError
 from lupintack.fronts.exchange import HttpError
@@ -16,15 +20,18 @@
 DEFAULT_MAX_AGE_US = 60_000_000  # for documents without a max-age
 MAX_AGE_LIMIT_US = 3_600_000_000
 MAX_DOCUMENTS = 256
+DIGEST_BYTES = 16
+LONG_AGO_US = -(1 << 62)
 
 
 @dataclass(slots=True)
 class Document:
-    """A cached document, when its fetch began, and when it expires."""
+    """A cached document, when its fetch began, when it expires, and a digest of its data."""
 
     data: dict[str, Any]
     fetched_us: int
     expires_us: int
+    digest: bytes
 
 
 @dataclass(slots=True, eq=False)
@@ -37,10 +44,16 @@
 
 
 class MetadataStore:
-    """Caches documents fetched from upstream CDNs."""
+    """Caches documents fetched from upstream CDNs, and counts their changes.
+
+    A document that is fetched for the first time counts as changed: what it was before isn't known.
+    """
 
     def __init__(self) -> None:
         """Start without documents."""
+        self.version = 0  # how often documents have changed
+        self.changed_us = LONG_AGO_US  # when one last did
+        self._digests: dict[str, bytes] = {}  # of what came last, by URL; the latest at the end
         self.lock = threading.Lock()
         self.documents: dict[str, Document] = {}
         self.fetches: list[Fetch] = []  # one a thread at most
@@ -62,14 +75,31 @@
             self.fetches.append(fetch)
         try:
             data, max_age_us = _fetch(url, ptype)
-            document = Document(data, fetch.began_us, fetch.began_us + max_age_us)
+            digest = hashlib.blake2b(json.dumps(data).encode(), digest_size=DIGEST_BYTES).digest()
+            document = Document(data, fetch.began_us, fetch.began_us + max_age_us, digest)
             with self.lock:
+                self._note_change(url, digest)
                 self._keep(fetch, document)
         finally:
             with self.lock:
                 self.fetches.remove(fetch)
         return document
 
+    def version_of(self, digests: Mapping[str, bytes]) -> int:
+        """Return the version if all these documents are as they came last, else OUTDATED_METADATA."""
+        with self.lock:
+            is_current = all(self._digests.get(url) == digest for url, digest in digests.items())
+            return self.version if is_current else OUTDATED_METADATA
+
+    def _note_change(self, url: str, digest: bytes) -> None:
+        """Compare a document with the last one at its URL; called with the lock held."""
+        if self._digests.pop(url, None) != digest:
+            self.version += 1
+            self.changed_us = now_us()
+        while len(self._digests) >= MAX_DOCUMENTS:
+            del self._digests[next(iter(self._digests))]
+        self._digests[url] = digest
+
     def drop(self, urls: list[str]) -> None:
         """Remove documents from the cache, and keep none that is being fetched."""
         with self.lock:
--- a/lupintack/process/cdni_setup.py
+++ b/lupintack/process/cdni_setup.py
@@ -42,13 +42,22 @@
 ) -> CdniParts:
     """Build the front; `processes`: None where this router never has a second process."""
     if processes is None:
-        return CdniParts(CdniFront(conf, core, member_table, ready, spawn), None)
+        front = CdniFront(conf, core, member_table, ready, spawn)
+        _bind_copies(core, front)
+        return CdniParts(front, None)
     purge_log, id_log = new_purge_log(), SharedLog(ID_LOG, ID_LOG_BYTES)
     member_table.has_unread_records = purge_log.has_unread
     # Numbers of triggers by the machine's clock, so that two processes give different ones.
     front = CdniFront(
         conf, core, member_table, ready, spawn, CdniLogs(purge_log, id_log), first_trigger=now_us() // 1000
     )
+    _bind_copies(core, front)
     state = CdniSharedState(front.triggers.purges, front.delivery.run_once_ids, core.counters)
     sharing = ProcessSharing((purge_log, id_log), processes, state, lambda peer: peer.shares_purges)
     return CdniParts(front, sharing)
+
+
+def _bind_copies(core: Core, front: CdniFront) -> None:
+    """Let the router's own copies whose group is from metadata be used only until that changes."""
+    if core.local_cache is not None:
+        core.local_cache.metadata_version = lambda: front.store.version
--- a/tests/test_cdni_groups.py
+++ b/tests/test_cdni_groups.py
@@ -156,6 +156,82 @@
     assert cache is not None and not cache.copies
 
 
+PURGE_EARLIER = f"""
+        {send_trigger("purge", "purge", content_ccid=["16"])}
+        client u wait {{purge}} body='*"status": "complete"*'
+"""
+INVALIDATE_METADATA = f"""
+        {send_trigger("drop", "invalidate", metadata_urls=["{up}/hostindex"])}
+        client u wait {{drop}} body='*"status": "complete"*'
+"""
+ASK = "client a send GET {cdni}/delivery/maps.up/maps/a"
+PREPOSITION = send_trigger("place", "preposition", content_urls=[CONTENT])
+
+
+@pytest.mark.parametrize("ask", [ASK, PREPOSITION])
+def test_purge_of_the_collection_that_content_was_in_binds_requests_for_it(ask: str) -> None:
+    """Guards against copies older than a purge: metadata moves the content to another collection next."""
+    run(f"""
+        {ASK}
+        {EARLIER_METADATA}
+        cache expect w1 within=
+        cache send w1 ok - map
+        client a expect 200
+        {PURGE_EARLIER}
+        {INVALIDATE_METADATA}
+        {ask}
+        {EXPECT_METADATA_CALL}
+        cache expect w2 within=?*
+    """)
+
+
+def test_purge_before_the_first_look_at_the_metadata_binds_whatever_it_names() -> None:
+    """Guards against the same in a process that starts in between: it can't know the earlier collection."""
+    run(f"""
+        {PURGE_EARLIER}
+        {ASK}
+        {EXPECT_METADATA_CALL}
+        cache expect w within=?*
+    """)
+
+
+def answer_metadata(ccid: str) -> str:
+    """Return the lines that answer a call for the metadata with a collection."""
+    return f"""
+        peer up expect GET /hostindex
+        peer up send 200 MI.HostIndex '{host_index(value={"ccid": ccid})}'
+    """
+
+
+def test_copy_from_before_a_change_of_the_metadata_is_not_served() -> None:
+    """Guards against copies older than a purge of a collection that the content was in for a while."""
+    scenario = Scenario(CONFIG + DOWNSTREAM_WITHOUT_URLS, 1e6)
+    fetch = "cache expect {0}\ncache send {0} ok entity=t,issued={{now}} map\nclient a expect 200"
+    scenario.run(f"""
+        {ASK}
+        {answer_metadata("17")}
+        {fetch.format("w1")}
+        {ASK}
+        {fetch.format("w2")}
+        {ASK}
+        client a expect 200
+        cache expect nothing 30
+        {INVALIDATE_METADATA}
+        {ASK}
+        {answer_metadata("17")}
+        client a expect 200
+        cache expect nothing 30
+        {INVALIDATE_METADATA}
+        client a send GET {{cdni}}/delivery/maps.up/maps/b
+        {answer_metadata("16")}
+        {fetch.format("w3")}
+        {INVALIDATE_METADATA}
+        {ASK}
+        {answer_metadata("17")}
+        {fetch.format("w4")}
+    """)
+
+
 CASCADE = """
 [[host]]
 name = "passed.on"
--- a/tests/test_cdni_metadata.py
+++ b/tests/test_cdni_metadata.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from lupintack.core.messages import OUTDATED_METADATA
 from lupintack.fronts.cdni import client, metadata_store
 from lupintack.fronts.cdni.metadata_store import MetadataStore
 
@@ -86,3 +87,28 @@
     assert upstream.get() == (1 if max_age_s else 2)
     clock[0] += 1
     assert upstream.get() == (2 if max_age_s else 3)
+
+
+def test_changes_of_documents_are_counted_and_the_first_fetch_is_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against copies that outlive a change of the metadata, and against those that a fetch costs."""
+    bodies = {"http://up/1": b'{"a": 1}', "http://up/2": b'{"a": 2}'}
+    headers = {"content-type": "application/cdni; ptype=MI.HostIndex"}
+    monkeypatch.setattr(client, "call", lambda _, url, *__, **___: client.Reply(200, headers, bodies[url]))
+    store = MetadataStore()
+
+    def fetch(url: str) -> dict[str, bytes]:
+        return {url: store.get_document(url, "MI.HostIndex").digest}
+
+    first, second = fetch("http://up/1"), fetch("http://up/2")
+    assert store.version == store.version_of(first | second) == 2
+    changed_us = store.changed_us
+    store.drop_all()
+    assert fetch("http://up/1") == first and (store.version, store.changed_us) == (2, changed_us)
+    bodies["http://up/2"] = b'{"a": 3}'
+    assert fetch("http://up/2") != second and store.version == 3 and store.changed_us >= changed_us
+    assert store.version_of(first) == 3 and store.version_of(second) == OUTDATED_METADATA
+    monkeypatch.setattr(metadata_store, "MAX_DOCUMENTS", 1)
+    bodies["http://up/3"] = b"{}"
+    fetch("http://up/3")
+    assert store.version_of(first) == OUTDATED_METADATA, "beyond the bound a document counts as changed"
+    assert len(store._digests) == 1
--- a/tests/test_object_groups.py
+++ b/tests/test_object_groups.py
@@ -9,12 +9,13 @@
 
 import pytest
 
-from lupintack.core.handoff import restore_copy
+from lupintack.core.handoff import capture_state, restore_copy
 from lupintack.core.local_cache import NO_COPY_MS, LocalCache
-from lupintack.core.messages import Answer, ClientRequest
+from lupintack.core.messages import OUTDATED_METADATA, Answer, ClientRequest
 from lupintack.core.purge_memory import PurgeMemory
 from lupintack.decisions.purges import PurgeLog
-from lupintack.interface import UNKNOWN_GROUP, Purged
+from lupintack.decisions.router import Router
+from lupintack.interface import UNKNOWN_GROUP, Purged, Settings
 from tests.scenario import Scenario
 
 TILE = "/ops/map-tiles/00000000000000aa"
@@ -53,6 +54,23 @@
     assert (cache.start_transfer(request, 0) is not None) == is_found
 
 
+def test_copy_whose_group_is_from_metadata_is_used_until_that_changes() -> None:
+    cache, request = LocalCache(1 << 20, 1e6), request_for(17)
+    cache.metadata_version = lambda: versions[0]
+    versions, answer = [1], Answer(b"map", "t", int(time.time() * 1000) - 100)
+    for version in (0, OUTDATED_METADATA):
+        request.metadata_version = version
+        cache.store(request, answer)
+        assert not cache.copies, "it had changed before the answer came"
+    request.metadata_version = 1
+    cache.store(request, answer)
+    assert cache.age_ms(request_for(17)) != NO_COPY_MS
+    state: Any = SimpleNamespace(router=Router(Settings(classes=()), 1), local_cache=cache)
+    assert not capture_state(state).copies, "another process could not tell whether it has changed"
+    versions[0] = 2
+    assert cache.age_ms(request_for(17)) == NO_COPY_MS and cache.start_transfer(request, 0) is None
+
+
 @pytest.mark.parametrize(
     ("filed_under", "purged", "is_dropped"),
     [
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -91,6 +91,10 @@
         """Return the number of the last purge."""
         return 0
 
+    def may_have_left_purged_group(self, changed_us: int) -> bool:
+        """Return whether metadata may have moved content out of a group that was purged."""
+        return False
+
     def submit(self, request: ClientRequest) -> None:
         """Record a request and answer it."""
         fields = {name: plain(getattr(request, name)) for name in REQUEST_FIELDS}
