Refuse CDNI objects that UTF-8 can't hold, and free the room of a purge that fails

What callers saw, by a trial with six commands over the CDNI front: half of a surrogate pair ("\ud800" in the JSON) in a purge's collection or URL, the type or the path was answered with 500 (two), 404 or 201. The purges that failed counted as open for good, so that after 1,000 of them the front refuses every trigger.

And Triggers gave a purge's room back for one kind of failure alone.

Change: messages.parse_object refuses such an object with 400, which metadata documents go through as well; _apply_purge forgets the trigger whatever fails.

Measured: test_text_that_is_no_unicode_is_refused, five of six cases failed on the code before, and test_failed_purge_takes_no_room failed; they pass, with test_cdni, recordings, process sharing and shape 273 passed.

--- a/lupintack/fronts/cdni/messages.py
+++ b/lupintack/fronts/cdni/messages.py
@@ -76,6 +76,7 @@
     """Return a JSON object; raise HttpError for anything else."""
     try:
         data = json.loads(raw)
+        json.dumps(data, ensure_ascii=False).encode()  # fails for half of a surrogate pair, which is no text
     except (ValueError, RecursionError) as error:
         raise HttpError(400, f"not JSON: {error}") from None
     if not isinstance(data, dict):
--- a/lupintack/fronts/cdni/triggers.py
+++ b/lupintack/fronts/cdni/triggers.py
@@ -118,14 +118,16 @@
         return resource
 
     def _apply_purge(self, resource: Resource) -> AppliedPurge:
-        """Apply a purge; raise HttpError, and forget the trigger, if the other processes can't be told."""
+        """Apply a purge; forget the trigger if that fails. HttpError: the other processes can't be told."""
         try:
             return self.purges.apply(resource.spec, resource.owner)
-        except RecordLogError:
-            self.delivery.core.counters.increment("cdni.purges_not_shared")
+        except Exception as error:
             with self.lock:
                 self.resources.pop(resource.number, None)
                 self.open_count -= 1
+            if not isinstance(error, RecordLogError):
+                raise
+            self.delivery.core.counters.increment("cdni.purges_not_shared")
             text = "in force in this process, but the router's other ones can't be told: try again"
             raise HttpError(503, text) from None
 
--- a/tests/test_cdni_triggers.py
+++ b/tests/test_cdni_triggers.py
@@ -13,7 +13,7 @@
 
 from lupintack.core.counters import Counters
 from lupintack.core.member_table import MemberTable
-from lupintack.fronts.cdni import triggers
+from lupintack.fronts.cdni import messages, triggers
 from lupintack.fronts.cdni.conf import Cdni, Upstream
 from lupintack.fronts.cdni.metadata_store import MetadataStore
 from lupintack.fronts.cdni.purges import Purges
@@ -228,3 +228,37 @@
         workers.execute(workers.preposition_queue.get())
         workers.create(spec, [upstream.id])
     assert (workers.open_count, workers.preposition_queue.qsize()) == (3, 3)
+
+
+@pytest.mark.parametrize(
+    "command_text",
+    [
+        r'{"trigger": {"type": "purge", "content.ccid": ["\ud800"]}, "cdn-path": ["AS64496:0"]}',
+        r'{"trigger": {"type": "purge", "content.urls": ["http://up/\uDFFF"]}, "cdn-path": ["AS64496:0"]}',
+        r'{"trigger": {"type": "\ud800\ud800", "content.ccid": ["1"]}, "cdn-path": ["AS64496:0"]}',
+        r'{"trigger": {"type": "purge", "content.ccid": ["1"]}, "cdn-path": ["\ud800"]}',
+        b'{"trigger": {"type": "purge", "content.ccid": ["\xed\xa0\x80"]}, "cdn-path": ["AS64496:0"]}',
+        b'{"trigger": {"type": "purge", "content.ccid": ["\xff"]}, "cdn-path": ["AS64496:0"]}',
+    ],
+)
+def test_text_that_is_no_unicode_is_refused(command_text: str | bytes) -> None:
+    """Guards against half a surrogate pair: a purge with one was a 500, and kept the room of a trigger."""
+    raw = command_text.encode() if isinstance(command_text, str) else command_text
+    with pytest.raises(HttpError, match="not JSON") as error:
+        messages.parse_object(raw)
+    assert error.value.status == 400
+    assert messages.parse_object(rb'{"a": "\ud83d\ude00"}') == {"a": "\U0001f600"}
+
+
+def test_failed_purge_takes_no_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against triggers that count as open for good, so that later ones are refused."""
+    conf = Cdni(("127.0.0.1", 0), "AS64500:0", "http://cdni", {}, {"AS64496:0": Upstream("AS64496:0")})
+    table, store = MemberTable(6000.0), MetadataStore()
+    purges = Purges(conf, table, store)
+    failure = unittest.mock.Mock(side_effect=RuntimeError("a fault"))
+    monkeypatch.setattr(purges, "apply", failure)
+    delivery = unittest.mock.Mock(core=unittest.mock.Mock(counters=Counters()))
+    all_triggers = triggers.Triggers(conf, purges, delivery, store)
+    with pytest.raises(RuntimeError):
+        all_triggers.create({"type": "purge", "content.ccid": ["1"]}, ["AS64496:0"])
+    assert all_triggers.open_count == 0 and not all_triggers.resources
