--- a/lupintack/standins/soak.py
+++ b/lupintack/standins/soak.py
@@ -39,7 +39,6 @@
     SLOW_START_S,
     Counts,
     History,
-    Kill,
     Notification,
     Result,
     closing_line,
@@ -52,7 +51,7 @@
     draw_pause,
     heartbeat,
 )
-from lupintack.standins.soak_signals import TERM, Step, describe, draw_series, send_series
+from lupintack.standins.soak_signals import TERM, Step, describe, draw_series, kill, send_series
 
 WAIT_MS = 1200
 NOTICE_S = 7.0  # after which an event counts as notified in any case
@@ -224,7 +223,7 @@
         if kind == "series":
             self.end_planned(process, draw_series(self.random))
         self.log_step(f"SIGKILL, {kind}")
-        self.kill(process, kind == "series")
+        self.history.kills.append(kill(process, kind == "series"))
         if kind != "series":
             self.drain([self.random.choice(("s-1", "p-1"))])
         if kind.endswith("in start"):
@@ -233,7 +232,7 @@
             if kind == "term in start" and self.edge.process is not None:
                 self.end_planned(self.edge.process, [Step(TERM, 0.0)])
             assert self.edge.process is not None
-            self.kill(self.edge.process, kind == "term in start")
+            self.history.kills.append(kill(self.edge.process, kind == "term in start"))
             self.log_step(f"SIGKILL, {kind}")
         if self.random.random() < 0.6:
             self.inject_discovery_fault()
@@ -248,13 +247,6 @@
             time.sleep(0.005)
         self.history.late_ends += process.poll() is None
 
-    def kill(self, process: subprocess.Popen[bytes], is_planned: bool) -> None:
-        """Send SIGKILL, and wait for the end; `is_planned`: after a SIGTERM."""
-        sent_s = time.monotonic()
-        process.kill()
-        process.wait()
-        self.history.kills.append(Kill(sent_s, time.monotonic(), is_planned))
-
     def on_pause(self, began_s: float, ended_s: float) -> None:
         """Record a pause of the process."""
         self.history.pauses.append((began_s, ended_s))
@@ -271,7 +263,7 @@
         self.result.ready_s.append(time.monotonic() - began)
         self.log_step(f"ready after {self.result.ready_s[-1]:.2f} s, SIGTERM to the old one")
         self.end_planned(old_process, draw_series(self.random))
-        self.kill(old_process, True)
+        self.history.kills.append(kill(old_process, True))
         # Events that either process received late are counted from the start of the new one.
         self.history.starts.append((time.monotonic(), time.monotonic()))
 
--- a/lupintack/standins/soak_signals.py
+++ b/lupintack/standins/soak_signals.py
@@ -9,6 +9,8 @@
 from random import Random
 from typing import NamedTuple
 
+from lupintack.standins.soak_counts import Kill
+
 TERM, HUP, USR1 = signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1
 STOP, CONT = signal.SIGSTOP, signal.SIGCONT
 SERIES: tuple[tuple[signal.Signals, ...], ...] = (
@@ -61,3 +63,11 @@
 def describe(steps: list[Step]) -> str:
     """Return the series as text for the script log."""
     return ", ".join(f"{step.signal.name[3:]} {step.gap_s * 1000:.0f} ms" for step in steps)
+
+
+def kill(process: subprocess.Popen[bytes], is_planned: bool) -> Kill:
+    """Send SIGKILL and wait for the end of the process; `is_planned`: it followed a SIGTERM."""
+    sent_s = time.monotonic()
+    process.kill()
+    process.wait()
+    return Kill(sent_s, time.monotonic(), is_planned)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
 from lupintack.standins.soak import Soak, play
 from lupintack.standins.soak_counts import Counts, History, Kill, Result, RunAnalysis, closing_line
 from lupintack.standins.soak_pauses import PausePlan
-from lupintack.standins.soak_signals import TERM, Step
+from lupintack.standins.soak_signals import TERM, Step, kill
 
 SEEDS = range(101, 107)
 CONCURRENT_RUNS = 2
@@ -94,7 +94,7 @@
     def restart(self) -> None:
         assert self.edge.process is not None
         self.end_planned(self.edge.process, [Step(TERM, 0.0)])
-        self.kill(self.edge.process, True)
+        self.history.kills.append(kill(self.edge.process, True))
         self.start()
         self.wait_ready()
 
