Ask the memory of purges whether content may have left a purged group

Cause: put two questions on purges into the core's actor, which should not grow.

Change: PurgeMemory answers; Delivery asks it. Behaviour is as before.

--- a/lupintack/core/actor.py
+++ b/lupintack/core/actor.py
@@ -126,18 +126,6 @@
         """Accept a request that a front has read."""
         self.mailbox.enqueue(request)
 
-    def last_purge_number(self) -> int:
-        """Return the number of the last purge in the member table; called before metadata is read."""
-        return self.member_table.purge_memory.last_number
-
-    def may_have_left_purged_group(self, changed_us: int) -> bool:
-        """Return whether content whose group may have changed at a time may have been purged before that.
-
-        Then copies of it from before the purge may still be in caches.
-        """
-        now, memory = now_us(), self.member_table.purge_memory
-        return changed_us > now - memory.settle_us and memory.has_unsettled_group_purge(now)
-
     def free_capacity(self) -> int:
         """Return how many more requests would be accepted; fronts check it before they read one."""
         return self.settings.max_in_flight - len(self.requests.by_number) - len(self.mailbox.messages)
--- a/lupintack/core/purge_memory.py
+++ b/lupintack/core/purge_memory.py
@@ -71,9 +71,12 @@
             latest = max(latest, of_group.number)
         return latest > known_number
 
-    def has_unsettled_group_purge(self, now_us: int) -> bool:
-        """Return whether copies from before a purge of some group may still be in caches."""
-        return self.last_group_purge_us > now_us - self.settle_us
+    def may_have_left_purged_group(self, changed_us: int, now_us: int) -> bool:
+        """Return whether content may have been in a group that was purged before `changed_us`.
+
+        That is when its group may have changed. Copies from before such a purge may still be in caches.
+        """
+        return min(changed_us, self.last_group_purge_us) > now_us - self.settle_us
 
     def _drop_old(self, now_us: int) -> None:
         """Drop purges that have settled, and the oldest ones beyond the bound."""
--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -117,14 +117,15 @@
         upstream = self.conf.upstreams.get(content.host.upstream)
         if upstream is None or not upstream.metadata:
             return ContentGroup(content.host.group)
-        read_at_purge = self.core.last_purge_number()  # before the documents, which may be dropped meanwhile
+        purges = self.core.member_table.purge_memory
+        read_at_purge = purges.last_number  # before the documents, which may be dropped meanwhile
         reader = MetadataReader(self.store)
         entries = reader.resolve(upstream.metadata, url)
         check(entries)
         group = metadata.content_group(entries)
         if group is None:
             group = content.host.group
-        if self.core.may_have_left_purged_group(self.store.changed_us):
+        if purges.may_have_left_purged_group(self.store.changed_us, now_us()):
             group = UNKNOWN_GROUP
         return ContentGroup(group, read_at_purge, self.store.version_of(reader.digests))
 
--- a/tests/test_wire_recordings.py
+++ b/tests/test_wire_recordings.py
@@ -21,6 +21,7 @@
 from lupintack.config import Names
 from lupintack.core.entity_tags import NO_TAGS, parse_if_none_match
 from lupintack.core.messages import Answer, Attempt, ClientRequest
+from lupintack.core.purge_memory import PurgeMemory
 from lupintack.core.timestamps import CopyClock
 from lupintack.discovery.client import DiscoveryClient
 from lupintack.discovery.events import EventError, parse_event
@@ -85,16 +86,9 @@
         )
         self.settings = SimpleNamespace(classes=classes)
         self.counters = SimpleNamespace(increment=ignore)
+        self.member_table = SimpleNamespace(purge_memory=PurgeMemory(0.0))
         self.submitted: list[dict[str, Any]] = []
 
-    def last_purge_number(self) -> int:
-        """Return the number of the last purge."""
-        return 0
-
-    def may_have_left_purged_group(self, changed_us: int) -> bool:
-        """Return whether metadata may have moved content out of a group that was purged."""
-        return False
-
     def submit(self, request: ClientRequest) -> None:
         """Record a request and answer it."""
         fields = {name: plain(getattr(request, name)) for name in REQUEST_FIELDS}
