Claim the id of a CDNI request after its fields have been read

What callers saw, by the test: an alert-ack with a malformed Req-Token gets 400; sent again without it and with the same Req-Id it gets 409, it may have run, for 180 s, though it never ran.

Cause: Delivery.serve claimed the id, which is shared with the router's other process, before the last fields were parsed.

Change: the request is built first.

--- a/lupintack/fronts/cdni/delivery.py
+++ b/lupintack/fronts/cdni/delivery.py
@@ -145,6 +145,7 @@
         if runs_once and not platform_headers.has_request_id(request.headers):
             raise platform_headers.missing_request_id()
         wait_ms = platform_headers.parse_wait_ms(request.headers, str(int(service_class.deadline_ms)))
+        client_request = self.build_request(exchange, content, group, request_id, wait_ms)
         status = self.run_once_ids.add(request_id) if runs_once else IdStatus.ADDED
         if status is IdStatus.PRESENT:
             raise HttpError(409, "this request was taken before and may have run")
@@ -153,7 +154,6 @@
             self.core.counters.increment(name)
             reject(exchange, int(self.core.settings.max_retry_after_ms))
             return
-        client_request = self.build_request(exchange, content, group, request_id, wait_ms)
         exchange.on_disconnected = lambda: self.core.on_client_disconnected(client_request)
         if exchange.is_disconnected():
             # The client disconnected while the metadata was fetched, when on_disconnected was not set yet.
--- a/tests/test_cdni.py
+++ b/tests/test_cdni.py
@@ -368,6 +368,17 @@
             client c expect 400
         """)
 
+    def test_id_of_a_request_that_was_never_taken_may_be_used_again(self) -> None:
+        """Guards against 409, it may have run, after a request that was refused for one of its fields."""
+        run_scenario("""
+            client a send PUT {cdni}/content/own/ack/1 Req-Id:9b1f03aa5c7e2d41 'Req-Token:not a key' body=seen
+            client a expect 400
+            client b send PUT {cdni}/content/own/ack/1 Req-Id:9b1f03aa5c7e2d41 body=seen
+            cache expect w cls=alert-ack body=seen
+            cache send w ok
+            client b expect 200
+        """)
+
     def test_rejected_ack_is_retried(self) -> None:
         run_scenario("""
             client a send PUT {cdni}/content/own/ack/1 Req-Id:9b1f03aa5c7e2d41 body=seen
