--- a/lupintack/scale/hollow_messages.py
+++ b/lupintack/scale/hollow_messages.py
@@ -9,6 +9,7 @@
 
 from lupintack.scale.hollow_plan import BudgetPlan, RegionSetup, RouterPlan
 
+MAX_TICK_DELAY_US = 500_000  # a larger delay means that the router does not keep up
 LENGTH = struct.Struct(">I")
 
 
--- a/lupintack/scale/hollow_process.py
+++ b/lupintack/scale/hollow_process.py
@@ -34,7 +34,6 @@
 MAX_JOINING = 2  # concurrent joins in one process
 JOIN_TIMEOUT_US = 5_000_000  # after this the next routers start, even if these have not joined
 LEAVE_GRACE_US = 1_000_000  # between the announcement of a leave and the end
-MAX_TICK_DELAY_US = 500_000  # a larger delay means that the router does not keep up
 MAX_REPORTED_VIEWS = 4
 
 
@@ -305,7 +304,7 @@
             tuple(name for name, router in self.routers.items() if router.allocates(now)),
             sum(router.allocates_region(now) for router in self.routers.values()),
             sum(len(removal.names) for removal in self.removals),
-            sum(router.max_tick_delay_us > MAX_TICK_DELAY_US for router in self.routers.values()),
+            sum(router.max_tick_delay_us > messages.MAX_TICK_DELAY_US for router in self.routers.values()),
         )
 
 
--- a/lupintack/scale/report.py
+++ b/lupintack/scale/report.py
@@ -9,10 +9,9 @@
 from enum import Enum
 from typing import Any
 
-from lupintack.scale.hollow_messages import Finished, LeaseStatus, Removal, RouterReport
+from lupintack.scale.hollow_messages import MAX_TICK_DELAY_US, Finished, LeaseStatus, Removal, RouterReport
 from lupintack.scale.hollow_plan import BudgetPlan, FleetSize
 
-MAX_TICK_DELAY_US = 500_000  # a larger delay means that the router does not keep up
 REMOVAL_GRACE_US = 20_000_000  # a fault may cause removals for this long after its end
 MIN_DETECTABLE_OUTAGE_US = 5_000_000  # a shorter pause or cut must not cause removals
 MAX_LISTED_REMOVALS = 5
