Wait in the tests of budgets until there is an allocator before it is killed

Change: LeaseRecorder.await_allocator waits for one as the tests wait for the next ones, 20 s at most, and fails without one.

--- a/tests/test_division.py
+++ b/tests/test_division.py
@@ -69,6 +69,17 @@
         running = [n for n in self.routers.running if n not in self.routers.paused]
         return next((n for n in running if self.statuses.get(n, {}).get("ready")), "")
 
+    def await_allocator(self, description: str, other_than: str = "") -> str:
+        """Wait until there is an allocator, and another one than that named; return its name."""
+        names = [""]
+
+        def is_found() -> bool:
+            names.append(self.allocator())
+            return names[-1] not in ("", other_than)
+
+        self.routers.wait_until(is_found, 20.0, description)
+        return names[-1]
+
     def leased_share(self, n: int = 0) -> float:
         """Return the leased part of the allocatable units now."""
         self.sample()
@@ -118,26 +129,24 @@
 
 def test_leases_never_exceed_total_when_allocator_is_killed_paused_or_cut_off(tmp_path: Path) -> None:
     with running_routers(tmp_path) as (routers, recorder):
-        first = recorder.allocator()
+        first = recorder.await_allocator("an allocator")
         recorder.kill(first)
-        routers.wait_until(lambda: recorder.allocator() not in ("", first), 20.0, "another allocator")
+        recorder.await_allocator("another allocator", first)
         routers.wait_until(
             lambda: recorder.leased_share() > 0.99, 20.0, "the killed router's units are leased"
         )
         routers.launch(first)
-        second = recorder.allocator()
+        second = recorder.await_allocator("an allocator")
         routers.pause([second])
-        routers.wait_until(lambda: recorder.allocator() not in ("", second), 20.0, "a third allocator")
+        recorder.await_allocator("a third allocator", second)
         routers.resume([second])
         routers.wait_until(
             lambda: recorder.leased_share() > 0.99, 20.0, "the paused router has a lease again"
         )
-        third = recorder.allocator()
+        third = recorder.await_allocator("an allocator")
         other_routers = [name for name in routers.names if name != third]
         routers.switch.split([third], other_routers)
-        routers.wait_until(
-            lambda: recorder.allocator() not in ("", third), 20.0, "an allocator in the majority"
-        )
+        recorder.await_allocator("an allocator in the majority", third)
         routers.wait_until(
             lambda: recorder.statuses[third]["lease_ends_ms"] == 0, 20.0, "the router cut off has no lease"
         )
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -45,17 +45,17 @@
             20.0,
             "most of the budget is used",
         )
-        first = recorder.allocator()
+        first = recorder.await_allocator("an allocator")
         recorder.kill(first)
-        routers.wait_until(lambda: recorder.allocator() not in ("", first), 20.0, "another allocator")
+        recorder.await_allocator("another allocator", first)
         routers.wait_until(
             lambda: recorder.leased_share() > 0.8, 20.0, "the killed router's units are leased"
         )
         routers.launch(first)
-        second = recorder.allocator()
+        second = recorder.await_allocator("an allocator")
         routers.pause([second])
         paused_s = time.monotonic()
-        routers.wait_until(lambda: recorder.allocator() not in ("", second), 20.0, "a third allocator")
+        recorder.await_allocator("a third allocator", second)
         routers.resume([second])
         paused_s = time.monotonic() - paused_s
         routers.wait_until(lambda: recorder.leased_share() > 0.8, 20.0, "the paused router has a lease again")
