Wait for purges to be sent until a quarter of a second before the end of the process

Cause: let the process wait for a silent downstream CDN until 50 ms before SIGKILL may come; its log line and its end have to fit into that.

Change: it waits until 0.25 s before the latest end, as requests that are still open do.

--- a/lupintack/node.py
+++ b/lupintack/node.py
@@ -361,7 +361,7 @@
         while any(server.busy() for server in self.servers) and time.monotonic() < end_s:
             time.sleep(BUSY_CHECK_INTERVAL_S)
         if self.cdni_front is not None:
-            self.cdni_front.triggers.await_purges_sent(int(end_s * 1e6))
+            self.cdni_front.triggers.await_purges_sent(int((end_s - FLUSH_MARGIN_S) * 1e6))
         self.admin_service.close()
         if self.fleet is not None:
             self.fleet.close()
