--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import tomllib
 from pathlib import Path
 
 PACKAGE = Path(__file__).parent.parent / "lupintack"
@@ -43,3 +44,12 @@
     assert not too_long
     unneeded = {name for name in LONG_FUNCTIONS if lengths.get(name, 0) <= MAX_FUNCTION_LINES}
     assert not unneeded, "no longer over the limit: remove the entry"
+
+
+def test_distribution_has_every_package() -> None:
+    """Guards against an installation, other than an editable one, that can't be imported."""
+    project = tomllib.loads((PACKAGE.parent / "pyproject.toml").read_text())
+    folders = {path.parent.relative_to(PACKAGE.parent) for path in PACKAGE.rglob("*.py")}
+    assert sorted(project["tool"]["setuptools"]["packages"]) == sorted(
+        map(".".join, (f.parts for f in folders))
+    )
