Describe the views of routers without budgets when a wait of a test fails

What was seen, on reading the change once more: since a failed wait of the tests' routers ends in an AttributeError where budgets are off, as in test_switch, in place of its text with each router's view.

Cause: the status page says null there, not nothing.

Measured: test_failed_wait_shows_each_view_with_and_without_budgets, one of two cases failed before; with test_shape and the slow stores 7 passed.

--- a/lupintack/standins/routers.py
+++ b/lupintack/standins/routers.py
@@ -217,7 +217,7 @@
             state = {
                 key: status[key] for key in ("state", "view", "settled", "minority", "health", "dropped")
             }
-            budgets = status.get("budgets", {})
+            budgets = status.get("budgets") or {}
             state |= {key: budgets.get(key) for key in ("divides", "epoch", "lease_ends_ms", "counts")}
             lines.append(f"{name}: {state}, {others}, answered in {took_ms:.0f} ms")
         return lines
--- a/tests/test_division.py
+++ b/tests/test_division.py
@@ -181,6 +181,20 @@
     )  # fmt: skip
 
 
+@pytest.mark.parametrize("budgets_status", [None, {"divides": True}])
+def test_failed_wait_shows_each_view_with_and_without_budgets(
+    monkeypatch: pytest.MonkeyPatch, budgets_status: dict[str, Any] | None
+) -> None:
+    """Guards against an error of the description in place of the failure that it describes."""
+    keys = ("state", "view", "settled", "minority", "health", "dropped")
+    status: dict[str, Any] = dict.fromkeys(keys, "x") | {"routers": [], "budgets": budgets_status}
+    routers = object.__new__(Routers)
+    routers.running, routers.paused = {"n0": unittest.mock.Mock()}, set()
+    monkeypatch.setattr(routers, "status", lambda name: status)
+    (line,) = routers.describe_views()
+    assert f"'divides': {budgets_status['divides'] if budgets_status else None}" in line
+
+
 @pytest.mark.parametrize("took_ms", [0, 400])
 def test_promises_that_are_stored_slowly_are_counted(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, took_ms: int
